--- /dev/null
+++ b/cmd/simhost/wire.go
@@ -0,0 +1,265 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"aspensill/logic"
+)
+
+// event is one line of input: an object with a single key, the event's name.
+type event struct {
+	Mark        *mark        `json:"mark"`
+	YourTurn    *struct{}    `json:"your_turn"`
+	NewInstance *newInstance `json:"new_instance"`
+	PowerOff    *whoOnly     `json:"power_off"`
+	Ledger      *ledger      `json:"ledger"`
+	Membership  *membership  `json:"membership"`
+	JobIn       *jobIn       `json:"job_in"`
+	Established *completed   `json:"established"`
+	Completed   *completed   `json:"completed"`
+	Withdrawn   *ticketOnly  `json:"withdrawn"`
+	TickDue     *tickDue     `json:"tick_due"`
+	ProbeDone   *whoOnly     `json:"probe_done"` // this library sends no probes
+	Message     *whoOnly     `json:"message"`    // nor messages to peers
+}
+
+type mark struct {
+	Time *int64 `json:"time_us"`
+}
+
+type whoOnly struct {
+	Who *string `json:"who"`
+}
+
+type ticketOnly struct {
+	Who    *string `json:"who"`
+	Ticket *string `json:"ticket"`
+}
+
+type newInstance struct {
+	Who     *string  `json:"who"`
+	Salt    *uint64  `json:"salt"`
+	Options *options `json:"options"`
+}
+
+type ledger struct {
+	Roster   *int     `json:"roster_id"`
+	Elements *[]entry `json:"elements"`
+}
+
+type entry struct {
+	Backend  *string  `json:"backend"`
+	DC       *int     `json:"dc"`
+	Pack     int      `json:"pack"`
+	State    *int     `json:"state"`
+	Power    *float64 `json:"power_hint"`
+	Launched int64    `json:"launched_us"`
+}
+
+type membership struct {
+	Who    *string `json:"who"`
+	How    *int    `json:"how"`
+	Roster *int    `json:"roster_id"`
+}
+
+type jobIn struct {
+	Who    *string `json:"who"`
+	Ticket *string `json:"ticket"`
+	Band   *int    `json:"band"`
+	Owner  int     `json:"owner"`
+	Key    string  `json:"affinity"`
+	GiveUp *int64  `json:"give_up_at_us"`
+}
+
+type completed struct {
+	Who      *string `json:"who"`
+	Ticket   *string `json:"ticket"`
+	Go       *int    `json:"go"`
+	Verdict  *int    `json:"verdict"`
+	Took     int64   `json:"took_us"`
+	Terminal bool    `json:"terminal"`
+}
+
+type tickDue struct {
+	Who   *string `json:"who"`
+	Nonce *string `json:"nonce"`
+}
+
+type options struct {
+	Contract struct {
+		AskEvery      int64   `json:"ask_every_us"`
+		BusyNoProof   bool    `json:"busy_is_no_proof"`
+		OrderSettle   int64   `json:"order_settle_us"`
+		RatioSpan     int64   `json:"ratio_span_us"`
+		ResendRatio   float64 `json:"resend_ratio"`
+		Spare         float64 `json:"spare_attempts"`
+		Cold          int64   `json:"cold_us"`
+		DrainGrace    int64   `json:"drain_grace_us"`
+		StartCapacity float64 `json:"start_capacity"`
+	} `json:"contract"`
+	CountedBy string   `json:"counted_by"`
+	Zones     []string `json:"failure_domains"`
+	Limits    struct {
+		MaxRetryAfter int64 `json:"max_retry_after_us"`
+		RetryAfter    bool  `json:"retry_after"`
+		TryLimit      int   `json:"try_limit"`
+	} `json:"limits"`
+	Membership string `json:"membership_mode"`
+	Zone       int    `json:"my_zone"`
+	Profiles   []struct {
+		ByArrival bool    `json:"by_arrival"`
+		Scope     string  `json:"dedup_scope"`
+		Window    int64   `json:"dedup_window_us"`
+		GiveUp    int64   `json:"give_up_us"`
+		LateShare float64 `json:"late_share"`
+		Objective int64   `json:"objective_us"`
+		Repeat    string  `json:"repeat"`
+		Worth     float64 `json:"worth"`
+	} `json:"profiles"`
+	Siblings int `json:"siblings"`
+	Ordinal  int `json:"ordinal"`
+	Stage    int `json:"stage"`
+	Tenants  []struct {
+		Portion float64 `json:"portion"`
+		Quota   float64 `json:"quota_per_s"`
+	} `json:"tenants"`
+	Weights string `json:"weights"`
+}
+
+var repeats = map[string]logic.Repeat{
+	"idempotent": logic.Safe, "deduplicated": logic.Keyed, "at_most_once": logic.Unsafe,
+}
+
+var groups = map[string]logic.Group{
+	"": logic.GroupAll, "all": logic.GroupAll, "zone": logic.GroupZone, "cell": logic.GroupCell,
+}
+
+var statuses = map[int]logic.Status{
+	200: logic.OK, 500: logic.Error, 503: logic.FullUp, 504: logic.TimedOut, 502: logic.ConnectFailed,
+	598: logic.Reset, 499: logic.Cancelled, 410: logic.Moot,
+}
+
+// settings turns the wire's options into the library's settings.
+func (o *options) settings() (logic.Settings, error) {
+	s := logic.Settings{
+		Stage: o.Stage, Siblings: o.Siblings, Ordinal: o.Ordinal, Zone: o.Zone, Zones: len(o.Zones),
+		Subscribe: o.Membership == "subscribe", SizeHints: o.Weights != "" && o.Weights != "off",
+		MaxAttempts: o.Limits.TryLimit, FullMayRun: o.Contract.BusyNoProof,
+		OrderSettle: o.Contract.OrderSettle,
+		BudgetSpan:  o.Contract.RatioSpan, BudgetFree: o.Contract.Spare, BudgetShare: o.Contract.ResendRatio,
+		DrainGrace: o.Contract.DrainGrace,
+		AskEvery:   o.Contract.AskEvery, StartCapacity: o.Contract.StartCapacity, Cold: o.Contract.Cold,
+		ByWork: o.CountedBy == "work",
+	}
+	if o.Limits.RetryAfter {
+		s.MaxRetryAfter = o.Limits.MaxRetryAfter
+	}
+	for i, p := range o.Profiles {
+		repeat, ok := repeats[p.Repeat]
+		if !ok {
+			return s, fmt.Errorf("profiles[%d].repeat: unknown word %q", i, p.Repeat)
+		}
+		group, ok := groups[p.Scope]
+		if !ok {
+			return s, fmt.Errorf("profiles[%d].dedup_scope: unknown word %q", i, p.Scope)
+		}
+		s.Classes = append(s.Classes, logic.Class{Aim: p.Objective, Deadline: p.GiveUp, Worth: p.Worth,
+			LateWorth: p.LateShare, Repeat: repeat, Group: group, Window: p.Window,
+			ByArrival: p.ByArrival})
+	}
+	for _, t := range o.Tenants {
+		s.Tenants = append(s.Tenants, logic.Tenant{Portion: t.Portion, Quota: t.Quota})
+	}
+	return s, nil
+}
+
+// servers turns a roster's elements into the library's servers.
+func (l *ledger) servers() ([]logic.Server, error) {
+	out := make([]logic.Server, 0, len(*l.Elements))
+	for i, e := range *l.Elements {
+		if e.Backend == nil || e.State == nil || e.DC == nil {
+			return nil, fmt.Errorf("elements[%d]: backend, dc or state is missing", i)
+		}
+		if *e.State < 0 || *e.State > 2 {
+			return nil, fmt.Errorf("elements[%d].state: unknown state %d", i, *e.State)
+		}
+		s := logic.Server{ID: *e.Backend, Zone: *e.DC, Cell: e.Pack,
+			State: logic.State(*e.State), Size: 1, Launched: e.Launched}
+		if e.Power != nil {
+			s.Size = *e.Power
+		}
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+// Actions, each under its name on the wire.
+type (
+	place struct {
+		Who     string `json:"who"`
+		Ticket  string `json:"ticket"`
+		Timeout int64  `json:"timeout_us"`
+		Backend string `json:"backend"`
+	}
+	overloadReply struct {
+		Who      string `json:"who"`
+		Ticket   string `json:"ticket"`
+		StayAway int64  `json:"stay_away_us"`
+	}
+	reportFailure struct {
+		Who    string `json:"who"`
+		Ticket string `json:"ticket"`
+	}
+	schedule struct {
+		Who   string `json:"who"`
+		Sleep int64  `json:"sleep_for_us"`
+		Nonce string `json:"nonce"`
+	}
+	subscribe struct {
+		Who    string `json:"who"`
+		Enable bool   `json:"enable"`
+	}
+	emit struct {
+		Who  string `json:"who"`
+		Line string `json:"line"`
+	}
+)
+
+// action is one line of output; exactly one field is set.
+type action struct {
+	Place         *place         `json:"place,omitempty"`
+	OverloadReply *overloadReply `json:"overload_reply,omitempty"`
+	ReportFailure *reportFailure `json:"report_failure,omitempty"`
+	Schedule      *schedule      `json:"schedule,omitempty"`
+	Subscribe     *subscribe     `json:"subscribe,omitempty"`
+	Emit          *emit          `json:"emit,omitempty"`
+	Done          *struct{}      `json:"done,omitempty"`
+}
+
+// host writes one instance's actions.
+type host struct {
+	who string
+	out *json.Encoder
+}
+
+// An error of writing shows again when the batch is flushed, so it is not looked at here.
+func (h *host) write(a action) { _ = h.out.Encode(a) }
+
+func (h *host) Send(id, server string, timeout int64) {
+	h.write(action{Place: &place{h.who, id, timeout, server}})
+}
+
+func (h *host) Refuse(id string, after int64) {
+	h.write(action{OverloadReply: &overloadReply{h.who, id, after}})
+}
+
+func (h *host) Fail(id string) { h.write(action{ReportFailure: &reportFailure{h.who, id}}) }
+
+func (h *host) SetTimer(delay int64, token string) {
+	h.write(action{Schedule: &schedule{h.who, delay, token}})
+}
+
+func (h *host) Watch() { h.write(action{Subscribe: &subscribe{h.who, true}}) }
+
+func (h *host) Log(line string) { h.write(action{Emit: &emit{h.who, line}}) }
--- /dev/null
+++ b/logic/api.go
@@ -0,0 +1,215 @@
+// Package logic decides, for one proxy of one tier, which server gets each call and which calls are
+// refused. This file is its interface: settings, events and actions. It holds no decisions; those are
+// all in logic.go.
+//
+// One Balancer serves one proxy. It is not safe for concurrent use: the owner calls one event method at
+// a time, in the order in which the events happened, each with the time of the owner's clock. Times and
+// durations are whole microseconds; the clock may begin anywhere and only advances. A Balancer keeps no
+// goroutines, locks or global state, reads no clock and draws its random numbers from the seed alone, so
+// the same events give the same actions.
+package logic
+
+import "fmt"
+
+// Repeat tells whether a class of requests may run more than once.
+type Repeat int
+
+// The repeat classes.
+const (
+	Safe   Repeat = iota // may run any number of times
+	Keyed                // carries a key; servers of one group drop repeats within Class.Window
+	Unsafe               // must never run twice
+)
+
+// Group is the set of servers that drop a Keyed class's repeats between them.
+type Group int
+
+// The groups of servers.
+const (
+	GroupAll  Group = iota // all servers of the tier
+	GroupZone              // those of one zone
+	GroupCell              // those of one cell
+)
+
+// Class describes one class of requests.
+type Class struct {
+	Aim       int64   // an answer within this earns the full worth
+	Deadline  int64   // a client waits this long at most, all its tries included
+	Worth     float64 // worth of one request
+	LateWorth float64 // part of the worth earned between aim and deadline
+	Repeat    Repeat
+	Group     Group // for Keyed
+	Window    int64 // for Keyed: how long repeats are dropped, from the first send that may have run
+	ByArrival bool  // requests with one key run one at a time, in the order in which this proxy took them
+}
+
+// Tenant describes one origin of requests.
+type Tenant struct {
+	Portion float64 // its part of the service
+	Quota   float64 // requests a second inside its share, over all proxies
+}
+
+// Settings are handed over once, at the start, and not changed afterwards.
+type Settings struct {
+	Stage     int // the tier that this proxy sends to; 0 is the front
+	Siblings  int // proxies of this tier, this one included
+	Ordinal   int // this proxy's number among them, from 0
+	Zone      int // this proxy's zone
+	Zones     int
+	Classes   []Class
+	Tenants   []Tenant // may be empty
+	Subscribe bool     // the list of servers comes only after Host.Watch
+	SizeHints bool     // Server.Size compares servers; otherwise it says nothing
+
+	MaxAttempts int   // sends for one request at most
+	OrderSettle int64 // ByArrival: a key rests this long after a time-out, reset or cancel
+	FullMayRun  bool  // FullUp is no proof that an attempt never ran
+
+	// In any BudgetSpan, attempts beyond each request's first number at most BudgetFree plus BudgetShare
+	// times the requests taken in it. A BudgetSpan of 0: no budget is stated, and the module keeps its own.
+	BudgetSpan  int64
+	BudgetFree  float64
+	BudgetShare float64
+
+	MaxRetryAfter int64 // the longest hint that a client heeds; 0: hints are not heeded
+	DrainGrace    int64 // sends to a draining or gone server must have stopped by then
+	AskEvery      int64 // with Subscribe: the longest time without a subscription or a call
+
+	StartCapacity float64 // part of its capacity that a server starts with, at least
+	Cold          int64   // a server is warm after this at the latest
+
+	ByWork bool // worth is counted for each unit of work, not for each request
+}
+
+// State is what the list says of a server.
+type State int
+
+// The states of a server.
+const (
+	Gone State = iota
+	Ready
+	Draining
+)
+
+// Server is an entry of the list of servers.
+type Server struct {
+	ID       string
+	Zone     int
+	Cell     int
+	State    State
+	Size     float64
+	Launched int64 // when it last started; 0: long ago
+}
+
+// ListKind tells what a List event holds.
+type ListKind int
+
+// The kinds of list.
+const (
+	Delta  ListKind = iota // changed entries only
+	Full                   // the whole list
+	Cached                 // the whole list as last known, maybe old
+	Failed                 // a call or the subscription failed; the old list stands
+)
+
+// Request is a request that a client has handed to this proxy.
+type Request struct {
+	ID     string
+	Class  int
+	Tenant int
+	Key    string // its subject, or empty
+	GiveUp int64  // when the client abandons it
+}
+
+// Status is how an attempt ended.
+type Status int
+
+// The outcomes of an attempt. Full, ConnectFailed and Moot prove that it never ran.
+const (
+	OK Status = iota
+	Error
+	FullUp
+	TimedOut
+	ConnectFailed
+	Reset
+	Cancelled
+	Moot
+)
+
+// Outcome is the end of an attempt; each Send gets exactly one.
+type Outcome struct {
+	ID      string
+	Attempt int // 0 for the first Send of a request
+	Status  Status
+	Took    int64
+	Closed  bool // the request is over; otherwise this proxy still owes the final answer
+}
+
+// Host carries out what a Balancer decides. Its methods are called from inside event methods, are to
+// return at once and must not call back into the Balancer.
+type Host interface {
+	// Send passes a request to a server and gives the attempt up after timeout; 0 is the client's time.
+	Send(id, server string, timeout int64)
+	// Refuse ends a request unserved; the client may safely come again, after the given time.
+	Refuse(id string, after int64)
+	// Fail ends a request without any promise.
+	Fail(id string)
+	// SetTimer asks for a Timer event after delay.
+	SetTimer(delay int64, token string)
+	// Watch opens the standing subscription to the list of servers.
+	Watch()
+	// Log shows a line to on-call staff.
+	Log(line string)
+}
+
+func (s Settings) validate() error {
+	for _, c := range []struct {
+		bad   bool
+		field string
+	}{
+		{len(s.Classes) == 0, "Classes: none given"},
+		{s.Zones < 1, "Zones: fewer than one"},
+		{s.Zone < 0 || s.Zone >= s.Zones, "Zone: out of range"},
+		{s.Siblings < 1, "Siblings: fewer than one"},
+		{s.Ordinal < 0, "Ordinal: negative"},
+		{s.Stage < 0, "Stage: negative"},
+		{s.MaxAttempts < 1, "MaxAttempts: fewer than one"},
+		{s.MaxRetryAfter < 0, "MaxRetryAfter: negative"},
+		{s.OrderSettle < 0, "OrderSettle: negative"},
+		{s.BudgetSpan < 0, "BudgetSpan: negative"},
+		{!(s.BudgetFree >= 0), "BudgetFree: negative"},
+		{!(s.BudgetShare >= 0), "BudgetShare: negative"},
+		{s.DrainGrace < 0, "DrainGrace: negative"},
+		{s.AskEvery < 0 || s.Subscribe && s.AskEvery == 0, "AskEvery: not positive"},
+		{!(s.StartCapacity >= 0 && s.StartCapacity <= 1), "StartCapacity: not within 0 and 1"},
+		{s.Cold < 0, "Cold: negative"},
+	} {
+		if c.bad {
+			return fmt.Errorf("logic: Settings.%s", c.field)
+		}
+	}
+	for i, c := range s.Classes {
+		switch {
+		case c.Aim <= 0:
+			return fmt.Errorf("logic: Settings.Classes[%d].Aim: not positive", i)
+		case c.Deadline <= 0:
+			return fmt.Errorf("logic: Settings.Classes[%d].Deadline: not positive", i)
+		case !(c.Worth >= 0):
+			return fmt.Errorf("logic: Settings.Classes[%d].Worth: negative", i)
+		case !(c.LateWorth >= 0):
+			return fmt.Errorf("logic: Settings.Classes[%d].LateWorth: negative", i)
+		case c.Repeat < Safe || c.Repeat > Unsafe:
+			return fmt.Errorf("logic: Settings.Classes[%d].Repeat: unknown", i)
+		case c.Group < GroupAll || c.Group > GroupCell:
+			return fmt.Errorf("logic: Settings.Classes[%d].Group: unknown", i)
+		case c.Window < 0:
+			return fmt.Errorf("logic: Settings.Classes[%d].Window: negative", i)
+		}
+	}
+	for i, t := range s.Tenants {
+		if !(t.Portion >= 0) || !(t.Quota >= 0) {
+			return fmt.Errorf("logic: Settings.Tenants[%d]: negative Portion or Quota", i)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,657 @@
+// All decisions of the balancer. The interface (settings, events, actions) is in api.go.
+//
+// Before each send the rules are checked in order, as Sentinel's FlowSlot does: the tier's (thread grade,
+// cluster node), the tenant's (QPS grade, origin node), the class's (thread grade, default node). A rule
+// over its count fails fast and unsent. Counts are learned: they start high, rise after rounds of timely
+// finishes and are cut after bad ones. A call that passes goes to a server by a weighted random draw.
+package logic
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+)
+
+const (
+	startCount = 1e6 // a count before its first round: a fresh copy refuses nothing while servers answer
+	minCount   = 0.3 // a count never falls below this: some calls must go on to bring evidence
+	deepCount  = 8.0 // the same in a late tier, where refusing wastes the work done so far
+	riseStep   = 1.0 // added to a count after a good round
+	risePart   = 0.2 // but no more than this part of a small count
+	spareTimes = 1.5 // a good round leaves a count no higher than this times the calls it saw out: an
+	spareCalls = 2.0 // unused count guards from no burst; and this many more, for chance at sparse copies
+	cutDepth   = 0.6 // a bad round cuts a count or a share by this times its bad part
+	roundSize  = 12  // finishes in a round of evidence: fewer are chance, more are late
+	roundSpan  = 2   // aims: a round with fewer finishes has lasted long enough
+	badPart    = 0.4 // a larger part of late or failed finishes makes a round bad for the counts
+	hopeless   = 0.7 // the same in a late tier
+	slowMuch   = 0.3 // a larger part of slow finishes makes a round bad for the shares and for home
+
+	lateBar    = 0.8 // of the aim: slower finishes count against the tier and the class
+	slowBar    = 0.6 // of the aim: slower finishes press the shares, in time to mend what is late next
+	crowdBar   = 1.6 // of the time under little load: slower finishes press the shares too
+	crowdLow   = 0.8 // but not below this multiple, since load is then not what makes them slow
+	yieldRatio = 1.5 // a class yields to one that is worth more than this many times as much for its work
+
+	shareStart = 1.0  // multiple of its share that a tenant may pass before any evidence
+	shareHigh  = 4.0  // and at most, times the start
+	shareLow   = 0.2  // and at least
+	shareDeep  = 20.0 // start in a late tier: quotas count first calls, and the front has shed already
+	shareRise  = 0.05 // added after a good round: traffic over the shares is worth little, jams cost much
+	shareBack  = 0.15 // the same below 1, where traffic is worth its full price
+	chanceRoom = 2.0  // standard deviations of a Poisson count above the mean that are taken for chance
+	windowHold = 24.0 // a QPS window stretches until its count times its length is this much
+
+	slowGain    = 0.1  // how far one finish moves a server's slowness
+	firstWorth  = 4.0  // finishes that a fresh copy's first guess at a mean is worth
+	slowMost    = 5.0  // times the mean: a single finish says no more than this
+	heldPower   = 8.0  // how sharply a weight falls with the calls of this copy that its server holds
+	triedPart   = 1e-6 // weight left to a server that the request has tried, for when there is no other
+	healthFloor = 0.05 // health left to a failing server, for trials
+	healthCut   = 0.3  // health kept after a failure that peers do not show
+	healthRise  = 0.25 // part of the lost health that a success restores
+	blameRatio  = 2.0  // a server is to blame when it fails this many times as often as all
+	coldMargin  = 0.6  // part of its least capacity that a cold server is given
+
+	spillLow   = 0.02 // weight of servers in other zones while home copes
+	spillStart = 0.3  // the same at a fresh copy of the front, which does not know how home copes
+	spillRise  = 0.15 // added after a round in which home was slow
+	spillFall  = 0.9  // factor after a good round
+
+	subsetLeast = 4.0      // servers that a copy spreads its calls over, at least
+	subsetRoot  = 3.0      // and times the root of its calls a second, so that it meets each one often enough
+	golden      = 0.618034 // steps of this part of a ring spread any number of starts evenly
+
+	meanGain   = 0.05        // of the running means of time and of errors
+	baseGain   = 0.001       // of the time under little load, upwards; it follows at once downwards
+	firstMean  = 0.25        // of the aim: a fresh copy's guess at the mean time
+	hangMeans  = 12.0        // an attempt is given up after this many mean times
+	leastMeans = 0.5         // a request with less time left than this many mean times cannot make it
+	ownSpan    = 10 * second // without a stated budget, this one holds
+	ownFree    = 5.0         // further attempts in it, whatever was taken
+	ownShare   = 0.1         // and for each request taken
+	watchFirst = second / 4
+	watchPart  = 8 // backoff of a failed subscription doubles up to this part of AskEvery
+	watchToken = "watch"
+	heldToken  = "held " // and a request
+	turnToken  = "turn " // and a key
+)
+
+// add takes one finish. It returns 0 until the round can be judged, then 1 if it was good, or else the factor
+// to cut by, lower the more of it was bad: a false alarm costs little and a jam is answered at once.
+func (r *round) add(now, sent int64, bad bool) (factor float64) {
+	if r.since = cmp.Or(r.since, sent); sent < r.since {
+		return 0
+	}
+	r.n++
+	if bad {
+		r.bad++
+	}
+	part := float64(r.bad) / float64(max(r.n, roundSize/2))
+	short := now-r.since < r.span || float64(r.bad) > r.allowed*float64(r.n)
+	if float64(r.bad) <= r.allowed*roundSize && r.n < roundSize && short {
+		return 0
+	}
+	r.since, r.n, r.bad = now, 0, 0
+	if part <= r.allowed {
+		return 1
+	}
+	return 1 - cutDepth*part
+}
+
+// canPass lets a fractional count work: its fraction is the chance u of one call more. A sparse copy with
+// two calls in flight could otherwise shed nothing or half.
+func (r *threadRule) canPass(u float64) bool { return float64(r.threads)+1 <= r.count+u }
+
+func (r *threadRule) learn(ev *round, now, sent int64, bad bool) {
+	f := ev.add(now, sent, bad)
+	if f == 0 {
+		return
+	} else if f == 1 {
+		used := max(r.least, spareTimes*float64(r.peak)+spareCalls)
+		r.count = min(r.count+min(riseStep, risePart*r.count), used)
+	} else {
+		r.count = max(r.least, min(r.count, float64(r.peak))*f)
+	}
+	r.peak = r.threads
+}
+
+// canPass stretches the one-second window of a small count, so that fractional counts work. A fresh copy's
+// window is no longer than its life, or it would let a long window's worth through at once. Room for chance
+// guards sparse copies, where single calls fill a tenant's count.
+func (r *originRule) canPass(now, born int64, count, room, u float64) bool {
+	span := second
+	for span < windowWhole && count*float64(span/second) < windowHold && now-born >= span {
+		span *= 2
+	}
+	cur, fair := r.pass.sum(now, span), count*float64(min(span, max(second, now-born)))/float64(second)
+	return cur+1 <= fair+u || u < room && cur <= fair+chanceRoom*math.Sqrt(fair)
+}
+
+// room is how likely chance is allowed for: less as calls are late, and not if a tenant clearly sends more
+// than its part of the quotas and, while nothing is slow, of what this copy gets, as traffic may move here.
+func (b *Balancer) room(now int64, tenant int) float64 {
+	part := b.fair * float64(min(now-b.born, tallySpan)) / float64(second)
+	if b.share >= 1 {
+		part = max(part, b.came.at(now))
+	}
+	part *= b.s.Tenants[tenant].Portion
+	if b.tenants[tenant].came.at(now) > part+chanceRoom*math.Sqrt(part)+1 {
+		return 0
+	}
+	return min(1, b.share/crowdLow)
+}
+
+// New returns a Balancer for the settings; all its random draws come from the seed.
+func New(s Settings, seed uint64) (*Balancer, error) {
+	if err := s.validate(); err != nil {
+		return nil, err
+	}
+	b := &Balancer{s: s, rnd: rand.New(rand.NewPCG(seed, seed)), byID: map[string]*server{},
+		reqs: map[string]*request{}, turns: map[string]*turn{}, backoff: watchFirst,
+		tenants: make([]originRule, len(s.Tenants)), classes: make([]classState, len(s.Classes))}
+	if s.BudgetSpan == 0 {
+		b.s.BudgetSpan, b.s.BudgetFree, b.s.BudgetShare = ownSpan, ownFree, ownShare
+	}
+	allowed, least := badPart, minCount
+	b.share, b.spill = shareStart, spillStart
+	if s.Stage > 0 {
+		allowed, least = hopeless, deepCount
+		b.share, b.spill = shareDeep, spillLow
+	}
+	b.shareMost = shareHigh * b.share
+	for _, t := range s.Tenants { // a copy that carries more than its part learns a higher multiple
+		b.fair += t.Quota / float64(s.Siblings)
+	}
+	for i, c := range s.Classes {
+		first := firstMean * float64(c.Aim)
+		span := roundSpan * c.Aim
+		rule := threadRule{count: startCount, least: least, ev: round{allowed: allowed, span: span}}
+		b.shareEv.span = max(b.shareEv.span, span)
+		b.classes[i] = classState{rule: rule, mean: first, base: first}
+		b.classes[i].yield = round{allowed: slowMuch, span: span}
+	}
+	b.tier = threadRule{count: startCount, least: least, ev: round{allowed: allowed, span: b.shareEv.span}}
+	b.shareEv.allowed = slowMuch
+	b.spillEv = b.shareEv
+	return b, nil
+}
+
+// List takes a list of servers or its changes.
+func (b *Balancer) List(now int64, h Host, kind ListKind, entries []Server) {
+	if kind == Failed {
+		if b.asked { // many copies keep the list busy: back off, one ask at a time
+			h.SetTimer(b.backoff+b.rnd.Int64N(b.backoff), watchToken)
+			b.backoff = max(watchFirst, min(2*b.backoff, b.s.AskEvery/watchPart))
+		}
+		b.asked = false
+		return
+	}
+	if kind != Delta {
+		for _, s := range b.all {
+			s.State = Gone // unless listed below
+		}
+	}
+	for _, e := range entries {
+		b.enter(e)
+	}
+	b.relist()
+	if b.s.Subscribe && !b.asked {
+		b.asked = true
+		h.Watch()
+	}
+	b.backoff = watchFirst
+}
+
+// enter takes one entry of a list. What was learned of a server is dropped when its process restarts.
+func (b *Balancer) enter(e Server) {
+	s := b.byID[e.ID]
+	if s == nil {
+		s = &server{hash: hash(e.ID)}
+		b.byID[e.ID] = s
+		b.all = append(b.all, s)
+	}
+	if s.ID == "" || s.Launched != e.Launched {
+		s.forget(len(b.classes))
+	}
+	s.Server = e
+}
+
+// relist forgets gone servers and gathers the ready ones. Rule 3 holds with no grace used: a server is
+// out of the draw from the moment that the list says that it drains or is gone.
+func (b *Balancer) relist() {
+	b.all = slices.DeleteFunc(b.all, func(s *server) bool {
+		if s.State == Gone {
+			delete(b.byID, s.ID)
+		}
+		return s.State == Gone
+	})
+	b.ready = b.ready[:0]
+	for _, s := range b.all {
+		if s.State == Ready {
+			b.ready = append(b.ready, s)
+		}
+	}
+	b.rotate()
+}
+
+// rotate orders the ready servers so that this copy's subset comes first: they stand on a ring in the order
+// of their hashes, and copies start at places spread over it. With many copies each server would otherwise
+// hold a connection of every one, which costs it capacity and turns new ones away, and each copy would see
+// too few calls to a server to judge it.
+func (b *Balancer) rotate() {
+	slices.SortFunc(b.ready, func(x, y *server) int {
+		return cmp.Or(cmp.Compare(x.hash, y.hash), cmp.Compare(x.ID, y.ID))
+	})
+	_, start := math.Modf(float64(b.s.Ordinal) * golden)
+	first := int(start * float64(len(b.ready)))
+	b.ready = slices.Concat(b.ready[first:], b.ready[:first])
+}
+
+// subset is how many warm and healthy servers this copy's calls are spread over.
+func (b *Balancer) subset(now int64) float64 {
+	rate := b.tier.pass.sum(now, windowWhole) / float64(windowWhole/second)
+	return max(subsetLeast, subsetRoot*math.Sqrt(rate))
+}
+
+// Timer takes a timer that was asked for.
+func (b *Balancer) Timer(now int64, h Host, token string) {
+	if token == watchToken && !b.asked {
+		b.asked = true
+		h.Watch()
+	} else if id, ok := strings.CutPrefix(token, heldToken); ok {
+		if q := b.reqs[id]; q != nil && !q.over && len(q.attempts) == 0 {
+			b.refuse(now, h, q)
+		}
+	} else if key, ok := strings.CutPrefix(token, turnToken); ok && b.turns[key] != nil {
+		b.next(now, h, b.turns[key])
+	}
+}
+
+// Request takes a request, and sends or refuses it at once: none is held unsent but those that must wait
+// for their key's turn (rule 5), and these no longer than they can still make it.
+func (b *Balancer) Request(now int64, h Host, r Request) {
+	if b.reqs[r.ID] != nil {
+		return
+	}
+	if r.Class < 0 || r.Class >= len(b.classes) {
+		h.Fail(r.ID)
+		return
+	}
+	b.watch(now)
+	b.born = cmp.Or(b.born, now)
+	b.taken.add(now, b.s.BudgetSpan)
+	b.came.add(now)
+	q := &request{Request: r, came: now}
+	if t := b.origin(q); t != nil {
+		t.came.add(now)
+	}
+	b.reqs[r.ID] = q
+	if r.Key == "" || !b.s.Classes[r.Class].ByArrival {
+		b.start(now, h, q)
+		return
+	}
+	b.join(q)
+	if b.next(now, h, q.turn); len(q.attempts) > 0 || q.over {
+		return
+	}
+	last := float64(b.deadline(q)-now) - leastMeans*b.classes[r.Class].mean
+	if float64(len(q.turn.line)-1)*b.classes[r.Class].mean > last { // this also bounds the line
+		b.refuse(now, h, q)
+		return
+	}
+	h.SetTimer(max(int64(last), 0), heldToken+q.ID)
+}
+
+// start checks the rules and sends a request's first attempt, or refuses it.
+func (b *Balancer) start(now int64, h Host, q *request) {
+	if !b.canPass(now, q) || !b.inTime(now, q) || !b.send(now, h, q) {
+		b.refuse(now, h, q)
+	} else if t := b.origin(q); t != nil {
+		t.pass.add(now)
+	}
+}
+
+// next starts the request whose turn it is, unless its key rests: an attempt may then still be running.
+func (b *Balancer) next(now int64, h Host, t *turn) {
+	for len(t.line) > 0 && len(t.line[0].attempts) == 0 && now >= t.rest {
+		b.start(now, h, t.line[0])
+	}
+	b.tidy(now, t)
+}
+
+// refuse gives a hint spread so that clients do not return together.
+func (b *Balancer) refuse(now int64, h Host, q *request) {
+	h.Refuse(q.ID, b.s.MaxRetryAfter/2+b.rnd.Int64N(b.s.MaxRetryAfter/2+1))
+	b.finish(now, h, q)
+}
+
+// canPass checks the rules in order.
+func (b *Balancer) canPass(now int64, q *request) bool {
+	if !b.tier.canPass(b.rnd.Float64()) {
+		return false
+	}
+	if t := b.origin(q); t != nil {
+		count := b.share * b.fair * b.s.Tenants[q.Tenant].Portion
+		if !t.canPass(now, b.born, count, b.room(now, q.Tenant), b.rnd.Float64()) {
+			return false
+		}
+	}
+	return b.classes[q.Class].rule.canPass(b.rnd.Float64())
+}
+
+// deadline is when an answer stops being worth anything.
+func (b *Balancer) deadline(q *request) int64 {
+	k := b.s.Classes[q.Class]
+	if b.s.Stage == 0 && k.LateWorth == 0 {
+		return min(q.GiveUp, q.came+k.Aim)
+	}
+	return q.GiveUp
+}
+
+// inTime tells whether a request can still be answered while that is worth something.
+func (b *Balancer) inTime(now int64, q *request) bool {
+	return float64(b.deadline(q)-now) > leastMeans*b.classes[q.Class].mean
+}
+
+// send draws a server and sends an attempt there; false if there is none to send to.
+func (b *Balancer) send(now int64, h Host, q *request) bool {
+	s := b.draw(now, q)
+	if s == nil {
+		return false
+	}
+	a := &attempt{srv: s, sent: now, zone: s.Zone, cell: s.Cell, mayRun: true, out: true}
+	q.attempts = append(q.attempts, a)
+	if b.s.Stage == 0 {
+		b.classes[q.Class].waiting = append(b.classes[q.Class].waiting, a)
+	}
+	q.out++
+	s.inflight++
+	b.tier.enter()
+	b.tier.pass.add(now)
+	b.classes[q.Class].rule.enter()
+	h.Send(q.ID, s.ID, b.timeout(now, q))
+	return true
+}
+
+// timeout gives an attempt up when its answer would be worth nothing, and before that where another may
+// follow, so that a hung server frees its slot.
+func (b *Balancer) timeout(now int64, q *request) int64 {
+	left := b.deadline(q) - now
+	if b.s.Classes[q.Class].Repeat != Unsafe && len(q.attempts) < b.s.MaxAttempts {
+		left = min(left, int64(hangMeans*b.classes[q.Class].mean))
+	}
+	return max(left, 1)
+}
+
+// draw picks a ready server of this copy's subset at random by weight; those tried before come last. The
+// subset grows where it has too few warm and healthy servers, or none that the request may go to.
+func (b *Balancer) draw(now int64, q *request) *server {
+	b.weights = b.weights[:0]
+	total, room := 0.0, b.subset(now)
+	for _, s := range b.ready {
+		if room <= 0 && total > 0 {
+			break
+		}
+		room -= s.healthFor(q.Class) * b.warmth(now, s)
+		w := 0.0
+		if b.mayGo(now, q, s) {
+			w = b.weigh(now, s, q.Class)
+		}
+		if q.tried(s) {
+			w *= triedPart
+		}
+		total += w
+		b.weights = append(b.weights, w)
+	}
+	return b.pick(b.rnd.Float64() * total)
+}
+
+// pick returns the ready server at which the sum of weights passes x, or nil if none has weight.
+func (b *Balancer) pick(x float64) (last *server) {
+	for i, w := range b.weights {
+		if w > 0 {
+			last = b.ready[i]
+			if x -= w; x < 0 {
+				break
+			}
+		}
+	}
+	return last
+}
+
+// weigh is a server's weight in the draw: its size, what was learned of it, its age, its zone, and the calls
+// of this copy that it already holds.
+func (b *Balancer) weigh(now int64, s *server, class int) float64 {
+	w := max(healthFloor, s.healthFor(class)) / (s.slowness * s.slowness) * b.warmth(now, s)
+	w /= math.Pow(float64(1+s.inflight), heldPower)
+	if b.s.SizeHints && s.Size > 0 {
+		w *= s.Size
+	}
+	if s.Zone != b.s.Zone { // calls stay at home while home copes
+		w *= b.spill
+	}
+	return w
+}
+
+// warmth guards against pushing a cold server over (rule 4): its weight is under the least capacity that
+// a server of its age has.
+func (b *Balancer) warmth(now int64, s *server) float64 {
+	age := now - s.Launched
+	if s.Launched == 0 || age >= b.s.Cold {
+		return 1
+	}
+	part := float64(max(age, 0)) / float64(b.s.Cold)
+	return coldMargin * (b.s.StartCapacity + (1-b.s.StartCapacity)*part)
+}
+
+// mayGo keeps rule 2 for a further attempt: once one may have run, an unsafe request goes nowhere, and a
+// keyed one only to the group that drops its repeats, while that remembers it.
+func (b *Balancer) mayGo(now int64, q *request, s *server) bool {
+	k := b.s.Classes[q.Class]
+	for _, a := range q.attempts {
+		if !a.mayRun || k.Repeat == Safe {
+			continue
+		}
+		if k.Repeat == Unsafe || now-a.sent >= k.Window ||
+			k.Group == GroupZone && a.zone != s.Zone || k.Group == GroupCell && a.cell != s.Cell {
+			return false
+		}
+	}
+	return true
+}
+
+// mayRefuse keeps rule 2 for a refusal, which tells the client that trying again is harmless.
+func (b *Balancer) mayRefuse(q *request) bool {
+	k := b.s.Classes[q.Class]
+	if k.Repeat == Safe || k.Repeat == Keyed && k.Group == GroupAll {
+		return true
+	}
+	for _, a := range q.attempts {
+		if a.mayRun {
+			return false
+		}
+	}
+	return true
+}
+
+// Started takes the news that a streamed answer has begun: from now on that attempt is the client's.
+func (b *Balancer) Started(now int64, id string) {
+	if q := b.reqs[id]; q != nil {
+		q.over = true
+	}
+}
+
+// Withdrawn takes the news that nobody waits for a request any more.
+func (b *Balancer) Withdrawn(now int64, h Host, id string) {
+	if q := b.reqs[id]; q != nil {
+		b.finish(now, h, q)
+	}
+}
+
+// Outcome takes the end of an attempt; where the request is still owed an answer it gets a further
+// attempt or its final answer at once.
+func (b *Balancer) Outcome(now int64, h Host, o Outcome) {
+	q := b.reqs[o.ID]
+	if q == nil || o.Attempt < 0 || o.Attempt >= len(q.attempts) || !q.attempts[o.Attempt].out {
+		return
+	}
+	b.watch(now)
+	a := q.attempts[o.Attempt]
+	a.out = false
+	a.mayRun = o.Status != ConnectFailed && o.Status != Moot && (o.Status != FullUp || b.s.FullMayRun)
+	q.out--
+	a.srv.inflight--
+	b.tier.threads--
+	b.classes[q.Class].rule.threads--
+	b.learn(now, q, a, o)
+	b.report(now, h)
+	if q.turn != nil && slices.Contains([]Status{TimedOut, Reset, Cancelled}, o.Status) { // it may still run
+		q.turn.rest = now + b.s.OrderSettle
+		h.SetTimer(b.s.OrderSettle, turnToken+q.Key)
+	}
+	if o.Closed || q.over {
+		b.finish(now, h, q)
+	} else if q.out > 0 || b.again(now, h, q) {
+		return
+	} else if b.mayRefuse(q) {
+		b.refuse(now, h, q)
+	} else {
+		h.Fail(q.ID)
+		b.finish(now, h, q)
+	}
+}
+
+// again makes a further attempt, where time, rules, rule 2 and the budget (rule 6) allow one. The budget is
+// exact in the window that ends now: an attempt at its far edge counts, a request taken there does not.
+func (b *Balancer) again(now int64, h Host, q *request) bool {
+	u, rule, from := b.rnd.Float64(), &b.classes[q.Class].rule, now-b.s.BudgetSpan
+	if len(q.attempts) >= b.s.MaxAttempts || !b.inTime(now, q) || !b.tier.canPass(u) || !rule.canPass(u) ||
+		b.further.since(from)+1 > b.s.BudgetFree+b.s.BudgetShare*b.taken.since(from+1) || !b.send(now, h, q) {
+		return false
+	}
+	b.further.add(now, b.s.BudgetSpan)
+	return true
+}
+
+// learn takes what an attempt's end tells of the server, the counts, the shares and the zones.
+func (b *Balancer) learn(now int64, q *request, a *attempt, o Outcome) {
+	if o.Status == Cancelled || o.Status == Moot {
+		return
+	}
+	c, k, failed := &b.classes[q.Class], b.s.Classes[q.Class], o.Status != OK
+	blame := b.judge(a.srv, q.Class, o.Status)
+	if !failed {
+		b.reward(c, a.srv, float64(o.Took))
+	}
+	spent := float64(now - a.sent)
+	late := failed && !blame || !failed && spent > lateBar*float64(k.Aim)
+	slow := late || !failed && spent > b.slowBar(q.Class)
+	b.tier.learn(&b.tier.ev, now, a.sent, late)
+	c.rule.learn(&c.rule.ev, now, a.sent, late)
+	if !a.slow {
+		b.press(now, q.Class, a, slow, slow || failed)
+	}
+}
+
+// slowBar is the time at which a call counts as slow: well before its aim, and also when it takes clearly
+// longer than calls do when little waits, since servers that hold too many turn slower for long.
+func (b *Balancer) slowBar(class int) float64 {
+	bar := slowBar * float64(b.s.Classes[class].Aim)
+	if b.s.Stage > 0 || b.share <= crowdLow {
+		return bar
+	}
+	return min(bar, crowdBar*b.classes[class].base)
+}
+
+// value is a class's worth for each unit of work, by the time that its calls take when little waits.
+func (b *Balancer) value(class int) float64 {
+	if b.s.ByWork {
+		return b.s.Classes[class].Worth
+	}
+	return b.s.Classes[class].Worth / b.classes[class].base
+}
+
+// press takes one piece of evidence on whether the shares and home are under pressure. A class also yields
+// to one that is worth clearly more: that one's slow calls cut its count.
+func (b *Balancer) press(now int64, class int, a *attempt, slow, homeBad bool) {
+	for i := range b.classes {
+		if c := &b.classes[i]; b.value(class) > yieldRatio*b.value(i) {
+			c.rule.learn(&c.yield, now, a.sent, slow)
+		}
+	}
+	if f := b.shareEv.add(now, a.sent, slow); f == 1 && b.share < 1 {
+		b.share = min(1, b.share+shareBack)
+	} else if f == 1 {
+		b.share = min(b.shareMost, b.share+shareRise)
+	} else if f > 0 {
+		b.share = max(shareLow, b.share*f)
+	}
+	if a.zone != b.s.Zone {
+		return
+	}
+	if f := b.spillEv.add(now, a.sent, homeBad); f == 1 {
+		b.spill = max(spillLow, b.spill*spillFall)
+	} else if f > 0 {
+		b.spill = min(1, b.spill+spillRise)
+	}
+}
+
+// watch counts calls as slow when they have been out for the slow bar, not when they end: in a jam that is
+// seconds later, and shares must fall before then.
+func (b *Balancer) watch(now int64) {
+	for i := range b.classes {
+		c := &b.classes[i]
+		for bar := int64(b.slowBar(i)); len(c.waiting) > 0 && now-c.waiting[0].sent > bar; {
+			a := c.waiting[0]
+			c.waiting = c.waiting[1:]
+			if a.out {
+				a.slow = true
+				b.press(now, i, a, true, true)
+			}
+		}
+	}
+}
+
+// judge updates a server's health and tells whether a failure is its own. One that its peers show as well is
+// a deeper tier's and held against the counts; a refused connection never is, lest a lost zone be one. An
+// error that was answered concerns its class only, lest servers that fail one class be lost to all; silence
+// concerns the whole server.
+func (b *Balancer) judge(s *server, class int, status Status) (blame bool) {
+	c, x := &b.classes[class], partOf(status != OK)
+	b.errs += (x - b.errs) * meanGain
+	c.errs += (x - c.errs) * meanGain
+	if status == ConnectFailed {
+		blame = s.whole.judge(x, 0)
+	} else if status != Error {
+		blame = s.whole.judge(x, blameRatio*b.errs)
+	}
+	if status == Error || status == OK {
+		blame = s.classes[class].judge(x, blameRatio*c.errs)
+	}
+	return blame
+}
+
+// judge blames a failure where failures are more than a usual part.
+func (h *health) judge(x, usual float64) (blame bool) {
+	h.errs += (x - h.errs) * healthRise
+	if x == 0 {
+		h.left += (1 - h.left) * healthRise
+	} else if blame = h.errs > usual; blame {
+		h.left = max(healthFloor, h.left*healthCut)
+	}
+	return blame
+}
+
+// reward moves the weight of a server towards its speed: the mean time of all over its own.
+// The time itself sets the aim of each step; summing up steps would end with all calls at one server
+// wherever load does not slow it down.
+func (b *Balancer) reward(c *classState, s *server, took float64) {
+	ratio := min(took/max(c.mean, 1), slowMost)
+	s.slowness += (ratio - s.slowness) * slowGain
+	c.seen++
+	c.mean += (took - c.mean) * gainAfter(c.seen, meanGain)
+	c.base = min(c.mean, c.base+(c.mean-c.base)*gainAfter(c.seen, baseGain))
+}
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,27 @@
+#!/usr/bin/env bash
+# The whole test suite: formatting, vet, tests, and the size limits of the policy files.
+set -eu
+cd "$(dirname "$0")"
+
+max_lines=610  # non-blank lines of all policy files together
+max_columns=110
+
+unformatted=$(gofmt -l .)
+if [ -n "$unformatted" ]; then
+  printf 'not formatted by gofmt:\n%s\n' "$unformatted"
+  exit 1
+fi
+go vet ./...
+go test -race ./...
+
+policy=$(sed -n 's/^policy = \[\(.*\)\].*/\1/p' deploy/balancer.toml | tr -d '",')
+[ -n "$policy" ] || { echo 'deploy/balancer.toml names no policy files'; exit 1; }
+lines=$(cat $policy | grep -c '[^[:space:]]')
+echo "policy files: $lines non-blank lines (at most $max_lines)"
+[ "$lines" -le "$max_lines" ]
+# A tab counts as four columns.
+long=$(cat $policy | sed 's/\t/    /g' | awk -v m=$max_columns 'length($0) > m')
+if [ -n "$long" ]; then
+  printf 'lines over %s columns:\n%s\n' "$max_columns" "$long"
+  exit 1
+fi
