--- /dev/null
+++ b/internal/proxy/frontend.go
@@ -0,0 +1,319 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fernlanding/internal/settings"
+	"fernlanding/logic"
+)
+
+const (
+	maxHead      = 16 << 10         // of a request, before its body
+	headPatience = 10 * time.Second // for a request's head, and as long again for its body
+	idlePatience = 2 * time.Minute  // for the next request on a connection
+	writeLeeway  = 10 * time.Second // beyond the longest deadline, for the answer to be taken
+
+	// The answer to a request is to leave this long before its client gives up, so that a busy core does
+	// not make it late, but a request with little time keeps most of it.
+	answerMargin = 30 * time.Millisecond
+	marginPart   = 8
+
+	overCap = 32 // connections beyond the clients' part, to refuse on
+)
+
+// frontend takes requests from clients and hands them to the loop.
+type frontend struct {
+	site     *settings.Site
+	loop     *loop
+	classes  map[string]int
+	tenants  map[string]int
+	server   *http.Server
+	listener *cappedListener
+	most     int // connections of clients that are served; those beyond are refused
+	draining atomic.Bool
+
+	mu    sync.Mutex
+	conns map[net.Conn]connState
+}
+
+type connState struct {
+	state http.ConnState
+	since time.Time
+}
+
+func newFrontend(site *settings.Site, l *loop, most int, log *slog.Logger) *frontend {
+	f := &frontend{site: site, loop: l, most: most, classes: numbers(site.Classes), tenants: numbers(site.Tenants),
+		conns: map[net.Conn]connState{}}
+	longest := int64(0)
+	for _, c := range site.Logic.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	f.server = &http.Server{
+		Handler: f, ReadHeaderTimeout: headPatience, IdleTimeout: idlePatience, MaxHeaderBytes: maxHead,
+		WriteTimeout: headPatience + time.Duration(longest)*time.Microsecond + writeLeeway,
+		ConnState:    f.connState, ErrorLog: quietLog(log),
+	}
+	return f
+}
+
+func numbers(names []string) map[string]int {
+	m := map[string]int{}
+	for i, n := range names {
+		m[n] = i
+	}
+	return m
+}
+
+// quietLog sends net/http's remarks on broken clients to the debug level.
+func quietLog(l *slog.Logger) *log.Logger { return slog.NewLogLogger(l.Handler(), slog.LevelDebug) }
+
+// cappedListener accepts no more connections than there are slots; those beyond wait in the kernel.
+type cappedListener struct {
+	net.Listener
+	slots  chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newCappedListener(l net.Listener, most int) *cappedListener {
+	return &cappedListener{Listener: l, slots: make(chan struct{}, most), closed: make(chan struct{})}
+}
+
+// Accept takes a slot, which the connection gives back when the server reports it closed.
+func (l *cappedListener) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+	}
+	return c, err
+}
+
+func (l *cappedListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// serve accepts connections until the listener is closed.
+func (f *frontend) serve() error {
+	if err := f.server.Serve(f.listener); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+func (f *frontend) connState(c net.Conn, s http.ConnState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s == http.StateClosed || s == http.StateHijacked {
+		if _, ok := f.conns[c]; ok {
+			delete(f.conns, c)
+			<-f.listener.slots
+		}
+		return
+	}
+	f.conns[c] = connState{s, time.Now()}
+}
+
+func (f *frontend) open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
+
+// closeIdle closes the connections that carry no request, and returns how many others there are. One on
+// which a request has just come in is left alone: closing it would lose that request.
+func (f *frontend) closeIdle(newFor time.Duration) (busy int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c, s := range f.conns {
+		idle := s.state == http.StateIdle || s.state == http.StateNew && time.Since(s.since) > newFor
+		if idle && quiet(c) {
+			c.Close()
+		} else if s.state != http.StateIdle {
+			busy++
+		}
+	}
+	return busy
+}
+
+// ServeHTTP answers health checks and takes requests.
+func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	came := time.Now()
+	if r.URL.Path == "/_health" {
+		f.health(w)
+		return
+	}
+	req, fault := f.parse(w, r, came)
+	open := f.open()
+	if f.draining.Load() || open > f.most*3/4 { // a closed connection makes room for another
+		w.Header().Set("Connection", "close")
+	}
+	if fault.status != 0 {
+		f.reply(w, fault)
+		return
+	}
+	if open > f.most {
+		f.reply(w, answer{status: http.StatusServiceUnavailable, after: f.site.Logic.MaxRetryAfter})
+		return
+	}
+	l := f.loop
+	l.post(func() { l.take(req) })
+	select {
+	case ans := <-req.answer:
+		f.reply(w, ans)
+	case <-r.Context().Done(): // the client has gone
+		l.post(func() { l.withdraw(req, answer{}) })
+	case <-l.done:
+	}
+}
+
+func (f *frontend) health(w http.ResponseWriter) {
+	select {
+	case <-f.loop.listed:
+		if !f.draining.Load() {
+			w.WriteHeader(http.StatusOK)
+			return
+		}
+	default:
+	}
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (f *frontend) reply(w http.ResponseWriter, ans answer) {
+	h := w.Header()
+	if ans.content != "" {
+		h.Set("Content-Type", ans.content)
+	} else {
+		h["Content-Type"] = nil // not to be guessed
+	}
+	h.Set("Content-Length", strconv.Itoa(len(ans.body)))
+	if ans.status == http.StatusServiceUnavailable && ans.after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(float64(ans.after)/1e6, 'f', 3, 64))
+	}
+	w.WriteHeader(ans.status)
+	_, _ = w.Write(ans.body) // a client that has gone is no fault
+}
+
+// parse reads a whole request. A fault is the answer to one that makes no sense; nothing of it goes on.
+func (f *frontend) parse(w http.ResponseWriter, r *http.Request, came time.Time) (*request, answer) {
+	bad := func(status int, why string) (*request, answer) {
+		return nil, answer{status: status, body: []byte(why + "\n"), content: "text/plain"}
+	}
+	class, ok := f.classes[r.Header.Get("Request-Class")]
+	if !ok {
+		return bad(http.StatusBadRequest, "unknown Request-Class")
+	}
+	part, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	if part != f.site.Classes[class] || !strings.HasPrefix(r.RequestURI, "/") {
+		return bad(http.StatusBadRequest, "the path does not begin with the class")
+	}
+	id := r.Header.Get("Request-Id")
+	if id == "" {
+		return bad(http.StatusBadRequest, "no Request-Id")
+	}
+	k, method := f.site.Logic.Classes[class], http.MethodPost
+	if k.Repeat == logic.Safe {
+		method = http.MethodGet
+	}
+	if r.Method != method {
+		w.Header().Set("Allow", method)
+		return bad(http.StatusMethodNotAllowed, "wrong method for the class")
+	}
+	if keyed := r.Header.Get("Idempotency-Key") != ""; keyed != (k.Repeat == logic.Keyed) {
+		return bad(http.StatusBadRequest, "Idempotency-Key does not fit the class")
+	}
+	body, fault := f.body(w, r)
+	if fault != "" {
+		return bad(http.StatusBadRequest, fault)
+	}
+	if len(body) > maxBody {
+		w.Header().Set("Connection", "close")
+		return bad(http.StatusRequestEntityTooLarge, "the body is too large")
+	}
+	if method == http.MethodGet && len(body) > 0 {
+		return bad(http.StatusBadRequest, "a body on a GET")
+	}
+	// Without a time-out that makes sense the client is taken to wait as long as its class does.
+	wait := time.Duration(k.Deadline) * time.Microsecond
+	if ms, err := strconv.ParseInt(r.Header.Get("Request-Timeout-Ms"), 10, 64); err == nil && ms > 0 {
+		wait = min(wait, time.Duration(min(ms, 1e9))*time.Millisecond)
+	}
+	tenant, ok := f.tenants[r.Header.Get("Tenant")]
+	if !ok {
+		tenant = -1 // not told
+	}
+	wait -= min(answerMargin, wait/marginPart)
+	return &request{
+		Request: logic.Request{ID: id, Class: class, Tenant: tenant, Key: rest[strings.LastIndexByte(rest, '/')+1:],
+			GiveUp: f.loop.clock.at(came.Add(wait))},
+		method: method, uri: r.RequestURI, host: r.Host, header: passOn(r.Header), body: body,
+		answer: make(chan answer, 1),
+	}, answer{}
+}
+
+// body reads at most one byte more than a body may hold.
+func (f *frontend) body(w http.ResponseWriter, r *http.Request) ([]byte, string) {
+	if r.ContentLength == 0 {
+		return nil, ""
+	}
+	if r.ContentLength > maxBody {
+		return make([]byte, maxBody+1), "" // too large, unread
+	}
+	c := http.NewResponseController(w)
+	_ = c.SetReadDeadline(time.Now().Add(headPatience))
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
+	_ = c.SetReadDeadline(time.Time{})
+	if err != nil {
+		return nil, "the body broke off"
+	}
+	return body, ""
+}
+
+// passOn takes the headers that concern one connection out, and leaves net/http to frame the body.
+func passOn(h http.Header) http.Header {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer",
+		"Transfer-Encoding", "Upgrade", "Expect", "Content-Length"} {
+		delete(h, name)
+	}
+	if h["User-Agent"] == nil {
+		h["User-Agent"] = []string{""} // none of ours in its place
+	}
+	return h
+}
+
+// drain closes the doors after SIGTERM. Clients still come for a while, so the listener stays open for
+// accept; then connections are closed as they fall idle, until none is left or the cutoff has come.
+func (f *frontend) drain(accept time.Duration, cutoff time.Time) {
+	time.Sleep(accept)
+	f.listener.Close()
+	for f.closeIdle(accept) > 0 && time.Now().Before(cutoff) {
+		time.Sleep(drainStep)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), cutoff.Add(drainStep))
+	defer cancel()
+	_ = f.server.Shutdown(ctx)
+	_ = f.server.Close()
+}
