Let a fresh copy pass tenants at twice their shares until calls are slow

At fault: shareStart = 1.0 with shareRise = 0.05 a round in logic.go. The design wants counts that start high. Now the share starts at 2, its most, and a bad round takes it to at most 1. The new test fails with the old start.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,8 +35,8 @@
 	crowdLow   = 0.8 // but not below this multiple, since load is then not what makes them slow
 	yieldRatio = 1.5 // a class yields to one that is worth more than this many times as much for its work
 
-	shareStart = 1.0  // multiple of its share that a tenant may pass before any evidence
-	shareHigh  = 4.0  // and at most, times the start
+	shareStart = 2.0  // multiple of its share that a tenant may pass before any evidence, and at most
+	sharePress = 1.0  // and after a bad round: what is over the shares goes first
 	shareLow   = 0.2  // and at least
 	shareDeep  = 20.0 // start in a late tier: quotas count first calls, and the front has shed already
 	shareRise  = 0.05 // added after a good round: traffic over the shares is worth little, jams cost much
@@ -156,12 +156,12 @@
 		b.s.BudgetSpan, b.s.BudgetFree, b.s.BudgetShare = ownSpan, ownFree, ownShare
 	}
 	allowed, least := badPart, minCount
-	b.share, b.spill = shareStart, spillStart
+	b.share, b.spill, b.shareBad = shareStart, spillStart, sharePress
 	if s.Stage > 0 {
 		allowed, least = hopeless, deepCount
-		b.share, b.spill = shareDeep, spillLow
+		b.share, b.spill, b.shareBad = shareDeep, spillLow, shareDeep
 	}
-	b.shareMost = shareHigh * b.share
+	b.shareMost = b.share
 	for _, t := range s.Tenants { // a copy that carries more than its part learns a higher multiple
 		b.fair += t.Quota / float64(s.Siblings)
 	}
@@ -587,7 +587,7 @@
 	} else if f == 1 {
 		b.share = min(b.shareMost, b.share+shareRise)
 	} else if f > 0 {
-		b.share = max(shareLow, b.share*f)
+		b.share = max(shareLow, min(b.share, b.shareBad)*f)
 	}
 	if a.zone != b.s.Zone {
 		return
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -866,3 +866,29 @@
 		t.Errorf("%d lines in 25 s, want one each 10 s", len(h.lines))
 	}
 }
+
+// A fresh copy held every tenant to its share from its first call on and was slow to learn better: on a calm
+// day of half a minute most refusals at the front were these. The first bad round takes all of the room back.
+func TestAFreshCopyDoesNotHoldTenantsToTheirSharesUntilCallsAreSlow(t *testing.T) {
+	s := testSettings()
+	s.Tenants = []Tenant{{Portion: 1, Quota: 20}}
+	b, h := with(t, s, 8)
+	for i := range 32 { // a second's traffic at 1.6 times the share
+		now, id := start+int64(i)*second/32, fmt.Sprint(i)
+		b.Request(now, h, Request{ID: id, GiveUp: now + second})
+		b.Outcome(now, h, Outcome{ID: id, Status: OK, Took: 1000, Closed: true})
+	}
+	if n := len(h.sends); n != 32 {
+		t.Errorf("%d of 32 pass at a fresh copy", n)
+	}
+	for i := 0; b.share > 1; i++ {
+		if i == 10*roundSize {
+			t.Fatalf("share still %v", b.share)
+		}
+		now := start + 2*second + int64(i)
+		b.press(now, 0, &attempt{sent: now}, true, true)
+	}
+	if b.share < shareLow || b.share >= 1 {
+		t.Errorf("a bad round leaves a share of %v", b.share)
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -228,6 +228,7 @@
 	fair      float64 // rate of all tenants inside their shares at one copy
 	share     float64 // multiple of its share that a tenant may pass
 	shareMost float64
+	shareBad  float64 // what a bad round leaves of share at most
 	shareEv   round
 	spill     float64 // weight of servers in other zones
 	spillEv   round
