Test attempts and connections over loopback; never end a request by an empty 200

Seen in review: a handler that returns without an answer (client gone, loop ended) lets net/http write an empty 200, which no backend made. It now aborts the connection. The outcome table, stale and crossing closes, changes during a dial, stopped attempts, the socket limit and broken writes have tests with fake backends.

--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -46,7 +46,11 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return proxy.Run(ctx, cfg)
+	p, err := proxy.New(cfg)
+	if err != nil {
+		return err
+	}
+	return p.Run(ctx)
 }
 
 type limits struct {
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -28,9 +28,9 @@
 // itself sends a GET or a keyed request again when a kept connection turns out to be dead: an attempt that
 // the module would not know of.
 type backends struct {
-	dialTimeout time.Duration
-	idleFor     time.Duration // connections idle for longer are closed, well before the backend does it
-	most        int           // open connections, those being opened included
+	dialer  func(ctx context.Context, network, addr string) (net.Conn, error)
+	idleFor time.Duration // connections idle for longer are closed, well before the backend does it
+	most    int           // open connections, those being opened included
 
 	mu     sync.Mutex
 	byName map[string]*backend
@@ -58,7 +58,8 @@
 }
 
 func newBackends(dialTimeout, idleClose time.Duration, most int) *backends {
-	return &backends{dialTimeout: dialTimeout, idleFor: idleClose * 3 / 4, most: most,
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	return &backends{dialer: d.DialContext, idleFor: idleClose * 3 / 4, most: most,
 		byName: map[string]*backend{}}
 }
 
@@ -140,8 +141,7 @@
 	if !p.reserve() {
 		return nil, errNoSockets
 	}
-	d := net.Dialer{Timeout: p.dialTimeout, KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := p.dialer(ctx, "tcp", addr)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
--- /dev/null
+++ b/internal/proxy/backend_test.go
@@ -0,0 +1,371 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fernlanding/logic"
+)
+
+const patience = 20 * time.Second // for what must happen
+
+// wait takes what must come from a channel.
+func wait[T any](t *testing.T, what string, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(patience):
+		t.Fatalf("no %s", what)
+		panic("unreachable")
+	}
+}
+
+// fakeBackend is a backend on a loopback socket. For each request that has come whole, reply writes what
+// the backend answers and returns whether the connection stays open.
+type fakeBackend struct {
+	addr     string
+	requests atomic.Int32 // that have come whole
+	conns    atomic.Int32
+	closed   chan struct{} // one for each connection that has ended
+}
+
+func startBackend(t *testing.T, reply func(w io.Writer, r *http.Request, n int) bool) *fakeBackend {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	b := &fakeBackend{addr: l.Addr().String(), closed: make(chan struct{}, 1000)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			b.conns.Add(1)
+			go func() {
+				defer func() { c.Close(); b.closed <- struct{}{} }()
+				for r := bufio.NewReader(c); ; {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, req.Body); err != nil {
+						return
+					}
+					if !reply(c, req, int(b.requests.Add(1))) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return b
+}
+
+func says(text string, keep bool) func(io.Writer, *http.Request, int) bool {
+	return func(w io.Writer, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(w, text)
+		return keep
+	}
+}
+
+const served = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// hang answers nothing until the test ends.
+func hang(t *testing.T) func(io.Writer, *http.Request, int) bool {
+	over := make(chan struct{})
+	t.Cleanup(func() { close(over) })
+	return func(io.Writer, *http.Request, int) bool { <-over; return false }
+}
+
+func entry(name, addr, status string) endpoint {
+	return endpoint{Name: name, Address: addr, Zone: "a", Status: status}
+}
+
+func poolWith(most int, addrs ...string) *backends {
+	p := newBackends(5*time.Second, 40*time.Second, most)
+	var list []endpoint
+	for i, a := range addrs {
+		list = append(list, entry(string(rune('a'+i)), a, statusServing))
+	}
+	p.apply(true, list)
+	return p
+}
+
+func newAttempt(p *backends, name string, left time.Duration) *attempt {
+	a := &attempt{pool: p, deadline: time.Now().Add(left), req: &request{Request: logic.Request{ID: "1"},
+		method: http.MethodGet, uri: "/look/k%2f1?x=%20y", host: "backend.local",
+		header: http.Header{"Request-Id": {"1"}, "User-Agent": {""}}}}
+	a.backend, a.addr, a.epoch, _ = p.find(name)
+	a.ctx, a.stop = context.WithCancel(context.Background())
+	return a
+}
+
+// What comes back decides what the module is told, and with it whether a call may run again.
+func TestOutcomeTable(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		want       logic.Status
+	}{
+		{"served", served, logic.OK},
+		{"served in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", logic.OK},
+		{"early word first", "HTTP/1.1 100 Continue\r\n\r\n" + served, logic.OK},
+		{"error", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", logic.Error},
+		{"an error is never full", "HTTP/1.1 500 Oops\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", logic.Error},
+		{"not found", "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", logic.Error},
+		{"full", "HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", logic.FullUp},
+		{"over already", "HTTP/1.1 504 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", logic.FullUp},
+		{"503 without the proof", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", logic.Error},
+		{"504 without the proof", "HTTP/1.1 504 No\r\nNot-Started: 0\r\nContent-Length: 0\r\n\r\n", logic.Error},
+		{"closed", "", logic.Reset},
+		{"half a head", "HTTP/1.1 200 OK\r\nContent-", logic.Reset},
+		{"half a body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", logic.Reset},
+		{"half a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok", logic.Reset},
+		{"no length", "HTTP/1.1 200 OK\r\n\r\nok", logic.Reset},
+		{"too long", "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", maxBody+1), logic.Error},
+		{"no HTTP", "SSH-2.0-x\r\n\r\n", logic.Reset},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := startBackend(t, says(c.text, false))
+			p := poolWith(4, b.addr)
+			res := newAttempt(p, "a", patience).run()
+			if res.status != c.want || c.want == logic.OK && string(res.body) != "ok" {
+				t.Errorf("got %v %q, want %v", res.status, res.body, c.want)
+			}
+			if n := b.requests.Load(); n != 1 {
+				t.Errorf("%d requests came", n)
+			}
+		})
+	}
+}
+
+func TestARefusedConnectionNeverRan(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	p := poolWith(4, l.Addr().String())
+	if res := newAttempt(p, "a", patience).run(); res.status != logic.ConnectFailed {
+		t.Errorf("got %v", res.status)
+	}
+	if p.open != 0 {
+		t.Errorf("%d connections still counted", p.open)
+	}
+}
+
+func TestAHungBackendTimesOutAndLosesItsConnection(t *testing.T) {
+	b := startBackend(t, hang(t))
+	p := poolWith(4, b.addr)
+	if res := newAttempt(p, "a", 50*time.Millisecond).run(); res.status != logic.TimedOut {
+		t.Errorf("got %v", res.status)
+	}
+	if p.open != 0 || len(p.byName["a"].idle) != 0 {
+		t.Error("the connection is kept")
+	}
+}
+
+func TestAStoppedAttemptClosesItsConnection(t *testing.T) {
+	came := make(chan struct{}, 1)
+	gone := make(chan error, 1)
+	b := startBackend(t, func(w io.Writer, _ *http.Request, _ int) bool {
+		came <- struct{}{}
+		_, err := w.(net.Conn).Read(make([]byte, 1))
+		gone <- err
+		return false
+	})
+	p := poolWith(4, b.addr)
+	a := newAttempt(p, "a", patience)
+	results := make(chan result, 1)
+	go func() { results <- a.run() }()
+	wait(t, "request", came)
+	a.stop()
+	if res := wait(t, "result", results); res.status != logic.Cancelled {
+		t.Errorf("got %v", res.status)
+	}
+	if err := wait(t, "end of the connection", gone); err == nil {
+		t.Error("the connection is still open")
+	}
+}
+
+// The peer closes a kept connection; a request that ran into it was sent a second time by http.Transport.
+func TestAConnectionThatItsPeerClosedIsNotUsed(t *testing.T) {
+	b := startBackend(t, says(served, false)) // promises to stay, then closes
+	p := poolWith(4, b.addr)
+	for n := range 3 {
+		if res := newAttempt(p, "a", patience).run(); res.status != logic.OK {
+			t.Fatalf("attempt %d: got %v", n, res.status)
+		}
+		wait(t, "close", b.closed)
+		waitUntil(t, func() bool { // the news has reached this end
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return !quiet(p.byName["a"].idle[0].Conn)
+		})
+	}
+	if b.requests.Load() != 3 || b.conns.Load() != 3 {
+		t.Errorf("%d requests on %d connections", b.requests.Load(), b.conns.Load())
+	}
+	p.sweep(time.Now())
+	if p.open != 0 {
+		t.Errorf("%d connections open after the sweep", p.open)
+	}
+}
+
+func waitUntil(t *testing.T, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("it never came to be")
+		}
+	}
+}
+
+// The close crosses the request: exactly one send, and it may have run.
+func TestACloseThatCrossesTheRequestIsOneReset(t *testing.T) {
+	b := startBackend(t, func(w io.Writer, _ *http.Request, n int) bool {
+		if n == 1 {
+			_, _ = io.WriteString(w, served)
+		}
+		return n == 1
+	})
+	p := poolWith(4, b.addr)
+	if res := newAttempt(p, "a", patience).run(); res.status != logic.OK {
+		t.Fatalf("got %v", res.status)
+	}
+	if res := newAttempt(p, "a", patience).run(); res.status != logic.Reset {
+		t.Errorf("got %v", res.status)
+	}
+	if b.requests.Load() != 2 || b.conns.Load() != 1 {
+		t.Errorf("%d requests on %d connections", b.requests.Load(), b.conns.Load())
+	}
+}
+
+func TestTheMostRecentConnectionIsUsedFirstAndOldOnesAreClosed(t *testing.T) {
+	b := startBackend(t, says(served, true))
+	p := poolWith(4, b.addr)
+	e := p.byName["a"]
+	var two []*conn
+	for range 2 {
+		c, err := p.dial(context.Background(), e, b.addr, e.epoch)
+		if err != nil {
+			t.Fatal(err)
+		}
+		two = append(two, c)
+	}
+	p.keep(two[0])
+	p.keep(two[1])
+	if c := p.reuse(e, e.epoch); c != two[1] {
+		t.Error("not the most recent one")
+	}
+	p.keep(two[1])
+	p.sweep(time.Now().Add(p.idleFor))
+	if len(e.idle) != 0 || p.open != 0 {
+		t.Errorf("%d idle, %d open", len(e.idle), p.open)
+	}
+}
+
+// A dial takes time. In it the backend may drain, or the request's time may run out; nothing is sent then.
+func TestNothingIsSentAfterADialThatTookTooLong(t *testing.T) {
+	for name, meanwhile := range map[string]func(p *backends, a *attempt){
+		"drained": func(p *backends, a *attempt) { p.apply(false, []endpoint{entry("a", a.addr, statusDraining)}) },
+		"gone":    func(p *backends, a *attempt) { p.apply(true, nil) },
+		"restarted": func(p *backends, a *attempt) {
+			e := entry("a", a.addr, statusServing)
+			e.SinceMs = 7
+			p.apply(false, []endpoint{e})
+		},
+		"stopped": func(_ *backends, a *attempt) { a.stop() },
+		"late":    func(_ *backends, a *attempt) { a.deadline = time.Now() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := startBackend(t, says(served, true))
+			p := poolWith(4, b.addr)
+			a := newAttempt(p, "a", patience)
+			dial := p.dialer
+			p.dialer = func(_ context.Context, network, addr string) (net.Conn, error) {
+				c, err := dial(context.Background(), network, addr)
+				meanwhile(p, a)
+				return c, err
+			}
+			if res := a.run(); res.status != logic.Moot {
+				t.Errorf("got %v", res.status)
+			}
+			p.apply(true, nil) // closes what is idle
+			wait(t, "close", b.closed)
+			if b.requests.Load() != 0 || p.open != 0 {
+				t.Errorf("%d requests came, %d connections open", b.requests.Load(), p.open)
+			}
+		})
+	}
+}
+
+func TestAtTheSocketLimitAnIdleConnectionMakesRoomOrNoneIsOpened(t *testing.T) {
+	quick, slow := startBackend(t, says(served, true)), startBackend(t, hang(t))
+	p := poolWith(1, quick.addr, slow.addr)
+	if res := newAttempt(p, "a", patience).run(); res.status != logic.OK {
+		t.Fatalf("got %v", res.status)
+	}
+	held := newAttempt(p, "b", patience)
+	results := make(chan result, 1)
+	go func() { results <- held.run() }()
+	wait(t, "close of the idle connection", quick.closed)
+	waitUntil(t, func() bool { return slow.requests.Load() == 1 })
+	if res := newAttempt(p, "a", patience).run(); res.status != logic.ConnectFailed {
+		t.Errorf("over the limit: got %v", res.status)
+	}
+	held.stop()
+	wait(t, "result", results)
+	if res := newAttempt(p, "a", patience).run(); res.status != logic.OK {
+		t.Errorf("with room again: got %v", res.status)
+	}
+}
+
+func TestADialErrorThatIsNoRefusalIsAConnectFailureToo(t *testing.T) {
+	p := poolWith(4, "127.0.0.1:1")
+	p.dialer = func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("too many open files") }
+	if res := newAttempt(p, "a", patience).run(); res.status != logic.ConnectFailed || p.open != 0 {
+		t.Errorf("got %v with %d open", res.status, p.open)
+	}
+}
+
+// A write that breaks off before the last byte proves that the call never ran; one that ended does not.
+func TestARequestThatWasNotWrittenWholeNeverRan(t *testing.T) {
+	p := poolWith(4, "127.0.0.1:1")
+	p.dialer = func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() { _, _ = io.ReadFull(far, make([]byte, 5)); far.Close() }()
+		return near, nil
+	}
+	if res := newAttempt(p, "a", patience).run(); res.status != logic.ConnectFailed {
+		t.Errorf("got %v", res.status)
+	}
+}
+
+func TestWhatIsPassedOnIsUnchanged(t *testing.T) {
+	got := make(chan *http.Request, 1)
+	b := startBackend(t, func(w io.Writer, r *http.Request, _ int) bool {
+		got <- r
+		_, _ = io.WriteString(w, served)
+		return true
+	})
+	newAttempt(poolWith(4, b.addr), "a", 900*time.Millisecond+patience).run()
+	r := wait(t, "request", got)
+	if r.RequestURI != "/look/k%2f1?x=%20y" || r.Host != "backend.local" || r.Header.Get("Request-Id") != "1" {
+		t.Errorf("got %s %s %v", r.RequestURI, r.Host, r.Header)
+	}
+	if ms := r.Header.Get("Request-Timeout-Ms"); len(ms) != 5 || ms > "20900" {
+		t.Errorf("Request-Timeout-Ms %q", ms)
+	}
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -53,9 +53,9 @@
 	since time.Time
 }
 
-func newFrontend(site *settings.Site, l *loop, most int, log *slog.Logger) *frontend {
+func newFrontend(site *settings.Site, l *loop, listener net.Listener, most int, log *slog.Logger) *frontend {
 	f := &frontend{site: site, loop: l, most: most, classes: numbers(site.Classes), tenants: numbers(site.Tenants),
-		conns: map[net.Conn]connState{}}
+		listener: newCappedListener(listener, most+overCap), conns: map[net.Conn]connState{}}
 	longest := int64(0)
 	for _, c := range site.Logic.Classes {
 		longest = max(longest, c.Deadline)
@@ -180,7 +180,9 @@
 		f.reply(w, ans)
 	case <-r.Context().Done(): // the client has gone
 		l.post(func() { l.withdraw(req, answer{}) })
+		panic(http.ErrAbortHandler) // a return would answer 200
 	case <-l.done:
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -15,11 +15,12 @@
 )
 
 const (
-	ownSockets  = 32 // descriptors that are neither a client's nor a backend's, generously
-	leastPart   = 8  // connections on either side, at least
-	acceptAfter = 550 * time.Millisecond
-	killAfter   = 3 * time.Second // SIGKILL follows the longest deadline, or this if it is longer,
-	killLeeway  = 500 * time.Millisecond
+	ownSockets = 32 // descriptors that are neither a client's nor a backend's, generously
+	leastEach  = 8  // connections on either side, at least
+
+	acceptAfter = 550 * time.Millisecond // new connections may still come for this long after SIGTERM
+	killAfter   = 3 * time.Second        // SIGKILL comes the longest deadline, or this, after SIGTERM
+	killLeeway  = 500 * time.Millisecond // and somewhat more
 	drainStep   = 20 * time.Millisecond
 )
 
@@ -34,49 +35,62 @@
 	Log       *slog.Logger
 }
 
-// Run serves until the context ends, then finishes what it has taken.
-func Run(ctx context.Context, cfg Config) error {
+// Proxy is one proxy with its listener open.
+type Proxy struct {
+	cfg   Config
+	loop  *loop
+	front *frontend
+}
+
+// New opens the listener; clients are served from Run on.
+func New(cfg Config) (*Proxy, error) {
 	bal, err := logic.New(cfg.Site.Logic, cfg.Seed)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	each := (cfg.Sockets - ownSockets - overCap) / 2
-	if each < leastPart {
-		return fmt.Errorf("%d sockets are too few", cfg.Sockets)
+	if each < leastEach {
+		return nil, fmt.Errorf("%d sockets are too few", cfg.Sockets)
 	}
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return nil, fmt.Errorf("listen: %w", err)
 	}
 	l := newLoop(bal, clock{time.Now()}, newBackends(cfg.Site.DialTimeout, cfg.Site.IdleClose, each),
 		newZones(cfg.Site.Zones), cfg.Log)
 	if cfg.Known != nil {
 		l.apply(logic.Cached, cfg.Known)
 	}
-	f := newFrontend(cfg.Site, l, each, cfg.Log)
+	return &Proxy{cfg: cfg, loop: l, front: newFrontend(cfg.Site, l, listener, each, cfg.Log)}, nil
+}
+
+// Addr is where clients connect.
+func (p *Proxy) Addr() string { return p.front.listener.Addr().String() }
 
+// Run serves until the context ends, then finishes what it has taken.
+func (p *Proxy) Run(ctx context.Context) error {
 	inner, stop := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	defer stop()
-	parts.Go(func() { l.run(inner) })
-	parts.Go(func() { newDiscovery(cfg.Discovery, cfg.Log, l.lists, l.asked).run(inner, cfg.Site.Logic.Subscribe) })
+	parts.Go(func() { p.loop.run(inner) })
+	parts.Go(func() {
+		newDiscovery(p.cfg.Discovery, p.cfg.Log, p.loop.lists, p.loop.asked).run(inner, p.cfg.Site.Logic.Subscribe)
+	})
 	served := make(chan error, 1)
-	f.listener = newCappedListener(listener, each+overCap)
-	parts.Go(func() { served <- f.serve() })
-
+	parts.Go(func() { served <- p.front.serve() })
 	select {
 	case err := <-served:
 		return err
 	case <-ctx.Done():
 	}
 	longest := time.Duration(0)
-	for _, c := range cfg.Site.Logic.Classes {
+	for _, c := range p.cfg.Site.Logic.Classes {
 		longest = max(longest, time.Duration(c.Deadline)*time.Microsecond)
 	}
 	cutoff := time.Now().Add(min(longest, killAfter) + killLeeway)
-	f.draining.Store(true)
-	l.post(func() { l.hurry(l.clock.at(cutoff)) })
-	f.drain(acceptAfter, cutoff)
+	p.front.draining.Store(true)
+	p.loop.post(func() { p.loop.hurry(p.loop.clock.at(cutoff)) })
+	p.front.drain(acceptAfter, cutoff)
 	return nil
 }
