--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -229,11 +229,11 @@
 		return false
 	}
 	open := false
-	err = raw.Read(func(fd uintptr) bool {
+	// Control, not Read: Read waits for any other reader, and the server always has one on an idle client.
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		open = errors.Is(err, syscall.EAGAIN)
-		return true
 	})
 	return err == nil && open
 }
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -161,15 +161,11 @@
 		return
 	}
 	req, fault := f.parse(w, r, came)
-	open := f.open()
-	if f.draining.Load() || open > f.most*3/4 { // a closed connection makes room for another
-		w.Header().Set("Connection", "close")
-	}
 	if fault.status != 0 {
 		f.reply(w, fault)
 		return
 	}
-	if open > f.most {
+	if f.open() > f.most {
 		f.reply(w, answer{status: http.StatusServiceUnavailable, after: f.site.Logic.MaxRetryAfter})
 		return
 	}
@@ -201,6 +197,9 @@
 
 func (f *frontend) reply(w http.ResponseWriter, ans answer) {
 	h := w.Header()
+	if f.draining.Load() || f.open() > f.most*3/4 { // a closed connection makes room for another
+		h.Set("Connection", "close")
+	}
 	if ans.content != "" {
 		h.Set("Content-Type", ans.content)
 	} else {
--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,420 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fernlanding/internal/settings"
+)
+
+const siteText = `{"contract":{"cold_us":1000000,"start_capacity":0.3},"failure_domains":["a"],"limits":{` +
+	`"dial_timeout_us":5000000,"idle_close_us":30000000,"max_retry_after_us":2000000,"retry_after":true,"try_limit":3},` +
+	`"membership_mode":"automatic","my_zone":0,"ordinal":0,"profiles":[` +
+	`{"give_up_us":8000000,"name":"look","objective_us":4000000,"repeat":"idempotent","worth":1},` +
+	`{"dedup_scope":"cell","dedup_window_us":9000000,"give_up_us":8000000,"name":"rate","objective_us":4000000,"repeat":"deduplicated","worth":1},` +
+	`{"give_up_us":8000000,"name":"post","objective_us":4000000,"repeat":"at_most_once","worth":1}],` +
+	`"siblings":1,"stage":0,"tenants":[{"name":"acme","portion":1,"quota_per_s":1000}],"weights":"off"}`
+
+// fakeDiscovery answers the calls in the order of its answers and then holds every watch.
+type fakeDiscovery struct {
+	addr  string
+	say   chan string   // the next answers; "" breaks the connection
+	calls chan string   // the queries that came
+	over  chan struct{} // ends the held calls
+}
+
+func startDiscovery(t *testing.T) *fakeDiscovery {
+	t.Helper()
+	d := &fakeDiscovery{say: make(chan string, 10), calls: make(chan string, 1000), over: make(chan struct{})}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.calls <- r.URL.RawQuery
+		select {
+		case text := <-d.say:
+			if text == "" {
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(w, text)
+		case <-d.over:
+		case <-r.Context().Done():
+		}
+	}))
+	d.addr = strings.TrimPrefix(s.URL, "http://")
+	t.Cleanup(func() { close(d.over); s.Close() })
+	return d
+}
+
+func listText(index int, full bool, entries ...string) string {
+	return fmt.Sprintf(`{"index":%d,"snapshot":%v,"endpoints":[%s]}`, index, full, strings.Join(entries, ","))
+}
+
+func listed(name, addr, status string) string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","type":"m","group":1,"status":%q,"weight":1,"since_ms":0}`,
+		name, addr, status)
+}
+
+// running is a proxy at work; stop is SIGTERM to it, done gives what Run returned.
+type running struct {
+	*Proxy
+	stop context.CancelFunc
+	done chan error
+}
+
+func startProxy(t *testing.T, discovery string, sockets int, known string) *running {
+	t.Helper()
+	site, err := settings.Decode([]byte(siteText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := Config{Listen: "127.0.0.1:0", Discovery: discovery, Seed: 7, Sockets: sockets, Site: site,
+		Log: slog.New(slog.DiscardHandler)}
+	if known != "" {
+		if cfg.Known, err = ParseList([]byte(known)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{Proxy: p, stop: stop, done: make(chan error, 1)}
+	ended := make(chan struct{})
+	go func() { defer close(ended); r.done <- p.Run(ctx) }()
+	t.Cleanup(func() { stop(); wait(t, "end of the proxy", ended) })
+	return r
+}
+
+// serving starts a proxy that knows one backend.
+func serving(t *testing.T, reply func(io.Writer, *http.Request, int) bool) (*running, *fakeBackend) {
+	t.Helper()
+	b := startBackend(t, reply)
+	return startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, statusServing))), b
+}
+
+// client is one connection of a client.
+type client struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func connect(t *testing.T, p *running) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(patience))
+	return &client{c, bufio.NewReader(c)}
+}
+
+func (c *client) send(t *testing.T, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (c *client) answer(t *testing.T) (*http.Response, string) {
+	t.Helper()
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(body)
+}
+
+func look(id string, ms int) string {
+	return fmt.Sprintf("GET /look/k HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nRequest-Class: look\r\nTenant: acme\r\n"+
+		"Request-Timeout-Ms: %d\r\n\r\n", id, ms)
+}
+
+func TestRequestsOfAllClassesAreServed(t *testing.T) {
+	p, b := serving(t, says(served, true))
+	c := connect(t, p)
+	for i, text := range []string{look("1", 4000),
+		"POST /rate/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 2\r\nRequest-Class: rate\r\nIdempotency-Key: x\r\nContent-Length: 3\r\n\r\nabc",
+		"POST /post/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 3\r\nRequest-Class: post\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+	} {
+		c.send(t, text)
+		if resp, body := c.answer(t); resp.StatusCode != 200 || body != "ok" {
+			t.Errorf("request %d: got %s %q", i, resp.Status, body)
+		}
+	}
+	if b.requests.Load() != 3 || b.conns.Load() != 1 {
+		t.Errorf("%d requests on %d connections", b.requests.Load(), b.conns.Load())
+	}
+}
+
+// What makes no sense is answered, never passed on, and the connection still serves.
+func TestBadRequestsGoNoFurther(t *testing.T) {
+	p, b := serving(t, says(served, true))
+	for name, c := range map[string]struct {
+		text string
+		want int
+		keep bool
+	}{
+		"no class":      {"GET /look/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n\r\n", 400, true},
+		"unknown class": {strings.ReplaceAll(look("1", 9), "look", "leap"), 400, true},
+		"other path":    {strings.Replace(look("1", 9), "/look", "/rate", 1), 400, true},
+		"full address":  {strings.Replace(look("1", 9), "/look", "http://h/look", 1), 400, true},
+		"no id":         {strings.Replace(look("1", 9), "Request-Id", "Other", 1), 400, true},
+		"wrong method":  {strings.Replace(look("1", 9), "GET", "PUT", 1), 405, true},
+		"needless key":  {strings.Replace(look("1", 9), "Tenant", "Idempotency-Key", 1), 400, true},
+		"missing key":   {"POST /rate/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 2\r\nRequest-Class: rate\r\nContent-Length: 0\r\n\r\n", 400, true},
+		"body on a GET": {strings.Replace(look("1", 9), "Tenant: acme", "Content-Length: 2", 1) + "ab", 400, true},
+		"too large":     {"POST /post/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 3\r\nRequest-Class: post\r\nContent-Length: 65537\r\n\r\n", 413, false},
+		"no HTTP":       {"what is this\r\n\r\n", 400, false},
+		"huge head":     {"GET /look/k HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 4*maxHead) + "\r\n\r\n", 431, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cl := connect(t, p)
+			cl.send(t, c.text)
+			if resp, _ := cl.answer(t); resp.StatusCode != c.want {
+				t.Errorf("got %s", resp.Status)
+			}
+			if c.keep {
+				came := b.requests.Load()
+				cl.send(t, look("9", 4000))
+				if resp, body := cl.answer(t); resp.StatusCode != 200 || body != "ok" || b.requests.Load() != came+1 {
+					t.Errorf("then got %s", resp.Status)
+				}
+			}
+		})
+	}
+}
+
+// The module's refusal comes at once and says when to come back.
+func TestARefusalIsAnsweredAtOnce(t *testing.T) {
+	p, b := serving(t, says("HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", true))
+	c := connect(t, p)
+	c.send(t, look("1", 8000))
+	resp, _ := c.answer(t)
+	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("got %s %v", resp.Status, resp.Header)
+	}
+	if n := b.requests.Load(); n < 1 || n > 3 {
+		t.Errorf("%d attempts", n)
+	}
+}
+
+func TestAHungBackendCostsTheClientNoAnswer(t *testing.T) {
+	p, b := serving(t, hang(t))
+	c := connect(t, p)
+	start := time.Now()
+	c.send(t, "POST /post/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 3\r\nRequest-Class: post\r\nRequest-Timeout-Ms: 1000\r\nContent-Length: 0\r\n\r\n")
+	resp, _ := c.answer(t)
+	if resp.StatusCode != http.StatusBadGateway && resp.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("got %s after %v", resp.Status, time.Since(start))
+	}
+	if n := b.requests.Load(); n != 1 {
+		t.Errorf("an unsafe request went out %d times", n)
+	}
+}
+
+func TestAClientThatGoesTakesItsAttemptAlong(t *testing.T) {
+	came := make(chan struct{}, 1)
+	gone := make(chan struct{}, 1)
+	p, _ := serving(t, func(w io.Writer, _ *http.Request, _ int) bool {
+		came <- struct{}{}
+		_, _ = w.(net.Conn).Read(make([]byte, 1))
+		gone <- struct{}{}
+		return false
+	})
+	c := connect(t, p)
+	c.send(t, look("1", 8000))
+	wait(t, "request", came)
+	c.Close()
+	wait(t, "end of the attempt", gone)
+	waitUntil(t, func() bool { // nothing is left of it
+		left := make(chan int, 1)
+		p.loop.post(func() { left <- len(p.loop.reqs) })
+		return wait(t, "word of the loop", left) == 0
+	})
+}
+
+func TestAClientThatGoesInMidRequestLeavesNothing(t *testing.T) {
+	p, b := serving(t, says(served, true))
+	c := connect(t, p)
+	c.send(t, "POST /post/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 3\r\nRequest-Class: post\r\nContent-Length: 9\r\n\r\nabc")
+	waitUntil(t, func() bool { return p.front.open() == 1 })
+	c.Close()
+	waitUntil(t, func() bool { return p.front.open() == 0 })
+	if n := b.requests.Load(); n != 0 {
+		t.Errorf("%d requests went on", n)
+	}
+}
+
+// Two requests under one id could not be told apart; the second was never answered.
+func TestASecondRequestUnderOneIDIsTurnedAway(t *testing.T) {
+	p, b := serving(t, hang(t))
+	first, second := connect(t, p), connect(t, p)
+	first.send(t, look("1", 8000))
+	waitUntil(t, func() bool { return b.requests.Load() == 1 })
+	second.send(t, look("1", 8000))
+	if resp, _ := second.answer(t); resp.StatusCode != 400 {
+		t.Errorf("got %s", resp.Status)
+	}
+}
+
+// A flood of connections was to end in too many open files; those over the clients' part are refused.
+func TestConnectionsOverTheClientsPartAreRefused(t *testing.T) {
+	b := startBackend(t, says(served, true))
+	const most = 8
+	p := startProxy(t, startDiscovery(t).addr, 2*most+ownSockets+overCap,
+		listText(1, true, listed("a", b.addr, statusServing)))
+	var conns []*client
+	for range most {
+		conns = append(conns, connect(t, p))
+	}
+	over := connect(t, p)
+	waitUntil(t, func() bool { return p.front.open() == most+1 })
+	over.send(t, look("1", 4000))
+	resp, _ := over.answer(t)
+	if resp.StatusCode != 503 || !resp.Close || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("got %s %v", resp.Status, resp.Header)
+	}
+	waitUntil(t, func() bool { return p.front.open() == most })
+	conns[0].send(t, look("2", 4000))
+	if resp, _ := conns[0].answer(t); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("got %s, close %v", resp.Status, resp.Close)
+	}
+}
+
+// Each answer is applied, a garbled or broken one changes nothing and the next call asks for the full list.
+func TestTheWatchGoesOnThroughNonsenseAndBreaks(t *testing.T) {
+	a, b := startBackend(t, says(served, true)), startBackend(t, says(served, true))
+	d := startDiscovery(t)
+	p := startProxy(t, d.addr, 200, "")
+	health := func() int {
+		c := connect(t, p)
+		c.send(t, "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n")
+		resp, _ := c.answer(t)
+		return resp.StatusCode
+	}
+	ask := func(id string) int {
+		c := connect(t, p)
+		c.send(t, look(id, 4000))
+		resp, _ := c.answer(t)
+		return resp.StatusCode
+	}
+	query := func(want string) {
+		t.Helper()
+		if got := wait(t, "call", d.calls); got != want {
+			t.Errorf("asked %q, want %q", got, want)
+		}
+	}
+	query("")
+	if got := health(); got != 503 {
+		t.Errorf("healthy without a list: %d", got)
+	}
+	d.say <- listText(5, true, listed("a", a.addr, statusServing))
+	query("from=5&hold_ms=10000")
+	if got := health(); got != 200 {
+		t.Errorf("not healthy with a list: %d", got)
+	}
+	for _, nonsense := range []string{`{"index":6,"snap`, listText(6, false, listed("a", "nowhere", statusServing)),
+		listText(6, false, listed("a", a.addr, "RESTING")), ""} {
+		d.say <- nonsense
+		if nonsense == "" {
+			query("from=5&hold_ms=10000") // net/http asks once more by itself; a question may be put twice
+		} else {
+			query("")
+		}
+		d.say <- listText(5, true, listed("a", a.addr, statusServing))
+		query("from=5&hold_ms=10000")
+		if got := ask("x"); got != 200 {
+			t.Errorf("after %q: %d", nonsense, got)
+		}
+	}
+	d.say <- listText(7, false, listed("a", a.addr, statusDraining), listed("b", b.addr, statusServing))
+	query("from=7&hold_ms=10000")
+	served := a.requests.Load()
+	for i := range 20 {
+		if got := ask(fmt.Sprint("y", i)); got != 200 {
+			t.Errorf("after the drain: %d", got)
+		}
+	}
+	if a.requests.Load() != served || b.requests.Load() != 20 {
+		t.Errorf("%d requests to a draining backend", a.requests.Load()-served)
+	}
+}
+
+// After SIGTERM clients still come, on new connections and on old ones: all get their answer and a close.
+func TestSIGTERMUnderLoadLosesNothing(t *testing.T) {
+	release := make(chan struct{})
+	p, b := serving(t, func(w io.Writer, r *http.Request, _ int) bool {
+		if r.Header.Get("Request-Id")[0] == 'h' {
+			<-release
+		}
+		_, _ = io.WriteString(w, served)
+		return true
+	})
+	idle := connect(t, p)
+	idle.send(t, look("1", 8000))
+	idle.answer(t)
+	var held []*client
+	for i := range 10 {
+		held = append(held, connect(t, p))
+		held[i].send(t, look(fmt.Sprint("h", i), 8000))
+	}
+	waitUntil(t, func() bool { return b.requests.Load() == 11 })
+	unused := connect(t, p)
+	p.stop()
+	waitUntil(t, func() bool { return p.front.draining.Load() })
+	for i, c := range []*client{idle, connect(t, p)} {
+		c.send(t, look(fmt.Sprint("n", i), 8000))
+		if resp, body := c.answer(t); resp.StatusCode != 200 || body != "ok" || !resp.Close {
+			t.Errorf("after SIGTERM: got %s, close %v", resp.Status, resp.Close)
+		}
+	}
+	close(release)
+	var all sync.WaitGroup
+	for _, c := range held {
+		all.Go(func() {
+			if resp, body := c.answer(t); resp.StatusCode != 200 || body != "ok" || !resp.Close {
+				t.Errorf("held: got %s, close %v", resp.Status, resp.Close)
+			}
+		})
+	}
+	all.Wait()
+	if err := wait(t, "end of Run", p.done); err != nil {
+		t.Error(err)
+	}
+	if _, err := unused.r.ReadByte(); err == nil {
+		t.Error("an unused connection got an answer")
+	}
+}
+
+// SIGKILL follows: what a hung backend holds is failed before it comes.
+func TestSIGTERMEndsWhatHangs(t *testing.T) {
+	p, b := serving(t, hang(t))
+	c := connect(t, p)
+	c.send(t, look("1", 8000))
+	waitUntil(t, func() bool { return b.requests.Load() == 1 })
+	start := time.Now()
+	p.stop()
+	if resp, _ := c.answer(t); resp.StatusCode == 200 {
+		t.Errorf("got %s", resp.Status)
+	}
+	if err := wait(t, "end of Run", p.done); err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(start); took > killAfter+5*time.Second {
+		t.Errorf("ended %v after SIGTERM", took)
+	}
+}
