Count a client whose request has just come as busy when the proxy ends

Seen in review of frontend.go: closeIdle left such a connection open but did not count it, so with no other request in work the server's Shutdown could close it unread right after.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -146,7 +146,7 @@
 		idle := s.state == http.StateIdle || s.state == http.StateNew && time.Since(s.since) > newFor
 		if idle && quiet(c) {
 			c.Close()
-		} else if s.state != http.StateIdle {
+		} else {
 			busy++
 		}
 	}
