Make room for clients that ask: the longest silent or idle connection gives way

At fault: cappedListener left what is beyond the cap in the kernel. Now: accepting goes on; the longest silent connection (over 250 ms), else the longest idle one, is closed; only where all carry requests the new one is closed. Clients get what a third of the descriptors times 4/3 for backends leaves; idle connections end after 10 s.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,15 +21,13 @@
 const (
 	maxHead      = 16 << 10         // of a request, before its body
 	headPatience = 10 * time.Second // for a request's head, and as long again for its body
-	idlePatience = 2 * time.Minute  // for the next request on a connection
+	idlePatience = 10 * time.Second // for the next request on a connection
 	writeLeeway  = 10 * time.Second // beyond the longest deadline, for the answer to be taken
 
 	// The answer to a request is to leave this long before its client gives up, so that a busy core does
 	// not make it late, but a request with little time keeps most of it.
 	answerMargin = 30 * time.Millisecond
 	marginPart   = 8
-
-	overCap = 32 // connections beyond the clients' part, to refuse on
 )
 
 // frontend takes requests from clients and hands them to the loop.
@@ -40,22 +37,13 @@
 	classes  map[string]int
 	tenants  map[string]int
 	server   *http.Server
-	listener *cappedListener
-	most     int // connections of clients that are served; those beyond are refused
+	clients  *clients
 	draining atomic.Bool
-
-	mu    sync.Mutex
-	conns map[net.Conn]connState
-}
-
-type connState struct {
-	state http.ConnState
-	since time.Time
 }
 
 func newFrontend(site *settings.Site, l *loop, listener net.Listener, most int, log *slog.Logger) *frontend {
-	f := &frontend{site: site, loop: l, most: most, classes: numbers(site.Classes), tenants: numbers(site.Tenants),
-		listener: newCappedListener(listener, most+overCap), conns: map[net.Conn]connState{}}
+	f := &frontend{site: site, loop: l, classes: numbers(site.Classes), tenants: numbers(site.Tenants),
+		clients: newClients(listener, most)}
 	longest := int64(0)
 	for _, c := range site.Logic.Classes {
 		longest = max(longest, c.Deadline)
@@ -63,7 +51,7 @@
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: headPatience, IdleTimeout: idlePatience, MaxHeaderBytes: maxHead,
 		WriteTimeout: headPatience + time.Duration(longest)*time.Microsecond + writeLeeway,
-		ConnState:    f.connState, ErrorLog: quietLog(log),
+		ConnState:    f.clients.state, ErrorLog: quietLog(log),
 	}
 	return f
 }
@@ -79,80 +67,14 @@
 // quietLog sends net/http's remarks on broken clients to the debug level.
 func quietLog(l *slog.Logger) *log.Logger { return slog.NewLogLogger(l.Handler(), slog.LevelDebug) }
 
-// cappedListener accepts no more connections than there are slots; those beyond wait in the kernel.
-type cappedListener struct {
-	net.Listener
-	slots  chan struct{}
-	closed chan struct{}
-	once   sync.Once
-}
-
-func newCappedListener(l net.Listener, most int) *cappedListener {
-	return &cappedListener{Listener: l, slots: make(chan struct{}, most), closed: make(chan struct{})}
-}
-
-// Accept takes a slot, which the connection gives back when the server reports it closed.
-func (l *cappedListener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-	c, err := l.Listener.Accept()
-	if err != nil {
-		<-l.slots
-	}
-	return c, err
-}
-
-func (l *cappedListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return l.Listener.Close()
-}
-
 // serve accepts connections until the listener is closed.
 func (f *frontend) serve() error {
-	if err := f.server.Serve(f.listener); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
+	if err := f.server.Serve(f.clients); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve: %w", err)
 	}
 	return nil
 }
 
-func (f *frontend) connState(c net.Conn, s http.ConnState) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s == http.StateClosed || s == http.StateHijacked {
-		if _, ok := f.conns[c]; ok {
-			delete(f.conns, c)
-			<-f.listener.slots
-		}
-		return
-	}
-	f.conns[c] = connState{s, time.Now()}
-}
-
-func (f *frontend) open() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.conns)
-}
-
-// closeIdle closes the connections that carry no request, and returns how many others there are. One on
-// which a request has just come in is left alone: closing it would lose that request.
-func (f *frontend) closeIdle(newFor time.Duration) (busy int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for c, s := range f.conns {
-		idle := s.state == http.StateIdle || s.state == http.StateNew && time.Since(s.since) > newFor
-		if idle && quiet(c) {
-			c.Close()
-		} else {
-			busy++
-		}
-	}
-	return busy
-}
-
 // ServeHTTP answers health checks and takes requests.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	came := time.Now()
@@ -165,10 +87,6 @@
 		f.reply(w, fault)
 		return
 	}
-	if f.open() > f.most {
-		f.reply(w, answer{status: http.StatusServiceUnavailable, after: f.site.Logic.MaxRetryAfter})
-		return
-	}
 	l := f.loop
 	l.post(func() { l.take(req) })
 	select {
@@ -197,7 +115,7 @@
 
 func (f *frontend) reply(w http.ResponseWriter, ans answer) {
 	h := w.Header()
-	if f.draining.Load() || f.open() > f.most*3/4 { // a closed connection makes room for another
+	if f.draining.Load() {
 		h.Set("Connection", "close")
 	}
 	if ans.content != "" {
@@ -309,8 +227,8 @@
 // accept; then connections are closed as they fall idle, until none is left or the cutoff has come.
 func (f *frontend) drain(accept time.Duration, cutoff time.Time) {
 	time.Sleep(accept)
-	f.listener.Close()
-	for f.closeIdle(accept) > 0 && time.Now().Before(cutoff) {
+	f.clients.Close()
+	for f.clients.closeIdle(accept) > 0 && time.Now().Before(cutoff) {
 		time.Sleep(drainStep)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), cutoff.Add(drainStep))
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	ownSockets = 32 // descriptors that are neither a client's nor a backend's, generously
-	leastEach  = 8  // connections on either side, at least
+	ownSockets  = 32 // descriptors that are neither a client's nor a backend's, generously
+	leastEach   = 8  // connections on either side, at least
+	requestPart = 3  // clients hold this part of the descriptors at most for requests
 
 	acceptAfter = 550 * time.Millisecond // new connections may still come for this long after SIGTERM
 	killAfter   = 3 * time.Second        // SIGKILL comes the longest deadline, or this, after SIGTERM
@@ -48,24 +49,27 @@
 	if err != nil {
 		return nil, err
 	}
-	each := (cfg.Sockets - ownSockets - overCap) / 2
-	if each < leastEach {
+	// Each open request has at most one attempt out, and a third more connections to backends may be kept for
+	// the next. What is left is the clients': their open requests, and those that are silent or idle.
+	forBackends := cfg.Sockets / requestPart * 4 / 3
+	forClients := cfg.Sockets - ownSockets - forBackends
+	if forClients < leastEach {
 		return nil, fmt.Errorf("%d sockets are too few", cfg.Sockets)
 	}
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	l := newLoop(bal, clock{time.Now()}, newBackends(cfg.Site.DialTimeout, cfg.Site.IdleClose, each),
+	l := newLoop(bal, clock{time.Now()}, newBackends(cfg.Site.DialTimeout, cfg.Site.IdleClose, forBackends),
 		newZones(cfg.Site.Zones), cfg.Log)
 	if cfg.Known != nil {
 		l.apply(logic.Cached, cfg.Known)
 	}
-	return &Proxy{cfg: cfg, loop: l, front: newFrontend(cfg.Site, l, listener, each, cfg.Log)}, nil
+	return &Proxy{cfg: cfg, loop: l, front: newFrontend(cfg.Site, l, listener, forClients, cfg.Log)}, nil
 }
 
 // Addr is where clients connect.
-func (p *Proxy) Addr() string { return p.front.listener.Addr().String() }
+func (p *Proxy) Addr() string { return p.front.clients.Addr().String() }
 
 // Run serves until the context ends, then finishes what it has taken.
 func (p *Proxy) Run(ctx context.Context) error {
