Take a new configuration on SIGHUP: the watch begins anew at the address it names

No handler in cmd/fernlanding. Now SIGHUP is caught from the start to the end; the file is read again, one that makes no sense is logged and changes nothing; another discovery ends the running watch and starts with the whole list.

--- a/.ci/start/main.go
+++ b/.ci/start/main.go
@@ -1,8 +1,9 @@
 // Command start starts the proxy by the command in CI_RUN, with a list that it knows and no discovery, asks
-// for its health over loopback, and ends it with SIGTERM.
+// for its health over loopback, sends it SIGHUP several times, and ends it with SIGTERM and one SIGHUP more.
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -26,7 +27,7 @@
 		fmt.Fprintf(os.Stderr, "start: %v\n", err)
 		os.Exit(1)
 	}
-	fmt.Println("the proxy starts, is healthy and ends on SIGTERM")
+	fmt.Println("the proxy starts, is healthy, also after SIGHUP, and ends on SIGTERM")
 }
 
 func run() error {
@@ -64,8 +65,18 @@
 			return fmt.Errorf("not healthy after %v", patience)
 		}
 	}
-	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		return err
+	for _, s := range []os.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP} {
+		if err := cmd.Process.Signal(s); err != nil {
+			return err
+		}
+	}
+	if !healthy(addr) {
+		return errors.New("not healthy after SIGHUP")
+	}
+	for _, s := range []os.Signal{syscall.SIGTERM, syscall.SIGHUP} {
+		if err := cmd.Process.Signal(s); err != nil {
+			return err
+		}
 	}
 	select {
 	case err := <-ended:
--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -32,6 +32,11 @@
 }
 
 func run() error {
+	// Caught before all else and to the end: unhandled, either would end the process with what it holds.
+	hups := make(chan os.Signal, 1) // one more than the one being handled: the file is read after the last
+	signal.Notify(hups, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	cfg, lim, err := load(os.Getenv)
 	if err != nil {
@@ -44,15 +49,37 @@
 	if lim.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(lim.Cores)))
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	p, err := proxy.New(cfg)
 	if err != nil {
 		return err
 	}
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		for {
+			select {
+			case <-hups:
+				renew(os.Getenv, p.Renew, log)
+			case <-ended:
+				return
+			}
+		}
+	}()
 	return p.Run(ctx)
 }
 
+// renew reads the configuration again after SIGHUP and passes the address of discovery on; the rest of it
+// holds from the next start. A file that makes no sense changes nothing.
+func renew(env func(string) string, discovery func(string), log *slog.Logger) {
+	cfg, _, err := load(env)
+	if err != nil {
+		log.Error("new configuration not taken", "error", err)
+		return
+	}
+	log.Info("new configuration", "discovery", cfg.Discovery)
+	discovery(cfg.Discovery)
+}
+
 type limits struct {
 	Cores    float64 `json:"cores"`
 	MemoryMB float64 `json:"memory_mb"`
--- a/cmd/fernlanding/main_test.go
+++ b/cmd/fernlanding/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
@@ -58,3 +59,26 @@
 		t.Error("no LB_CONFIG is no error")
 	}
 }
+
+// After SIGHUP the file is read again; what makes no sense is logged and changes nothing.
+func TestANewConfigurationNamesDiscovery(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	var told, logged []string
+	log := slog.New(slog.NewTextHandler(writerFunc(func(b []byte) { logged = append(logged, string(b)) }), nil))
+	for _, text := range []string{good, good[:99], "", strings.Replace(good, "127.0.0.1:1", "127.0.0.1:2", 1)} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		renew(func(string) string { return path }, func(addr string) { told = append(told, addr) }, log)
+	}
+	if len(told) != 2 || told[0] != "127.0.0.1:1" || told[1] != "127.0.0.1:2" {
+		t.Errorf("told %q", told)
+	}
+	if len(logged) != 4 || !strings.Contains(logged[1], "not taken") || !strings.Contains(logged[2], "not taken") {
+		t.Errorf("logged %q", logged)
+	}
+}
+
+type writerFunc func([]byte)
+
+func (f writerFunc) Write(b []byte) (int, error) { f(b); return len(b), nil }
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -94,11 +94,11 @@
 
 // run watches until the context ends. The next watch follows its answer at once, lest changes in between
 // count as told late. After a call that failed in a way that leaves the version in doubt, it begins with
-// the full list.
-func (d *discovery) run(ctx context.Context, subscribe bool) {
+// the full list. With subscribe the module says when to ask, after a failure and, with first, at the start.
+func (d *discovery) run(ctx context.Context, subscribe, first bool) {
 	defer d.client.CloseIdleConnections()
 	index, wait := int64(-1), retryFirst
-	for subscribed := false; ctx.Err() == nil; {
+	for subscribed := !first; ctx.Err() == nil; {
 		if subscribe && !subscribed {
 			select {
 			case <-d.asked:
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -38,9 +38,10 @@
 
 // Proxy is one proxy with its listener open.
 type Proxy struct {
-	cfg   Config
-	loop  *loop
-	front *frontend
+	cfg    Config
+	loop   *loop
+	front  *frontend
+	renews chan string // addresses of discovery that new configurations name
 }
 
 // New opens the listener; clients are served from Run on.
@@ -65,7 +66,7 @@
 	if cfg.Known != nil {
 		l.apply(logic.Cached, cfg.Known)
 	}
-	return &Proxy{cfg: cfg, loop: l, front: newFrontend(cfg.Site, l, listener, forClients, cfg.Log)}, nil
+	return &Proxy{cfg: cfg, loop: l, renews: make(chan string), front: newFrontend(cfg.Site, l, listener, forClients, cfg.Log)}, nil
 }
 
 // Addr is where clients connect.
@@ -78,9 +79,7 @@
 	defer parts.Wait()
 	defer stop()
 	parts.Go(func() { p.loop.run(inner) })
-	parts.Go(func() {
-		newDiscovery(p.cfg.Discovery, p.cfg.Log, p.loop.lists, p.loop.asked).run(inner, p.cfg.Site.Logic.Subscribe)
-	})
+	parts.Go(func() { p.watch(inner) })
 	served := make(chan error, 1)
 	parts.Go(func() { served <- p.front.serve() })
 	select {
@@ -98,3 +97,41 @@
 	p.front.drain(acceptAfter, cutoff)
 	return nil
 }
+
+// Renew takes the address of discovery that a new configuration names. It may be called while Run does its work.
+func (p *Proxy) Renew(discovery string) {
+	select {
+	case p.renews <- discovery:
+	case <-p.loop.done:
+	}
+}
+
+// watch keeps a watch on the list at the address named last. A new one begins with the whole list, since the
+// versions of two addresses do not compare, and only when the old one has ended, so that nothing of the old
+// follows the new. Until the new one has answered the old list stands.
+func (p *Proxy) watch(ctx context.Context) {
+	subscribe := p.cfg.Site.Logic.Subscribe && p.cfg.Known != nil // with no list at all nobody says when to ask
+	for addr := p.cfg.Discovery; ctx.Err() == nil; subscribe = false {
+		one, stop := context.WithCancel(ctx)
+		d, first := newDiscovery(addr, p.cfg.Log, p.loop.lists, p.loop.asked), subscribe
+		var part sync.WaitGroup
+		part.Go(func() { d.run(one, p.cfg.Site.Logic.Subscribe, first) })
+		addr = p.renewed(ctx, addr)
+		stop()
+		part.Wait()
+	}
+}
+
+// renewed waits for another address than the present one, or the end.
+func (p *Proxy) renewed(ctx context.Context, present string) string {
+	for {
+		select {
+		case addr := <-p.renews:
+			if addr != present {
+				return addr
+			}
+		case <-ctx.Done():
+			return present
+		}
+	}
+}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -392,6 +392,60 @@
 	}
 }
 
+// A new configuration names another discovery: its whole list replaces the old one, whatever their versions,
+// the old watch ends, and what the old address says later is not heard. The old list stands until then.
+func TestANewDiscoveryReplacesTheOldOne(t *testing.T) {
+	a, b := startBackend(t, says(served, true)), startBackend(t, says(served, true))
+	ds := []*fakeDiscovery{startDiscovery(t), startDiscovery(t)}
+	p := startProxy(t, ds[0].addr, 200, "")
+	ask := func(id string, of *fakeBackend) {
+		t.Helper()
+		came, c := of.requests.Load(), connect(t, p)
+		c.send(t, look(id, 4000))
+		if resp, _ := c.answer(t); resp.StatusCode != 200 || of.requests.Load() != came+1 {
+			t.Errorf("%s: got %s, %d more requests", id, resp.Status, of.requests.Load()-came)
+		}
+	}
+	query := func(of *fakeDiscovery, want string) {
+		t.Helper()
+		if got := wait(t, "call", of.calls); got != want {
+			t.Errorf("asked %q, want %q", got, want)
+		}
+	}
+	query(ds[0], "")
+	ds[0].say <- listText(50, true, listed("a", a.addr, statusServing))
+	query(ds[0], "from=50&hold_ms=10000")
+	ask("1", a)
+	p.Renew(ds[0].addr) // the same again changes nothing
+	p.Renew(ds[1].addr)
+	query(ds[1], "")
+	ask("2", a)
+	ds[1].say <- listText(3, true, listed("b", b.addr, statusServing))
+	query(ds[1], "from=3&hold_ms=10000")
+	ask("3", b)
+	for range 5 { // several in a row
+		p.Renew(ds[0].addr)
+		p.Renew(ds[1].addr)
+	}
+	p.Renew(ds[0].addr)
+	for range cap(ds[0].say) { // some may go to calls that have ended
+		ds[0].say <- listText(1, true, listed("a", a.addr, statusServing))
+	}
+	waitUntil(t, func() bool {
+		c := connect(t, p)
+		c.send(t, look("again", 4000))
+		c.answer(t)
+		return a.requests.Load() > 2
+	})
+	ask("4", a)
+	p.stop()
+	p.Renew(ds[1].addr) // while it ends
+	if err := wait(t, "end of Run", p.done); err != nil {
+		t.Error(err)
+	}
+	p.Renew(ds[0].addr) // and after
+}
+
 // After SIGTERM clients still come, on new connections and on old ones: all get their answer and a close.
 func TestSIGTERMUnderLoadLosesNothing(t *testing.T) {
 	release := make(chan struct{})
