Turn bad clients away at once and keep them from the module's evidence

At fault: parse (deadline defaulted, framing not looked at, body first), reply (kept connections), 10 s limits, and read() in backend.go (a 4xx is an error of the backend). Now: any Transfer-Encoding is 411, HTTP/1.0 505, bad deadlines and repeated headers 400, all before the body and with a close; heads end within 2.2 s and first bodies within 2.8 s of connecting; what is left of a body is drained for 0.5 s at most; a backend's 4xx ends the request as it is, told to the module as moot.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -255,6 +255,7 @@
 // result is how an attempt ended.
 type result struct {
 	status  logic.Status
+	fault   int    // the backend's 4xx: the request makes no sense, whoever gets it; else 0
 	body    []byte // of a backend's 200
 	content string // and its Content-Type
 }
@@ -381,5 +382,8 @@
 			return result{status: logic.FullUp}, keep, nil
 		}
 	}
+	if c := resp.StatusCode; c >= 400 && c < 500 && c != http.StatusRequestTimeout && c != http.StatusTooManyRequests {
+		return result{status: logic.Error, fault: c}, keep, nil
+	}
 	return result{status: logic.Error}, keep, nil // it may have run
 }
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -34,8 +34,10 @@
 type clientConn struct {
 	net.Conn
 	of    *clients
+	came  time.Time
 	since time.Time    // of its place
 	heard atomic.Int64 // when bytes last came, in Unix nanoseconds
+	asked atomic.Bool  // a request has been answered on it
 	list  *list.List   // nil while a request is open
 	place *list.Element
 }
@@ -64,7 +66,7 @@
 	if len(l.conns) >= l.most && !l.evict() {
 		return nil
 	}
-	c := &clientConn{Conn: nc, of: l}
+	c := &clientConn{Conn: nc, of: l, came: time.Now()}
 	l.conns[c] = c
 	l.rest(c, l.silent)
 	return c
@@ -123,6 +125,7 @@
 	case http.StateActive:
 		l.rest(c, nil)
 	case http.StateIdle:
+		c.asked.Store(true)
 		l.rest(c, l.idle)
 	case http.StateClosed, http.StateHijacked:
 		l.remove(c)
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -1,10 +1,10 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log"
 	"log/slog"
 	"net"
@@ -19,10 +19,16 @@
 )
 
 const (
-	maxHead      = 16 << 10         // of a request, before its body
-	headPatience = 10 * time.Second // for a request's head, and as long again for its body
-	idlePatience = 10 * time.Second // for the next request on a connection
-	writeLeeway  = 10 * time.Second // beyond the longest deadline, for the answer to be taken
+	maxHead = 16 << 10 // of a request, before its body
+	maxID   = 128      // bytes of a Request-Id
+
+	// A client that connects is owed an answer or a close within 3 s: it has this long to send a head, and
+	// this long from its connecting to its first body's end. A later body has as long as a head.
+	headPatience  = 2200 * time.Millisecond
+	firstPatience = 2800 * time.Millisecond
+	idlePatience  = 10 * time.Second       // for the next request on a connection
+	faultLinger   = 500 * time.Millisecond // for what a bad client still sends, so that it can read its error
+	writeLeeway   = 5 * time.Second        // beyond the longest deadline, for the answer to be taken
 
 	// The answer to a request is to leave this long before its client gives up, so that a busy core does
 	// not make it late, but a request with little time keeps most of it.
@@ -51,11 +57,17 @@
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: headPatience, IdleTimeout: idlePatience, MaxHeaderBytes: maxHead,
 		WriteTimeout: headPatience + time.Duration(longest)*time.Microsecond + writeLeeway,
-		ConnState:    f.clients.state, ErrorLog: quietLog(log),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, clientKey{}, c)
+		},
+		ConnState: f.clients.state, ErrorLog: quietLog(log),
 	}
 	return f
 }
 
+// clientKey is the context's key for the clientConn that a request came on.
+type clientKey struct{}
+
 func numbers(names []string) map[string]int {
 	m := map[string]int{}
 	for i, n := range names {
@@ -84,6 +96,8 @@
 	}
 	req, fault := f.parse(w, r, came)
 	if fault.status != 0 {
+		// What is left of a body is drained on the way out; it may never come.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(faultLinger))
 		f.reply(w, fault)
 		return
 	}
@@ -115,7 +129,8 @@
 
 func (f *frontend) reply(w http.ResponseWriter, ans answer) {
 	h := w.Header()
-	if f.draining.Load() {
+	// Where a request makes no sense, what follows it may not be the next one.
+	if f.draining.Load() || ans.status >= 400 && ans.status < 500 {
 		h.Set("Connection", "close")
 	}
 	if ans.content != "" {
@@ -136,6 +151,17 @@
 	bad := func(status int, why string) (*request, answer) {
 		return nil, answer{status: status, body: []byte(why + "\n"), content: "text/plain"}
 	}
+	if !r.ProtoAtLeast(1, 1) { // in these net/http drops a Transfer-Encoding unseen
+		return bad(http.StatusHTTPVersionNotSupported, "HTTP/1.1 is spoken here")
+	}
+	if len(r.TransferEncoding) > 0 { // with a Content-Length beside it the body may hide another request
+		return bad(http.StatusLengthRequired, "a body needs Content-Length alone")
+	}
+	for _, name := range []string{"Request-Id", "Request-Class", "Request-Timeout-Ms", "Tenant", "Idempotency-Key"} {
+		if len(r.Header[name]) > 1 {
+			return bad(http.StatusBadRequest, name+" is given twice")
+		}
+	}
 	class, ok := f.classes[r.Header.Get("Request-Class")]
 	if !ok {
 		return bad(http.StatusBadRequest, "unknown Request-Class")
@@ -145,8 +171,8 @@
 		return bad(http.StatusBadRequest, "the path does not begin with the class")
 	}
 	id := r.Header.Get("Request-Id")
-	if id == "" {
-		return bad(http.StatusBadRequest, "no Request-Id")
+	if id == "" || len(id) > maxID {
+		return bad(http.StatusBadRequest, "no Request-Id, or a long one")
 	}
 	k, method := f.site.Logic.Classes[class], http.MethodPost
 	if k.Repeat == logic.Safe {
@@ -159,21 +185,20 @@
 	if keyed := r.Header.Get("Idempotency-Key") != ""; keyed != (k.Repeat == logic.Keyed) {
 		return bad(http.StatusBadRequest, "Idempotency-Key does not fit the class")
 	}
-	body, fault := f.body(w, r)
-	if fault != "" {
-		return bad(http.StatusBadRequest, fault)
+	ms, err := strconv.ParseInt(r.Header.Get("Request-Timeout-Ms"), 10, 64)
+	if err != nil || ms <= 0 {
+		return bad(http.StatusBadRequest, "Request-Timeout-Ms is no time")
 	}
-	if len(body) > maxBody {
-		w.Header().Set("Connection", "close")
+	wait := min(time.Duration(k.Deadline)*time.Microsecond, time.Duration(min(ms, 1e9))*time.Millisecond)
+	switch {
+	case r.ContentLength > maxBody:
 		return bad(http.StatusRequestEntityTooLarge, "the body is too large")
-	}
-	if method == http.MethodGet && len(body) > 0 {
+	case r.ContentLength > 0 && method == http.MethodGet:
 		return bad(http.StatusBadRequest, "a body on a GET")
 	}
-	// Without a time-out that makes sense the client is taken to wait as long as its class does.
-	wait := time.Duration(k.Deadline) * time.Microsecond
-	if ms, err := strconv.ParseInt(r.Header.Get("Request-Timeout-Ms"), 10, 64); err == nil && ms > 0 {
-		wait = min(wait, time.Duration(min(ms, 1e9))*time.Millisecond)
+	body, err := f.body(w, r)
+	if err != nil {
+		return bad(http.StatusBadRequest, "the body broke off")
 	}
 	tenant, ok := f.tenants[r.Header.Get("Tenant")]
 	if !ok {
@@ -188,22 +213,19 @@
 	}, answer{}
 }
 
-// body reads at most one byte more than a body may hold.
-func (f *frontend) body(w http.ResponseWriter, r *http.Request) ([]byte, string) {
-	if r.ContentLength == 0 {
-		return nil, ""
-	}
-	if r.ContentLength > maxBody {
-		return make([]byte, maxBody+1), "" // too large, unread
+// body reads a body of known length. It grows with what comes: a length alone costs no memory.
+func (f *frontend) body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	until := time.Now().Add(headPatience)
+	if c, ok := r.Context().Value(clientKey{}).(*clientConn); ok && !c.asked.Load() {
+		until = c.came.Add(firstPatience)
 	}
 	c := http.NewResponseController(w)
-	_ = c.SetReadDeadline(time.Now().Add(headPatience))
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
+	_ = c.SetReadDeadline(until)
+	var body bytes.Buffer
+	_, err := body.ReadFrom(r.Body)
+	// While the answer is awaited net/http reads on, to see a client that goes; that has no deadline.
 	_ = c.SetReadDeadline(time.Time{})
-	if err != nil {
-		return nil, "the body broke off"
-	}
-	return body, ""
+	return body.Bytes(), err
 }
 
 // passOn takes the headers that concern one connection out, and leaves net/http to frame the body.
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -260,6 +260,11 @@
 	if res.status == logic.OK {
 		l.end(r, answer{status: http.StatusOK, body: res.body, content: res.content})
 	}
+	if res.fault != 0 {
+		// The client's fault is no evidence against the backend, and another would say the same.
+		l.end(r, answer{status: res.fault})
+		res.status = logic.Moot
+	}
 	now := l.clock.now()
 	l.bal.Outcome(now, l, logic.Outcome{ID: r.ID, Attempt: a.number, Status: res.status, Took: now - a.sent,
 		Closed: r.over})
