Harden backend connections, leave nothing of ended requests, end late requests first after SIGTERM

Growth: a request's timer leaves the heap with it; zones that the settings lack are numbered by a hash. SIGTERM: what has missed its aim (1 s at least) is failed, so that the process ends for its successor.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,8 +22,16 @@
 
 const maxBody = 64 << 10 // of a request and of an answer
 
-// answerHead bounds what a backend's answer may hold before its body.
-const answerHead = 16 << 10
+const (
+	answerHead = 8 << 10 // of a backend's answer, before its body
+	mostEarly  = 8       // 1xx answers ahead of one, at most
+
+	// Once an answer has begun, the rest of it is on its way; one whose length does not fit never ends.
+	answerStall = 500 * time.Millisecond
+	// A second answer or noise may follow an answer. It came within 2 ms where it was seen; a connection that
+	// is used again sooner could take it for the next request's answer.
+	restFor = 20 * time.Millisecond
+)
 
 // backends holds the connections to all backends of the list. It stands in for http.Transport, which by
 // itself sends a GET or a keyed request again when a kept connection turns out to be dead: an attempt that
@@ -51,7 +60,6 @@
 type conn struct {
 	net.Conn
 	r     *bufio.Reader
-	limit io.LimitedReader
 	of    *backend
 	epoch int // of the backend when it was opened
 	since time.Time
@@ -119,14 +127,21 @@
 	return b.epoch == epoch
 }
 
-// reuse takes the most recently used idle connection that its peer has not closed.
+// reuse takes the most recently used idle connection that has rested and that its peer has left quiet.
 func (p *backends) reuse(b *backend, epoch int) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for b.epoch == epoch && len(b.idle) > 0 {
-		c := b.idle[len(b.idle)-1]
-		b.idle = b.idle[:len(b.idle)-1]
-		if time.Since(c.since) < p.idleFor && quiet(c.Conn) {
+	if b.epoch != epoch {
+		return nil
+	}
+	now := time.Now()
+	for i := len(b.idle) - 1; i >= 0; i-- {
+		c := b.idle[i]
+		if now.Sub(c.since) < restFor {
+			continue
+		}
+		b.idle = slices.Delete(b.idle, i, i+1)
+		if now.Sub(c.since) < p.idleFor && quiet(c.Conn) {
 			return c
 		}
 		p.closeLocked(c)
@@ -148,10 +163,7 @@
 		p.mu.Unlock()
 		return nil, fmt.Errorf("dial %s: %w", b.name, err)
 	}
-	c := &conn{Conn: nc, of: b, epoch: epoch}
-	c.limit.R = nc
-	c.r = bufio.NewReaderSize(&c.limit, 4<<10)
-	return c, nil
+	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, answerHead), of: b, epoch: epoch}, nil
 }
 
 // reserve counts a connection in. At the limit the one that has been idle longest makes room.
@@ -266,8 +278,8 @@
 	if c == nil {
 		var err error
 		if c, err = a.dial(); err != nil {
-			if a.ctx.Err() != nil {
-				return result{status: logic.Moot} // stopped before anything was sent
+			if a.ctx.Err() != nil || errors.Is(err, errNoSockets) {
+				return result{status: logic.Moot} // stopped before anything was sent, or no fault of the backend's
 			}
 			return result{status: logic.ConnectFailed}
 		}
@@ -345,16 +357,49 @@
 	return buf.Bytes(), nil
 }
 
+// head looks at the next head as it came, and leaves it to be read. What net/http makes of it no longer shows
+// whether it gave two framings, of which one is wrong.
+func (c *conn) head() error {
+	for n := 1; ; {
+		_, err := c.r.Peek(n)
+		b, _ := c.r.Peek(c.r.Buffered())
+		if end := bytes.Index(b, []byte("\r\n\r\n")); end >= 0 {
+			h := bytes.ToLower(b[:end])
+			if bytes.Contains(h, []byte("\ncontent-length")) && bytes.Contains(h, []byte("\ntransfer-encoding")) {
+				return errors.New("two framings")
+			}
+			return nil
+		}
+		if err != nil { // also a head that does not end
+			return err
+		}
+		n = len(b) + 1
+	}
+}
+
 // read takes the whole answer: one that breaks off has not been given.
 func (a *attempt) read(c *conn) (res result, keep bool, err error) {
-	c.limit.N = answerHead + 2*maxBody // framing of small chunks included
-	resp, err := http.ReadResponse(c.r, &http.Request{Method: a.req.method})
-	for err == nil && resp.StatusCode < 200 {
-		resp, err = http.ReadResponse(c.r, &http.Request{Method: a.req.method})
-	}
-	if err != nil {
+	if _, err := c.r.Peek(1); err != nil {
 		return res, false, fmt.Errorf("read answer: %w", err)
 	}
+	if until := time.Now().Add(answerStall); until.Before(a.deadline) {
+		_ = c.SetDeadline(until)
+		if a.ctx.Err() != nil { // stopped while the deadline was set
+			return res, false, a.ctx.Err()
+		}
+	}
+	var resp *http.Response
+	for early := 0; resp == nil || resp.StatusCode < 200; early++ {
+		if early > mostEarly {
+			return res, false, errors.New("read answer: early words without end")
+		}
+		if err = c.head(); err == nil {
+			resp, err = http.ReadResponse(c.r, &http.Request{Method: a.req.method})
+		}
+		if err != nil {
+			return res, false, fmt.Errorf("read answer: %w", err)
+		}
+	}
 	defer resp.Body.Close()
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		// Its end would look the same as a break.
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"log/slog"
 	"net"
@@ -179,24 +180,19 @@
 	return list, nil
 }
 
-// zones numbers zones by name: first the settings' own, then others as they turn up.
+// zones numbers zones by name: the settings' own from 0, any other by a hash, so that names without end leave
+// nothing behind.
 type zones map[string]int
 
-func newZones(names []string) zones {
-	z := zones{}
-	for i, n := range names {
-		z[n] = i
-	}
-	return z
-}
+func newZones(names []string) zones { return zones(numbers(names)) }
 
 func (z zones) number(name string) int {
-	n, ok := z[name]
-	if !ok {
-		n = len(z)
-		z[name] = n
+	if n, ok := z[name]; ok {
+		return n
 	}
-	return n
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, name) // never fails
+	return len(z) + int(h.Sum32()>>1)
 }
 
 // servers turns entries into the module's. Its clock shows Unix time (see clock), so since_ms needs no shift.
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -208,6 +208,7 @@
 	return &request{
 		Request: logic.Request{ID: id, Class: class, Tenant: tenant, Key: rest[strings.LastIndexByte(rest, '/')+1:],
 			GiveUp: f.loop.clock.at(came.Add(wait))},
+		aim:    f.loop.clock.at(came) + k.Aim,
 		method: method, uri: r.RequestURI, host: r.Host, header: passOn(r.Header), body: body,
 		answer: make(chan answer, 1),
 	}, answer{}
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -16,6 +16,7 @@
 	// An attempt's time-out at the end of the request's time is the module's to answer and to learn from;
 	// this much later the request is failed whatever the module says.
 	expireAfter = 10 * time.Millisecond
+	hurryLeast  = time.Second // after SIGTERM, for every open request
 )
 
 // clock gives the module's time: microseconds that begin at the Unix time of the start and then follow the
@@ -37,11 +38,13 @@
 	host   string
 	header http.Header // what goes on to the backend
 	body   []byte
+	aim    int64       // an answer is worth little after this
 	answer chan answer // takes the one final answer without a wait
 
 	over    bool
 	sends   int
 	current *attempt // the one that is out
+	time    *timer   // its end, whatever the module says
 }
 
 // answer is a final answer.
@@ -57,17 +60,26 @@
 	at    int64
 	token string
 	req   *request
+	place int // in the heap; -1 once it is out
 }
 
-type timerHeap []timer
+type timerHeap []*timer
 
 func (h timerHeap) Len() int           { return len(h) }
 func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
+func (h timerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].place, h[j].place = i, j
+}
+func (h *timerHeap) Push(x any) {
+	t := x.(*timer)
+	t.place = len(*h)
+	*h = append(*h, t)
+}
 func (h *timerHeap) Pop() any {
 	old := *h
 	last := old[len(old)-1]
+	old[len(old)-1], last.place = nil, -1
 	*h = old[:len(old)-1]
 	return last
 }
@@ -159,7 +171,7 @@
 // fire plays the timers that are due.
 func (l *loop) fire() {
 	for now := l.clock.now(); len(l.timers) > 0 && l.timers[0].at <= now; {
-		t := heap.Pop(&l.timers).(timer)
+		t := heap.Pop(&l.timers).(*timer)
 		if t.req == nil {
 			l.bal.Timer(now, l, t.token)
 		} else {
@@ -202,10 +214,11 @@
 		return
 	}
 	if l.cutoff > 0 {
-		r.GiveUp = min(r.GiveUp, l.cutoff)
+		r.GiveUp = min(r.GiveUp, l.cutoff, r.aim)
 	}
 	l.reqs[r.ID] = r
-	heap.Push(&l.timers, timer{at: r.GiveUp + expireAfter.Microseconds(), req: r})
+	r.time = &timer{at: r.GiveUp + expireAfter.Microseconds(), req: r}
+	heap.Push(&l.timers, r.time)
 	l.bal.Request(l.clock.now(), l, r.Request)
 }
 
@@ -222,7 +235,9 @@
 func (l *loop) forget(r *request) {
 	if r.over && r.current == nil {
 		delete(l.reqs, r.ID)
-		r.body, r.header = nil, nil // a timer may hold on to the rest for seconds
+		if r.time.place >= 0 {
+			heap.Remove(&l.timers, r.time.place)
+		}
 	}
 }
 
@@ -243,11 +258,16 @@
 	l.withdraw(r, answer{status: http.StatusGatewayTimeout})
 }
 
-// hurry is for SIGTERM: all requests end by cutoff, since the process may be killed soon after.
+// hurry is for SIGTERM: all requests end by cutoff, since the process may be killed soon after. Its successor
+// starts when it has ended, so what has missed its aim is not waited for either; all have hurryLeast.
 func (l *loop) hurry(cutoff int64) {
 	l.cutoff = cutoff
 	for _, r := range l.reqs {
-		heap.Push(&l.timers, timer{at: cutoff, req: r})
+		end := min(cutoff, max(r.aim, l.clock.now()+hurryLeast.Microseconds()))
+		if r.time.place >= 0 && r.time.at > end {
+			r.time.at = end
+			heap.Fix(&l.timers, r.time.place)
+		}
 	}
 }
 
@@ -318,7 +338,7 @@
 
 // SetTimer implements logic.Host.
 func (l *loop) SetTimer(delay int64, token string) {
-	heap.Push(&l.timers, timer{at: l.clock.now() + delay, token: token})
+	heap.Push(&l.timers, &timer{at: l.clock.now() + delay, token: token})
 }
 
 // Watch implements logic.Host. Where the list is pushed the watch stands anyway.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -926,3 +926,44 @@
 		t.Errorf("share %v after a dozen good rounds", b.share)
 	}
 }
+
+// A long day brings ever new ids, keys and servers; what has ended leaves nothing behind.
+func TestWhatHasEndedLeavesNothing(t *testing.T) {
+	s := testSettings()
+	s.OrderSettle = 1000
+	for i := range s.Classes {
+		s.Classes[i].ByArrival = true
+	}
+	s.Tenants = []Tenant{{Portion: 1, Quota: 1000}}
+	b, h := with(t, s, 4)
+	now := start
+	for i := range 30_000 {
+		now += 2_000
+		id := fmt.Sprint("r", i)
+		if i%10 == 0 { // a server is replaced
+			b.List(now, h, Delta, []Server{{ID: fmt.Sprint("n", i), Cell: i, State: Ready, Size: 1, Launched: now},
+				{ID: fmt.Sprint("n", i-100), State: Gone}})
+		}
+		h.sends, h.timer, h.lines, h.hints = nil, nil, nil, nil
+		b.Request(now, h, Request{ID: id, Class: i % len(s.Classes), Key: fmt.Sprint("k", i), GiveUp: now + 1_000_000})
+		for n := 0; n < len(h.sends); n++ {
+			status := OK
+			if i%7 == 0 {
+				status = Reset
+			}
+			b.Outcome(now+1_000, h, Outcome{ID: id, Attempt: n, Status: status, Took: 1_000, Closed: status == OK})
+		}
+		for _, token := range h.timer {
+			b.Timer(now+2_000, h, token)
+		}
+	}
+	waiting := 0
+	for _, c := range b.classes {
+		waiting += len(c.waiting)
+	}
+	if len(b.reqs) > 0 || len(b.turns) > 0 || len(b.byID) > 20 || len(b.all) > 20 || len(b.taken) > 6000 ||
+		len(b.further) > 6000 || waiting > 2000 {
+		t.Errorf("left: %d requests, %d turns, %d and %d servers, %d taken, %d further, %d waiting", len(b.reqs),
+			len(b.turns), len(b.byID), len(b.all), len(b.taken), len(b.further), waiting)
+	}
+}
