Serve answers of more than 64 KiB

A probe that logged each outcome: 81 of 92 errors were good 200s of 140 to 380 KB. At fault: read() in backend.go takes a length over maxBody for an error; each such request is tried five times and every try is held against its backend, so health, counts and shares all fall. Now answers with a length are read up to 1 MiB, a few at a time by the memory limit, each 64 KiB within 0.5 s.

--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -109,6 +109,7 @@
 		return cfg, file.Limits, fmt.Errorf("%s: %w", path, err)
 	}
 	cfg.Listen, cfg.Discovery, cfg.Sockets = file.Listen, file.Discovery, file.Limits.Sockets
+	cfg.MemoryMB = file.Limits.MemoryMB
 	if cfg.Listen == "" {
 		cfg.Listen = env("LB_LISTEN")
 	}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -20,7 +21,10 @@
 	"fernlanding/logic"
 )
 
-const maxBody = 64 << 10 // of a request and of an answer
+const (
+	maxBody   = 64 << 10 // of a request, and of an answer without a Content-Length
+	maxAnswer = 1 << 20  // of an answer that gives one: some hundred KiB have been seen, 3 GB too
+)
 
 const (
 	answerHead = 8 << 10 // of a backend's answer, before its body
@@ -40,6 +44,7 @@
 	dialer  func(ctx context.Context, network, addr string) (net.Conn, error)
 	idleFor time.Duration // connections idle for longer are closed, well before the backend does it
 	most    int           // open connections, those being opened included
+	large   chan struct{} // holds one for each large answer that is being read
 
 	mu     sync.Mutex
 	byName map[string]*backend
@@ -65,10 +70,10 @@
 	since time.Time
 }
 
-func newBackends(dialTimeout, idleClose time.Duration, most int) *backends {
+func newBackends(dialTimeout, idleClose time.Duration, most, large int) *backends {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	return &backends{dialer: d.DialContext, idleFor: idleClose * 3 / 4, most: most,
-		byName: map[string]*backend{}}
+		large: make(chan struct{}, large), byName: map[string]*backend{}}
 }
 
 // apply takes a list or its changes. Connections that stand idle to a backend which has restarted, moved,
@@ -406,10 +411,12 @@
 		return res, false, errors.New("read answer: length not given")
 	}
 	var body []byte
-	if resp.ContentLength > maxBody {
+	if resp.ContentLength > maxAnswer {
 		return result{status: logic.Error}, false, nil
 	}
-	if resp.ContentLength >= 0 {
+	if resp.ContentLength > maxBody {
+		body, err = a.readLarge(c, resp)
+	} else if resp.ContentLength >= 0 {
 		body = make([]byte, resp.ContentLength)
 		_, err = io.ReadFull(resp.Body, body)
 	} else if body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1)); len(body) > maxBody {
@@ -432,3 +439,33 @@
 	}
 	return result{status: logic.Error}, keep, nil // it may have run
 }
+
+// readLarge reads a large body. Only a few are read at a time, lest their memory add up, and each part of one
+// has as long as a small answer.
+func (a *attempt) readLarge(c *conn, resp *http.Response) ([]byte, error) {
+	select {
+	case a.pool.large <- struct{}{}:
+		defer func() { <-a.pool.large }()
+	case <-a.ctx.Done():
+		return nil, a.ctx.Err()
+	case <-time.After(time.Until(a.deadline)):
+		return nil, os.ErrDeadlineExceeded
+	}
+	body := make([]byte, resp.ContentLength)
+	for read := 0; read < len(body); {
+		if until := time.Now().Add(answerStall); until.Before(a.deadline) {
+			_ = c.SetDeadline(until)
+		} else {
+			_ = c.SetDeadline(a.deadline)
+		}
+		if a.ctx.Err() != nil { // stopped while the deadline was set
+			return nil, a.ctx.Err()
+		}
+		n, err := io.ReadFull(resp.Body, body[read:min(len(body), read+maxBody)])
+		if err != nil {
+			return nil, err
+		}
+		read += n
+	}
+	return body, nil
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,6 +17,8 @@
 const (
 	ownSockets  = 32 // descriptors that are neither a client's nor a backend's, generously
 	leastEach   = 8  // connections on either side, at least
+	leastLarge  = 2  // large answers that are read at a time, at least
+	largeMB     = 16 // of memory for each of them
 	requestPart = 3  // clients hold this part of the descriptors at most for requests
 
 	acceptAfter = 550 * time.Millisecond // new connections may still come for this long after SIGTERM
@@ -30,8 +32,9 @@
 	Listen    string
 	Discovery string
 	Seed      uint64
-	Sockets   int   // descriptors that the process may hold
-	Known     *List // the list as last known; may be nil
+	Sockets   int     // descriptors that the process may hold
+	MemoryMB  float64 // that it may hold; 0 if it is not told
+	Known     *List   // the list as last known; may be nil
 	Site      *settings.Site
 	Log       *slog.Logger
 }
@@ -61,7 +64,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	l := newLoop(bal, clock{time.Now()}, newBackends(cfg.Site.DialTimeout, cfg.Site.IdleClose, forBackends),
+	l := newLoop(bal, clock{time.Now()}, newBackends(cfg.Site.DialTimeout, cfg.Site.IdleClose, forBackends,
+		max(leastLarge, int(cfg.MemoryMB)/largeMB)),
 		newZones(cfg.Site.Zones), cfg.Log)
 	if cfg.Known != nil {
 		l.apply(logic.Cached, cfg.Known)
