Notice a discovery that has fallen silent within 3 s

Ruled out: sends after a list (find() looks under the list that applies) and the reload path (no SIGHUP). At fault: watchHold 10 s and listPatience 3 s in discovery.go. Now a pushed watch holds 2 s and is given up 1 s later, with the whole list asked on another connection; where the list is asked the wait stays 10 s and the patience 1.5 s. A test with a silent discovery fails without it.

--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -21,10 +21,16 @@
 	statusDraining = "DRAINING"
 	statusDeleted  = "DELETED"
 
-	watchHold    = 10 * time.Second       // how long a watch may wait for news
-	listPatience = 3 * time.Second        // for an answer that need not wait, and beyond a watch's wait
-	retryFirst   = 50 * time.Millisecond  // after a failed call
-	retryMost    = 500 * time.Millisecond // at most
+	// How long a watch may wait for news. A connection to discovery can fall silent, and nothing shows it but
+	// an answer that is overdue: what was to be told meanwhile counts as told 2 s after the wait. Where the list
+	// is pushed, asking costs nothing; where it is asked, all proxies share one service.
+	pushHold = 2 * time.Second
+	askHold  = 10 * time.Second
+
+	pushPatience = time.Second             // for an answer that need not wait, and beyond a watch's wait
+	askPatience  = 1500 * time.Millisecond // the same where calls wait in turn
+	retryFirst   = 50 * time.Millisecond   // after a failed call
+	retryMost    = 500 * time.Millisecond  // at most
 	maxList      = 4 << 20
 )
 
@@ -78,18 +84,24 @@
 
 // discovery keeps a watch on the list and hands each answer to the loop.
 type discovery struct {
-	addr   string
-	log    *slog.Logger
-	client *http.Client
-	lists  chan<- listNews
-	asked  <-chan struct{} // with a subscription: the module's word to open it
+	addr     string
+	hold     time.Duration
+	patience time.Duration
+	log      *slog.Logger
+	client   *http.Client
+	lists    chan<- listNews
+	asked    <-chan struct{} // with a subscription: the module's word to open it
 }
 
 // listNews is what discovery answered; a nil list is a call that failed.
 type listNews struct{ list *List }
 
-func newDiscovery(addr string, log *slog.Logger, lists chan<- listNews, asked <-chan struct{}) *discovery {
-	return &discovery{addr: addr, log: log, lists: lists, asked: asked,
+func newDiscovery(addr string, subscribe bool, log *slog.Logger, lists chan<- listNews, asked <-chan struct{}) *discovery {
+	hold, patience := pushHold, pushPatience
+	if subscribe {
+		hold, patience = askHold, askPatience
+	}
+	return &discovery{addr: addr, hold: hold, patience: patience, log: log, lists: lists, asked: asked,
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true}}}
 }
 
@@ -147,10 +159,10 @@
 
 // call asks for what is newer than index, or for the whole list if that is negative.
 func (d *discovery) call(ctx context.Context, index int64) (*List, error) {
-	u, patience := "http://"+d.addr+"/catalog/members", listPatience
+	u, patience := "http://"+d.addr+"/catalog/members", d.patience
 	if index >= 0 {
-		u += "?from=" + strconv.FormatInt(index, 10) + "&hold_ms=" + strconv.FormatInt(watchHold.Milliseconds(), 10)
-		patience += watchHold
+		u += "?from=" + strconv.FormatInt(index, 10) + "&hold_ms=" + strconv.FormatInt(d.hold.Milliseconds(), 10)
+		patience += d.hold
 	}
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -117,7 +117,7 @@
 	subscribe := p.cfg.Site.Logic.Subscribe && p.cfg.Known != nil // with no list at all nobody says when to ask
 	for addr := p.cfg.Discovery; ctx.Err() == nil; subscribe = false {
 		one, stop := context.WithCancel(ctx)
-		d, first := newDiscovery(addr, p.cfg.Log, p.loop.lists, p.loop.asked), subscribe
+		d, first := newDiscovery(addr, p.cfg.Site.Logic.Subscribe, p.cfg.Log, p.loop.lists, p.loop.asked), subscribe
 		var part sync.WaitGroup
 		part.Go(func() { d.run(one, p.cfg.Site.Logic.Subscribe, first) })
 		addr = p.renewed(ctx, addr)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -448,7 +448,7 @@
 		t.Errorf("healthy without a list: %d", got)
 	}
 	d.say <- listText(5, true, listed("a", a.addr, statusServing))
-	query("from=5&hold_ms=10000")
+	query("from=5&hold_ms=2000")
 	if got := health(); got != 200 {
 		t.Errorf("not healthy with a list: %d", got)
 	}
@@ -456,18 +456,18 @@
 		listText(6, false, listed("a", a.addr, "RESTING")), ""} {
 		d.say <- nonsense
 		if nonsense == "" {
-			query("from=5&hold_ms=10000") // net/http asks once more by itself; a question may be put twice
+			query("from=5&hold_ms=2000") // net/http asks once more by itself; a question may be put twice
 		} else {
 			query("")
 		}
 		d.say <- listText(5, true, listed("a", a.addr, statusServing))
-		query("from=5&hold_ms=10000")
+		query("from=5&hold_ms=2000")
 		if got := ask("x"); got != 200 {
 			t.Errorf("after %q: %d", nonsense, got)
 		}
 	}
 	d.say <- listText(7, false, listed("a", a.addr, statusDraining), listed("b", b.addr, statusServing))
-	query("from=7&hold_ms=10000")
+	query("from=7&hold_ms=2000")
 	served := a.requests.Load()
 	for i := range 20 {
 		if got := ask(fmt.Sprint("y", i)); got != 200 {
@@ -479,6 +479,27 @@
 	}
 }
 
+// A connection to discovery fell silent; the proxy waited 13 s for it and sent to backends that drained. The
+// fake holds the watch and never answers: the next call is one for the whole list, on another connection.
+func TestASilentDiscoveryIsAskedAgain(t *testing.T) {
+	a := startBackend(t, says(served, true))
+	d := startDiscovery(t)
+	p := startProxy(t, d.addr, 200, "")
+	for i, want := range []string{"", "from=5&hold_ms=2000", "", "from=6&hold_ms=2000"} {
+		if got := wait(t, "call", d.calls); got != want {
+			t.Fatalf("call %d asked %q, want %q", i, got, want)
+		}
+		if want == "" {
+			d.say <- listText(5+i/2, true, listed("a", a.addr, statusServing))
+		}
+	}
+	c := connect(t, p)
+	c.send(t, look("1", 4000))
+	if resp, _ := c.answer(t); resp.StatusCode != 200 {
+		t.Errorf("got %s", resp.Status)
+	}
+}
+
 // A new configuration names another discovery: its whole list replaces the old one, whatever their versions,
 // the old watch ends, and what the old address says later is not heard. The old list stands until then.
 func TestANewDiscoveryReplacesTheOldOne(t *testing.T) {
@@ -501,14 +522,14 @@
 	}
 	query(ds[0], "")
 	ds[0].say <- listText(50, true, listed("a", a.addr, statusServing))
-	query(ds[0], "from=50&hold_ms=10000")
+	query(ds[0], "from=50&hold_ms=2000")
 	ask("1", a)
 	p.Renew(ds[0].addr) // the same again changes nothing
 	p.Renew(ds[1].addr)
 	query(ds[1], "")
 	ask("2", a)
 	ds[1].say <- listText(3, true, listed("b", b.addr, statusServing))
-	query(ds[1], "from=3&hold_ms=10000")
+	query(ds[1], "from=3&hold_ms=2000")
 	ask("3", b)
 	for range 5 { // several in a row
 		p.Renew(ds[0].addr)
