Keep one in eight of the clients' connections free after SIGTERM

Now the gate's first rule refuses at once, with a Retry-After, what would leave fewer than one in eight of the open connections free; the frontend tells the module how many there are (Request.Lines and Spare). A test over loopback holds 7 of 8 connections; without the rule the eighth is not refused.

--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -128,6 +128,7 @@
 		c.asked.Store(true)
 		l.rest(c, l.idle)
 	case http.StateClosed, http.StateHijacked:
+		println("P closed", c.RemoteAddr().String(), c.list == l.idle, c.list == l.silent)
 		l.remove(c)
 	}
 }
@@ -139,6 +140,14 @@
 	return len(l.conns)
 }
 
+// lines tells how many connections clients have that have brought a request, and how many of them are free for
+// the next.
+func (l *clients) lines() (all, free int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns) - l.silent.Len(), l.idle.Len()
+}
+
 // closeIdle closes the connections that carry no request, and returns how many others there are. One that is
 // newer than newFor, or on which something has just come in, is left alone: closing it would lose a request.
 func (l *clients) closeIdle(newFor time.Duration) (busy int) {
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -45,6 +45,7 @@
 	server   *http.Server
 	clients  *clients
 	draining atomic.Bool // SIGTERM has come: health checks are told
+	bound    atomic.Bool // clients may get no new connections here
 	closing  atomic.Bool // each connection ends with its answer
 }
 
@@ -102,7 +103,12 @@
 		f.reply(w, fault)
 		return
 	}
+	if f.bound.Load() {
+		req.Lines, req.Spare = f.clients.lines()
+	}
 	l := f.loop
+	l.log.Info("P req", "id", req.ID, "c", r.RemoteAddr, "cl", req.Class, "left", (req.GiveUp-l.clock.now())/1000)
+	defer func() { l.log.Info("P done", "id", req.ID, "err", r.Context().Err()) }()
 	l.post(func() { l.take(req) })
 	select {
 	case ans := <-req.answer:
@@ -116,6 +122,7 @@
 }
 
 func (f *frontend) health(w http.ResponseWriter) {
+	defer f.loop.log.Info("P health", "drain", f.draining.Load())
 	select {
 	case <-f.loop.listed:
 		if !f.draining.Load() {
@@ -130,6 +137,7 @@
 
 func (f *frontend) reply(w http.ResponseWriter, ans answer) {
 	h := w.Header()
+	f.loop.log.Info("P reply", "st", ans.status, "after", ans.after/1000, "why", string(ans.content))
 	// Where a request makes no sense, what follows it may not be the next one.
 	if f.closing.Load() || ans.status >= 400 && ans.status < 500 {
 		h.Set("Connection", "close")
@@ -255,12 +263,16 @@
 // This also covers other proxies that have crashed and a front that is slow to take a new one in. It hurts where
 // a supervisor starts the successor only when this process has ended: that is then seconds later.
 func (f *frontend) drain(lastCall, cutoff time.Time) {
-	for least := time.Now().Add(acceptAfter); time.Now().Before(least) ||
-		time.Now().Before(lastCall) && f.clients.count() > 0; {
+	told := time.Now()
+	for since := time.Duration(0); since < acceptAfter ||
+		time.Now().Before(lastCall) && f.clients.count() > 0; since = time.Since(told) {
+		f.bound.Store(since >= boundAfter)
 		time.Sleep(drainStep)
 	}
 	f.closing.Store(true)
 	f.clients.Close()
+	f.loop.log.Info("P listener closed", "conns", f.clients.count())
+	defer func() { f.loop.log.Info("P drained", "conns", f.clients.count()) }()
 	for f.clients.closeIdle(acceptAfter) > 0 && time.Now().Before(cutoff) {
 		time.Sleep(drainStep)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -21,7 +21,8 @@
 	largeMB     = 16 // of memory for each of them
 	requestPart = 3  // clients hold this part of the descriptors at most for requests
 
-	acceptAfter = 550 * time.Millisecond // new connections may still come for this long after SIGTERM
+	boundAfter  = 200 * time.Millisecond // new connections surely come for this long after SIGTERM
+	acceptAfter = 550 * time.Millisecond // and may still come for this long
 	killAfter   = 3 * time.Second        // SIGKILL comes the longest deadline, or this, after SIGTERM
 	killLeeway  = 500 * time.Millisecond // and somewhat more
 	servePart   = 0.7                    // of the time between: requests are taken; the rest is for their answers
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -605,6 +605,50 @@
 	}
 }
 
+// After SIGTERM clients got no new connections. Once all they had were held by slow calls, the next one found
+// nobody and took the proxy for gone, with two seconds left to serve. A part of them stays free: what comes on it
+// is refused at once and told when to come back, and its connection can be used again.
+func TestSIGTERMKeepsConnectionsFree(t *testing.T) {
+	release := make(chan struct{})
+	p, b := serving(t, func(w io.Writer, r *http.Request, _ int) bool {
+		if r.Header.Get("Request-Id")[0] == 'h' {
+			<-release
+		}
+		_, _ = io.WriteString(w, served)
+		return true
+	})
+	var all []*client
+	for i := range 8 {
+		all = append(all, connect(t, p))
+		all[i].send(t, look(fmt.Sprint(i), 8000))
+		all[i].answer(t)
+	}
+	waitUntil(t, func() bool { _, free := p.front.clients.lines(); return free == len(all) })
+	p.stop()
+	waitUntil(t, func() bool { return p.front.bound.Load() })
+	for i, c := range all[:7] {
+		c.send(t, look(fmt.Sprint("h", i), 8000))
+	}
+	waitUntil(t, func() bool { return b.requests.Load() == 15 })
+	for i := range 3 {
+		all[7].send(t, look(fmt.Sprint("h", 7+i), 8000))
+		resp, _ := all[7].answer(t)
+		if resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" || resp.Close {
+			t.Fatalf("with 7 of 8 connections held: got %s %v, close %v", resp.Status, resp.Header, resp.Close)
+		}
+	}
+	close(release)
+	for _, c := range all[:7] {
+		if resp, body := c.answer(t); resp.StatusCode != 200 || body != "ok" {
+			t.Errorf("held: got %s", resp.Status)
+		}
+	}
+	all[7].send(t, look("s", 8000))
+	if resp, _ := all[7].answer(t); resp.StatusCode != 200 {
+		t.Errorf("with free connections: got %s", resp.Status)
+	}
+}
+
 // SIGKILL follows: what a hung backend holds is failed before it comes.
 func TestSIGTERMEndsWhatHangs(t *testing.T) {
 	p, b := serving(t, hang(t))
--- a/logic/api.go
+++ b/logic/api.go
@@ -119,6 +119,9 @@
 	Tenant int
 	Key    string // its subject, or empty
 	GiveUp int64  // when the client abandons it
+	// Where its clients can open no more connections: how many they have, and how many of these carry no
+	// request. Lines is 0 where they can.
+	Lines, Spare int
 }
 
 // Status is how an attempt ended.
