--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -128,7 +128,6 @@
 		c.asked.Store(true)
 		l.rest(c, l.idle)
 	case http.StateClosed, http.StateHijacked:
-		println("P closed", c.RemoteAddr().String(), c.list == l.idle, c.list == l.silent)
 		l.remove(c)
 	}
 }
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -107,8 +107,6 @@
 		req.Lines, req.Spare = f.clients.lines()
 	}
 	l := f.loop
-	l.log.Info("P req", "id", req.ID, "c", r.RemoteAddr, "cl", req.Class, "left", (req.GiveUp-l.clock.now())/1000)
-	defer func() { l.log.Info("P done", "id", req.ID, "err", r.Context().Err()) }()
 	l.post(func() { l.take(req) })
 	select {
 	case ans := <-req.answer:
@@ -122,7 +120,6 @@
 }
 
 func (f *frontend) health(w http.ResponseWriter) {
-	defer f.loop.log.Info("P health", "drain", f.draining.Load())
 	select {
 	case <-f.loop.listed:
 		if !f.draining.Load() {
@@ -137,7 +134,6 @@
 
 func (f *frontend) reply(w http.ResponseWriter, ans answer) {
 	h := w.Header()
-	f.loop.log.Info("P reply", "st", ans.status, "after", ans.after/1000, "why", string(ans.content))
 	// Where a request makes no sense, what follows it may not be the next one.
 	if f.closing.Load() || ans.status >= 400 && ans.status < 500 {
 		h.Set("Connection", "close")
@@ -271,8 +267,6 @@
 	}
 	f.closing.Store(true)
 	f.clients.Close()
-	f.loop.log.Info("P listener closed", "conns", f.clients.count())
-	defer func() { f.loop.log.Info("P drained", "conns", f.clients.count()) }()
 	for f.clients.closeIdle(acceptAfter) > 0 && time.Now().Before(cutoff) {
 		time.Sleep(drainStep)
 	}
