--- a/logic/logic.go
+++ b/logic/logic.go
@@ -57,11 +57,12 @@
 
 	hintPart = 0.5 // of the aim: the longest hint
 
-	// Of connections that can't become more, one in so many is kept free. A client that finds none free finds
-	// nobody, and takes this copy for gone; a refused one has its connection back at once. This serves a copy
-	// that is about to end, and would any whose clients are bounded. It hurts where few come: it then refuses
-	// what could have been served on the last free connections.
-	sparePart = 8
+	// Of connections that can't become more, one in so many is kept free, and this many at least, if they are not
+	// more than half. A client that finds none free finds nobody, and takes this copy for gone; a refused one has
+	// its connection back at once. This serves a copy that is about to end, and would any whose clients are
+	// bounded. It hurts where few come: it then refuses what could have been served on the last connections.
+	sparePart  = 8
+	spareLeast = 3
 
 	spillLow   = 0.02 // weight of servers in other zones while home copes
 	spillStart = 0.3  // the same at a fresh copy of the front, which does not know how home copes
@@ -340,7 +341,7 @@
 
 // canPass checks the rules in order.
 func (b *Balancer) canPass(now int64, q *request) bool {
-	if q.Spare < q.Lines/sparePart || !b.tier.canPass(b.rnd.Float64()) {
+	if q.Spare < max(q.Lines/sparePart, min(spareLeast, q.Lines/2)) || !b.tier.canPass(b.rnd.Float64()) {
 		return false
 	}
 	if t := b.origin(q); t != nil {
