--- a/logic/logic.go
+++ b/logic/logic.go
@@ -57,10 +57,10 @@
 
 	hintPart = 0.5 // of the aim: the longest hint
 
-	// Of connections that can't become more, one in so many is kept free, and this many at least, if they are not
-	// more than half. A client that finds none free finds nobody, and takes this copy for gone; a refused one has
-	// its connection back at once. This serves a copy that is about to end, and would any whose clients are
-	// bounded. It hurts where few come: it then refuses what could have been served on the last connections.
+	// Of connections that can't become more, one in so many is kept free, and this many at least, if they are
+	// not more than half. A client that finds none free finds nobody, and takes this copy for gone; a refused
+	// one has its connection back at once. This serves a copy that is about to end, and any whose clients
+	// are bounded. It hurts where few come: it then refuses what the last connections could have served.
 	sparePart  = 8
 	spareLeast = 3
 
