--- a/logic/state.go
+++ b/logic/state.go
@@ -110,7 +110,10 @@
 }
 
 // health is what is left of a server's weight, and its running part of failed calls.
-type health struct{ left, errs float64 }
+type health struct {
+	left, errs float64
+	judged     bool // a call of this copy has ended there
+}
 
 // forget drops what was learned of a server.
 func (s *server) forget(classes int) {
