--- a/logic/logic.go
+++ b/logic/logic.go
@@ -646,11 +646,12 @@
 	return blame
 }
 
-// sick is the part of failed calls of a class over which a server fails more than its peers, whatever the calls of
-// all say. A server that fails at once is always free and gets most calls, so among all calls its failures are
-// usual; they then cut the counts until next to nothing was let out. This covers servers that refuse or spoil
-// most of what they get, also for want of a deeper tier that only they miss. It hurts where a deeper tier fails
-// for many servers, but not yet for most: the counts then fall later.
+// sick is the part of failed calls of a class over which a server fails more than its peers, whatever
+// the calls of all say. A server that fails at once is always free and gets most calls, so among all
+// calls its failures are usual; they then cut the counts until next to nothing was let out. This
+// covers servers that refuse or spoil most of what they get, also for want of a deeper tier that only
+// they miss. It hurts where a deeper tier fails for many servers, but not yet for most: the counts
+// then fall later.
 func (b *Balancer) sick(s *server, class int) float64 {
 	sum, n := 0.0, 0
 	for _, p := range b.ready {
