--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -11,7 +11,6 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -300,55 +299,6 @@
 	}
 }
 
-// A backend that failed at once was always free and got most calls. Its failures were then the usual thing among
-// all calls, were held against the tier, and cut its count until next to nothing was let out.
-func TestABackendThatFailsAtOnceHoldsNobodyBack(t *testing.T) {
-	var ill atomic.Bool
-	backend := func(release chan struct{}, sick bool) *fakeBackend {
-		return startBackend(t, func(w io.Writer, r *http.Request, _ int) bool {
-			if r.Header.Get("Request-Id")[0] == 'h' {
-				<-release
-			}
-			if sick && ill.Load() {
-				_, _ = io.WriteString(w, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
-			} else {
-				_, _ = io.WriteString(w, served)
-			}
-			return true
-		})
-	}
-	busy, free := make(chan struct{}), make(chan struct{})
-	defer close(busy)
-	well, bad := backend(busy, false), backend(free, true)
-	p := startProxy(t, startDiscovery(t).addr, 200,
-		listText(1, true, listed("well", well.addr, statusServing), listed("bad", bad.addr, statusServing)))
-	c := connect(t, p)
-	for n := 0; well.requests.Load() == 0; n++ {
-		c.send(t, post(fmt.Sprint("w", n), "Content-Length: 0"))
-		c.answer(t)
-	}
-	// Both come to hold calls; then the one is free.
-	first, sent := well.requests.Load(), well.requests.Load()+bad.requests.Load()
-	for n := 0; well.requests.Load() < first+3; n++ {
-		connect(t, p).send(t, post(fmt.Sprint("h", n), "Content-Length: 0"))
-		sent++
-		waitUntil(t, func() bool { return well.requests.Load()+bad.requests.Load() == sent })
-	}
-	close(free)
-	waitUntil(t, func() bool {
-		open := make(chan int, 1)
-		p.loop.post(func() { open <- len(p.loop.reqs) })
-		return wait(t, "word of the loop", open) == int(well.requests.Load()-first)
-	})
-	ill.Store(true)
-	for n := range 60 {
-		c.send(t, post(fmt.Sprint("i", n), "Content-Length: 0"))
-		if resp, _ := c.answer(t); resp.StatusCode == 503 {
-			t.Fatalf("refused unsent after %d failures", n)
-		}
-	}
-}
-
 func TestAHungBackendCostsTheClientNoAnswer(t *testing.T) {
 	p, b := serving(t, hang(t))
 	c := connect(t, p)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -53,7 +53,6 @@
 	healthCut   = 0.3  // health kept after a failure that peers do not show
 	healthRise  = 0.25 // part of the lost health that a success restores
 	blameRatio  = 2.0  // a server is to blame when it fails this many times as often as all
-	sickPart    = 0.5  // and when it fails more often than this, and as many times as often as its peers
 	coldMargin  = 0.6  // part of its least capacity that a cold server is given
 
 	hintPart = 0.5 // of the aim: the longest hint
@@ -641,34 +640,13 @@
 		blame = s.whole.judge(x, blameRatio*b.errs)
 	}
 	if status == Error || status == OK {
-		blame = s.classes[class].judge(x, min(blameRatio*c.errs, b.sick(s, class)))
+		blame = s.classes[class].judge(x, blameRatio*c.errs)
 	}
 	return blame
 }
 
-// sick is the part of failed calls of a class over which a server fails more than its peers, whatever
-// the calls of all say. A server that fails at once is always free and gets most calls, so among all
-// calls its failures are usual; they then cut the counts until next to nothing was let out. This
-// covers servers that refuse or spoil most of what they get, also for want of a deeper tier that only
-// they miss. It hurts where a deeper tier fails for many servers, but not yet for most: the counts
-// then fall later.
-func (b *Balancer) sick(s *server, class int) float64 {
-	sum, n := 0.0, 0
-	for _, p := range b.ready {
-		if h := &p.classes[class]; p != s && h.judged {
-			sum += h.errs
-			n++
-		}
-	}
-	if n == 0 {
-		return 1
-	}
-	return max(sickPart, blameRatio*sum/float64(n))
-}
-
 // judge blames a failure where failures are more than a usual part.
 func (h *health) judge(x, usual float64) (blame bool) {
-	h.judged = true
 	h.errs += (x - h.errs) * healthRise
 	if x == 0 {
 		h.left += (1 - h.left) * healthRise
--- a/logic/state.go
+++ b/logic/state.go
@@ -110,10 +110,7 @@
 }
 
 // health is what is left of a server's weight, and its running part of failed calls.
-type health struct {
-	left, errs float64
-	judged     bool // a call of this copy has ended there
-}
+type health struct{ left, errs float64 }
 
 // forget drops what was learned of a server.
 func (s *server) forget(classes int) {
