--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -554,18 +554,23 @@
 	p.Renew(ds[0].addr) // and after
 }
 
-// Two proxies were told to end close behind each other. Each closed its connections with the next answer, though
-// it was there for two seconds more, and for as long clients found nobody. After SIGTERM they are served on the
-// connections they have, and on new ones; at the last call each answer brings a close.
-func TestSIGTERMUnderLoadLosesNothing(t *testing.T) {
-	release := make(chan struct{})
-	p, b := serving(t, func(w io.Writer, r *http.Request, _ int) bool {
+// holds serves requests, those whose id begins with h only after the release.
+func holds(release <-chan struct{}) func(io.Writer, *http.Request, int) bool {
+	return func(w io.Writer, r *http.Request, _ int) bool {
 		if r.Header.Get("Request-Id")[0] == 'h' {
 			<-release
 		}
 		_, _ = io.WriteString(w, served)
 		return true
-	})
+	}
+}
+
+// Two proxies were told to end close behind each other. Each closed its connections with the next answer, though
+// it was there for two seconds more, and for as long clients found nobody. After SIGTERM they are served on the
+// connections they have, and on new ones; at the last call each answer brings a close.
+func TestSIGTERMUnderLoadLosesNothing(t *testing.T) {
+	release := make(chan struct{})
+	p, b := serving(t, holds(release))
 	idle := connect(t, p)
 	idle.send(t, look("1", 8000))
 	idle.answer(t)
@@ -610,13 +615,7 @@
 // is refused at once and told when to come back, and its connection can be used again.
 func TestSIGTERMKeepsConnectionsFree(t *testing.T) {
 	release := make(chan struct{})
-	p, b := serving(t, func(w io.Writer, r *http.Request, _ int) bool {
-		if r.Header.Get("Request-Id")[0] == 'h' {
-			<-release
-		}
-		_, _ = io.WriteString(w, served)
-		return true
-	})
+	p, b := serving(t, holds(release))
 	var all []*client
 	for i := range 8 {
 		all = append(all, connect(t, p))
