--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -15,8 +15,9 @@
 	"strconv"
 	"syscall"
 
-	"fernlanding/internal/proxy"
+	"fernlanding/internal/membership/catalog"
 	"fernlanding/internal/settings"
+	"fernlanding/internal/sidecar"
 )
 
 const (
@@ -49,7 +50,7 @@
 	if lim.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(lim.Cores)))
 	}
-	p, err := proxy.New(cfg)
+	p, err := sidecar.New(cfg)
 	if err != nil {
 		return err
 	}
@@ -87,8 +88,8 @@
 }
 
 // load reads the file that LB_CONFIG names; LB_LISTEN and LB_DISCOVERY stand in for what it lacks.
-func load(env func(string) string) (proxy.Config, limits, error) {
-	var cfg proxy.Config
+func load(env func(string) string) (sidecar.Config, limits, error) {
+	var cfg sidecar.Config
 	path := env("LB_CONFIG")
 	if path == "" {
 		return cfg, limits{}, errors.New("LB_CONFIG is not set")
@@ -138,7 +139,7 @@
 		return cfg, file.Limits, fmt.Errorf("settings: %w", err)
 	}
 	if len(file.Known) > 0 && string(file.Known) != "null" {
-		if cfg.Known, err = proxy.ParseList(file.Known); err != nil {
+		if cfg.Known, err = catalog.Parse(file.Known); err != nil {
 			return cfg, file.Limits, fmt.Errorf("known: %w", err)
 		}
 	}
--- /dev/null
+++ b/internal/core/pool.go
@@ -0,0 +1,397 @@
+// Package core is the life of a request in one pool: it is taken, the module decides, an upstream carries each
+// attempt out, and there is exactly one final answer. It knows no protocol.
+//
+// A Pool owns one Balancer, the table of requests and the timers. The owner is a lock and no goroutine: an event is
+// played by whoever brings it, so that a request that is sent and served at once changes goroutines nowhere.
+package core
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"fernlanding/internal/membership"
+	"fernlanding/logic"
+)
+
+const (
+	sweepEvery = time.Second // idle connections to backends are looked over
+	// An attempt's time-out at the end of the request's time is the module's to answer and to learn from;
+	// this much later the request is failed whatever the module says.
+	expireAfter = 10 * time.Millisecond
+	farAway     = time.Hour // an alarm that nothing waits for
+)
+
+// Pool is one service's requests, Balancer and backends. All that happens is told to the module in the order in
+// which the lock was had; the module's decisions are carried out as its logic.Host.
+type Pool struct {
+	clock    Clock
+	upstream Upstream
+	zones    zones
+	log      *slog.Logger
+	asked    chan struct{} // the module's word to subscribe
+	listed   chan struct{} // closed when there is a list
+
+	mu      sync.Mutex
+	bal     *logic.Balancer
+	reqs    map[string]*Request // until answered and no attempt is out
+	timers  timerHeap
+	alarm   *time.Timer
+	alarmAt int64
+	unsent  []*Attempt // Sends that cannot be carried out; their outcomes follow the present event
+	cutoff  int64      // after SIGTERM: nothing waits beyond this; else 0
+	closed  bool       // takes no more requests
+	callers sync.WaitGroup
+}
+
+// Config is what a pool is made of.
+type Config struct {
+	Settings logic.Settings
+	Seed     uint64   // of all random draws
+	Zones    []string // by the module's numbers
+	Upstream Upstream
+	Clock    Clock
+	Log      *slog.Logger
+}
+
+// New returns a pool with no list. Its time stands still until Run.
+func New(cfg Config) (*Pool, error) {
+	bal, err := logic.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return &Pool{clock: cfg.Clock, upstream: cfg.Upstream, zones: newZones(cfg.Zones), log: cfg.Log,
+		asked: make(chan struct{}, 1), listed: make(chan struct{}), bal: bal, reqs: map[string]*Request{},
+		alarm: time.NewTimer(farAway)}, nil
+}
+
+// Run plays timers until the context ends. Then every request that is left is aborted, and Run returns when no
+// attempt is out.
+func (p *Pool) Run(ctx context.Context) {
+	defer p.alarm.Stop()
+	sweep := time.NewTicker(sweepEvery)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-p.alarm.C:
+			p.play(func() { p.alarmAt = 0 })
+		case now := <-sweep.C:
+			p.upstream.Sweep(now)
+		case <-ctx.Done():
+			p.Close()
+			p.play(func() {
+				for _, r := range p.reqs {
+					p.withdraw(r, Answer{Verdict: Aborted})
+				}
+			})
+			p.callers.Wait()
+			return
+		}
+	}
+}
+
+// play plays one event, and what follows from it.
+func (p *Pool) play(event func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	event()
+	p.follow()
+}
+
+// follow plays what an event has brought about, and sets the alarm for the next timer.
+func (p *Pool) follow() {
+	p.settle()
+	p.fire()
+	if len(p.timers) > 0 && (p.alarmAt == 0 || p.timers[0].at < p.alarmAt) {
+		p.alarmAt = p.timers[0].at
+		p.alarm.Reset(time.Until(p.clock.Time(p.alarmAt)))
+	}
+}
+
+// settle tells the module of the Sends that could not be carried out. It may send again, so this goes on
+// until none is left.
+func (p *Pool) settle() {
+	for len(p.unsent) > 0 {
+		a := p.unsent[0]
+		p.unsent = p.unsent[1:]
+		p.outcome(a, Result{Status: logic.Moot})
+	}
+}
+
+// fire plays the timers that are due.
+func (p *Pool) fire() {
+	if len(p.timers) == 0 {
+		return
+	}
+	for now := p.clock.Now(); len(p.timers) > 0 && p.timers[0].at <= now; {
+		t := heap.Pop(&p.timers).(*timer)
+		if t.req == nil {
+			p.bal.Timer(now, (*host)(p), t.token)
+		} else {
+			p.withdraw(t.req, Answer{Verdict: Expired}) // the module has not ended it in its time
+		}
+		p.settle()
+	}
+}
+
+// Cached takes the list as it was last known, maybe long ago.
+func (p *Pool) Cached(list *membership.List) { p.list(logic.Cached, list) }
+
+// Listed implements membership.Sink.
+func (p *Pool) Listed(list *membership.List) {
+	if list.Full {
+		p.list(logic.Full, list)
+	} else {
+		p.list(logic.Delta, list)
+	}
+}
+
+// Missed implements membership.Sink.
+func (p *Pool) Missed() {
+	p.play(func() { p.bal.List(p.clock.Now(), (*host)(p), logic.Failed, nil) })
+}
+
+// list applies a list, to the connections first and then to the module.
+func (p *Pool) list(kind logic.ListKind, list *membership.List) {
+	p.play(func() {
+		p.upstream.Apply(kind != logic.Delta, list.Endpoints)
+		p.bal.List(p.clock.Now(), (*host)(p), kind, p.zones.servers(list.Endpoints))
+		select {
+		case <-p.listed:
+		default:
+			if kind == logic.Full || len(list.Endpoints) > 0 {
+				close(p.listed)
+			}
+		}
+	})
+}
+
+// Ready is closed when the pool has a list.
+func (p *Pool) Ready() <-chan struct{} { return p.listed }
+
+// Asked tells when the module wants a subscription to the list opened.
+func (p *Pool) Asked() <-chan struct{} { return p.asked }
+
+// Clock is the pool's time.
+func (p *Pool) Clock() Clock { return p.clock }
+
+// Do takes a request and returns its one final answer, which comes at GiveUp at the latest. Its attempts are
+// carried out on the caller's goroutine, one at a time.
+func (p *Pool) Do(r *Request) Answer {
+	p.mu.Lock()
+	if r.over { // withdrawn already
+		p.mu.Unlock()
+		return r.answer
+	}
+	if p.closed {
+		p.mu.Unlock()
+		return Answer{Verdict: NotTaken}
+	}
+	if p.reqs[r.ID] != nil { // two under one id could not be told apart
+		p.mu.Unlock()
+		return Answer{Verdict: Rejected, Fault: badRequest}
+	}
+	p.callers.Add(1)
+	defer p.callers.Done()
+	p.take(r)
+	for {
+		p.follow()
+		if r.next == nil && !r.over {
+			r.news = make(chan struct{})
+			p.mu.Unlock()
+			<-r.news
+			p.mu.Lock()
+			r.news = nil
+		}
+		a := r.next
+		if r.next = nil; a == nil {
+			break
+		}
+		p.mu.Unlock()
+		res := a.way.Carry(a)
+		p.mu.Lock()
+		p.outcome(a, res)
+	}
+	p.mu.Unlock()
+	return r.answer
+}
+
+const badRequest = 400
+
+// tell wakes the goroutine that waits for news of a request.
+func (r *Request) tell() {
+	if r.news != nil {
+		select {
+		case <-r.news:
+		default:
+			close(r.news)
+		}
+	}
+}
+
+// take hands a request to the module. It has until GiveUp to end it.
+func (p *Pool) take(r *Request) {
+	if p.cutoff > 0 {
+		r.GiveUp = min(r.GiveUp, p.cutoff)
+	}
+	p.reqs[r.ID] = r
+	r.time = timer{at: r.GiveUp + expireAfter.Microseconds(), req: r}
+	heap.Push(&p.timers, &r.time)
+	p.bal.Request(p.clock.Now(), (*host)(p), r.Request)
+}
+
+// Withdraw ends a request that nobody waits for any more, and its attempt. It may come before Do.
+func (p *Pool) Withdraw(r *Request) {
+	p.play(func() {
+		if p.reqs[r.ID] == r {
+			p.withdraw(r, Answer{Verdict: Aborted})
+		} else if !r.over {
+			r.over, r.answer = true, Answer{Verdict: Aborted}
+		}
+	})
+}
+
+func (p *Pool) withdraw(r *Request, ans Answer) {
+	if r.over {
+		return
+	}
+	p.end(r, ans)
+	p.bal.Withdrawn(p.clock.Now(), (*host)(p), r.ID)
+	if r.out != nil {
+		r.out.Stop()
+	}
+}
+
+// end gives a request its final answer, if it has none yet.
+func (p *Pool) end(r *Request, ans Answer) {
+	if r.over {
+		return
+	}
+	r.over, r.answer = true, ans
+	r.tell()
+	p.forget(r)
+}
+
+func (p *Pool) forget(r *Request) {
+	if r.over && r.out == nil {
+		delete(p.reqs, r.ID)
+		if r.time.place >= 0 {
+			heap.Remove(&p.timers, r.time.place)
+		}
+	}
+}
+
+// Hurry is for SIGTERM: all requests end by cutoff, since the process may be killed soon after.
+func (p *Pool) Hurry(cutoff time.Time) {
+	at := p.clock.At(cutoff)
+	p.play(func() {
+		p.cutoff = at
+		for _, r := range p.reqs {
+			if r.time.place >= 0 && r.time.at > at {
+				r.time.at = at
+				heap.Fix(&p.timers, r.time.place)
+			}
+		}
+	})
+}
+
+// Close has the pool take no more requests; those that it has go on.
+func (p *Pool) Close() { p.play(func() { p.closed = true }) }
+
+// Stats counts what a pool holds.
+type Stats struct {
+	Requests int // those included of which only an attempt is left
+	Timers   int
+	Zones    int // names that have a number
+}
+
+// Stats returns the present counts.
+func (p *Pool) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Stats{len(p.reqs), len(p.timers), len(p.zones)}
+}
+
+// outcome tells the module how an attempt ended; a served request has its answer first.
+func (p *Pool) outcome(a *Attempt, res Result) {
+	r := a.Request
+	if r.out == a {
+		r.out = nil
+	}
+	if res.Status == logic.OK {
+		p.end(r, Answer{Verdict: Served, Body: res.Body, Content: res.Content})
+	}
+	if res.Fault != 0 {
+		// The client's fault is no evidence against the backend, and another would say the same.
+		p.end(r, Answer{Verdict: Rejected, Fault: res.Fault})
+		res.Status = logic.Moot
+	}
+	now := p.clock.Now()
+	p.bal.Outcome(now, (*host)(p), logic.Outcome{ID: r.ID, Attempt: a.number, Status: res.Status, Took: now - a.sent,
+		Closed: r.over})
+	p.forget(r)
+}
+
+// host is a Pool as the module sees it, from inside an event.
+type host Pool
+
+var errNoRequest = errors.New("unknown request")
+
+// Send implements logic.Host.
+func (h *host) Send(id, server string, timeout int64) {
+	r := h.reqs[id]
+	if r == nil {
+		h.log.Error("send", "id", id, "error", errNoRequest)
+		return
+	}
+	now := h.clock.Now()
+	until := r.GiveUp
+	if timeout != 0 {
+		until = min(until, now+timeout)
+	}
+	a := &Attempt{Request: r, number: r.sends, sent: now, Deadline: h.clock.Time(until)}
+	r.sends++
+	if !r.over && r.out == nil { // never two attempts of a request at once
+		a.way = h.upstream.Open(server)
+	}
+	if a.way == nil {
+		h.unsent = append(h.unsent, a)
+		return
+	}
+	r.out, r.next = a, a
+	r.tell()
+}
+
+// Refuse implements logic.Host.
+func (h *host) Refuse(id string, after int64) {
+	if r := h.reqs[id]; r != nil {
+		(*Pool)(h).end(r, Answer{Verdict: Refused, After: after})
+	}
+}
+
+// Fail implements logic.Host.
+func (h *host) Fail(id string) {
+	if r := h.reqs[id]; r != nil {
+		(*Pool)(h).end(r, Answer{Verdict: Failed})
+	}
+}
+
+// SetTimer implements logic.Host.
+func (h *host) SetTimer(delay int64, token string) {
+	heap.Push(&h.timers, &timer{at: h.clock.Now() + delay, token: token})
+}
+
+// Watch implements logic.Host. Where the list is pushed the watch stands anyway.
+func (h *host) Watch() {
+	select {
+	case h.asked <- struct{}{}:
+	default:
+	}
+}
+
+// Log implements logic.Host.
+func (h *host) Log(line string) { h.log.Info(line) }
--- /dev/null
+++ b/internal/core/request.go
@@ -0,0 +1,49 @@
+package core
+
+import "fernlanding/logic"
+
+// Field is one header field, its name in canonical form.
+type Field struct{ Name, Value string }
+
+// Request is one request that a front has read whole. A front fills in the exported fields and hands it to one
+// pool; from then on it belongs to the pool. No protocol's types stand here: what a front knows of its protocol
+// and an upstream of its own is put into these words.
+type Request struct {
+	logic.Request        // id, class, tenant, key, and when the client gives up
+	Method        string // GET, POST, ...
+	Target        string // path and query as they are to go on
+	Host          string
+	Header        []Field // what goes on to the backend; nothing that concerns one connection
+	Body          []byte
+
+	answer Answer
+	over   bool
+	sends  int
+	out    *Attempt      // the one that is out
+	next   *Attempt      // the one to be carried out, by the front's goroutine
+	time   timer         // its end, whatever the module says
+	news   chan struct{} // of answer or next, while the front's goroutine waits
+}
+
+// Verdict is the kind of a final answer.
+type Verdict int
+
+// The kinds of final answer. A front words each in its protocol.
+const (
+	Served   Verdict = iota // a backend's answer, unchanged
+	Refused                 // by the module: trying again is harmless
+	Failed                  // no such promise
+	Expired                 // the same, since the time is up
+	Rejected                // makes no sense, whoever gets it: Fault says why
+	Aborted                 // nobody waits for it, or the pool has ended: no answer is owed
+	NotTaken                // the pool has closed and knew nothing of it: another may take it
+)
+
+// Answer is the one final answer to a request.
+type Answer struct {
+	Verdict Verdict
+	Fault   int    // of Rejected: a 4xx of RFC 9110
+	Body    []byte // of Served
+	Content string // and its media type
+	After   int64  // of Refused: come again after this, in microseconds; 0 for no word
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,45 @@
+// Package front holds what all fronts share: where a request goes, and the answers to those that make no sense.
+package front
+
+import (
+	"net/http"
+	"time"
+
+	"fernlanding/internal/core"
+)
+
+// Pool takes requests; *core.Pool is one.
+type Pool interface {
+	// Do takes a request and returns its one final answer.
+	Do(*core.Request) core.Answer
+	// Withdraw ends a request that nobody waits for any more; it may come at any time.
+	Withdraw(*core.Request)
+	// Clock is the time that the request's GiveUp is told in.
+	Clock() core.Clock
+}
+
+// Dest is where a request goes, and as what.
+type Dest struct {
+	Pool     Pool
+	ID       string
+	Class    int
+	Tenant   int           // -1: not told
+	Key      string        // its subject, or empty
+	Target   string        // path and query that go on
+	Wait     time.Duration // from its coming to its answer at most
+	Bodiless bool          // a body makes no sense
+	Header   []core.Field  // stands in for the client's fields of these names
+}
+
+// Fault is the answer to a request that makes no sense, or that nobody serves.
+type Fault struct {
+	Status int // 4xx or 5xx
+	Why    string
+	Allow  string        // of 405: the methods that make sense
+	After  time.Duration // of 503: come again after this
+}
+
+// Resolver says where a request goes. Only its head is looked at. It may be called from many goroutines.
+type Resolver interface {
+	Resolve(r *http.Request) (Dest, *Fault)
+}
--- a/internal/proxy/clients.go
+++ b/internal/front/http1/clients.go
@@ -1,4 +1,4 @@
-package proxy
+package http1
 
 import (
 	"container/list"
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"fernlanding/internal/sock"
 )
 
 const (
@@ -88,7 +90,7 @@
 	for e := from.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*clientConn)
 		heard := time.Unix(0, c.heard.Load())
-		if !(heard.After(c.since) && now.Sub(heard) < justHeard) && quiet(c) {
+		if !(heard.After(c.since) && now.Sub(heard) < justHeard) && sock.Quiet(c) {
 			l.remove(c)
 			c.Conn.Close()
 			return true
@@ -153,7 +155,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.conns {
-		if (c.list == l.idle || c.list == l.silent && time.Since(c.since) > newFor) && quiet(c) {
+		if (c.list == l.idle || c.list == l.silent && time.Since(c.since) > newFor) && sock.Quiet(c) {
 			l.remove(c)
 			c.Conn.Close()
 		} else {
@@ -175,7 +177,7 @@
 // CloseWrite lets net/http end its side first, so that a client that is still sending reads its error.
 func (c *clientConn) CloseWrite() error { return c.Conn.(*net.TCPConn).CloseWrite() }
 
-// SyscallConn lets quiet look at the socket.
+// SyscallConn lets sock.Quiet look at the socket.
 func (c *clientConn) SyscallConn() (syscall.RawConn, error) {
 	return c.Conn.(syscall.Conn).SyscallConn()
 }
--- /dev/null
+++ b/internal/front/http1/front.go
@@ -0,0 +1,296 @@
+// Package http1 takes clients' requests over HTTP/1.1 and answers them.
+package http1
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"fernlanding/internal/core"
+	"fernlanding/internal/front"
+	"fernlanding/logic"
+)
+
+const (
+	maxHead = 16 << 10 // of a request, before its body
+	maxBody = 64 << 10 // and after it
+
+	// A client that connects is owed an answer or a close within 3 s: it has this long to send a head, and
+	// this long from its connecting to its first body's end. A later body has as long as a head.
+	headPatience  = 2200 * time.Millisecond
+	firstPatience = 2800 * time.Millisecond
+	idlePatience  = 10 * time.Second       // for the next request on a connection
+	faultLinger   = 500 * time.Millisecond // for what a bad client still sends, so that it can read its error
+	writeLeeway   = 5 * time.Second        // beyond the longest deadline, for the answer to be taken
+
+	boundAfter  = 200 * time.Millisecond // new connections surely come for this long after SIGTERM
+	acceptAfter = 550 * time.Millisecond // and may still come for this long
+	drainStep   = 20 * time.Millisecond
+
+	mostTries = 4 // at finding a pool that takes a request, while a new configuration takes hold
+)
+
+// Config is what a front is made of.
+type Config struct {
+	Listener net.Listener
+	Resolver front.Resolver
+	Healthy  func() bool   // whether what is behind can serve
+	Longest  time.Duration // that any request may take
+	Most     int           // open connections
+	Log      *slog.Logger
+}
+
+// Front takes requests from clients and hands them to the pools that the resolver names.
+type Front struct {
+	cfg      Config
+	server   *http.Server
+	clients  *clients
+	draining atomic.Bool // SIGTERM has come: health checks are told
+	bound    atomic.Bool // clients may get no new connections here
+	closing  atomic.Bool // each connection ends with its answer
+}
+
+// New returns a front that serves from Serve on.
+func New(cfg Config) *Front {
+	f := &Front{cfg: cfg, clients: newClients(cfg.Listener, cfg.Most)}
+	f.server = &http.Server{
+		Handler: f, ReadHeaderTimeout: headPatience, IdleTimeout: idlePatience, MaxHeaderBytes: maxHead,
+		WriteTimeout: headPatience + cfg.Longest + writeLeeway,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, clientKey{}, c)
+		},
+		ConnState: f.clients.state, ErrorLog: quietLog(cfg.Log),
+	}
+	return f
+}
+
+// Addr is where clients connect.
+func (f *Front) Addr() string { return f.clients.Addr().String() }
+
+// clientKey is the context's key for the clientConn that a request came on.
+type clientKey struct{}
+
+// Stats is what a front has, and how far its end has come.
+type Stats struct {
+	Most   int // connections at most
+	Open   int
+	Silent int // have never asked
+	Idle   int // stand between two requests
+
+	Draining, Bound, Closing bool
+}
+
+// Stats returns the present figures.
+func (f *Front) Stats() Stats {
+	f.clients.mu.Lock()
+	defer f.clients.mu.Unlock()
+	return Stats{Most: f.clients.most, Open: len(f.clients.conns), Silent: f.clients.silent.Len(), Idle: f.clients.idle.Len(),
+		Draining: f.draining.Load(), Bound: f.bound.Load(), Closing: f.closing.Load()}
+}
+
+// quietLog sends net/http's remarks on broken clients to the debug level.
+func quietLog(l *slog.Logger) *log.Logger { return slog.NewLogLogger(l.Handler(), slog.LevelDebug) }
+
+// Serve accepts connections until the listener is closed.
+func (f *Front) Serve() error {
+	if err := f.server.Serve(f.clients); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+// ServeHTTP answers health checks and takes requests.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	came := time.Now()
+	if r.URL.Path == "/_health" {
+		f.health(w)
+		return
+	}
+	var ans core.Answer
+	for tries := 1; ; tries++ {
+		dest, req, fault := f.parse(w, r, came)
+		if fault != nil {
+			f.turnAway(w, *fault)
+			return
+		}
+		if f.bound.Load() {
+			req.Lines, req.Spare = f.clients.lines()
+		}
+		letGo := context.AfterFunc(r.Context(), func() { dest.Pool.Withdraw(req) }) // the client has gone
+		ans = dest.Pool.Do(req)
+		letGo()
+		if ans.Verdict != core.NotTaken || tries == mostTries {
+			break
+		}
+		// The pool has closed since it was named, and has seen nothing of the request.
+	}
+	f.reply(w, ans)
+}
+
+func (f *Front) health(w http.ResponseWriter) {
+	if f.cfg.Healthy() && !f.draining.Load() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// turnAway answers a request that makes no sense. What follows it may not be the next one.
+func (f *Front) turnAway(w http.ResponseWriter, fault front.Fault) {
+	// What is left of a body is drained on the way out; it may never come.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(faultLinger))
+	h := w.Header()
+	if fault.Allow != "" {
+		h.Set("Allow", fault.Allow)
+	}
+	f.write(w, fault.Status, []byte(fault.Why+"\n"), "text/plain", fault.After, true)
+}
+
+// status words a verdict. Served has the only answer with a body.
+func status(ans core.Answer) int {
+	switch ans.Verdict {
+	case core.Served:
+		return http.StatusOK
+	case core.Refused, core.NotTaken:
+		return http.StatusServiceUnavailable
+	case core.Expired:
+		return http.StatusGatewayTimeout
+	case core.Rejected:
+		return ans.Fault
+	}
+	return http.StatusBadGateway
+}
+
+func (f *Front) reply(w http.ResponseWriter, ans core.Answer) {
+	if ans.Verdict == core.Aborted {
+		panic(http.ErrAbortHandler) // a return would answer 200
+	}
+	f.write(w, status(ans), ans.Body, ans.Content, time.Duration(ans.After)*time.Microsecond, ans.Verdict == core.Rejected)
+}
+
+func (f *Front) write(w http.ResponseWriter, status int, body []byte, content string, after time.Duration, last bool) {
+	h := w.Header()
+	if last || f.closing.Load() {
+		h["Connection"] = []string{"close"}
+	}
+	if content != "" {
+		h["Content-Type"] = []string{content}
+	} else {
+		h["Content-Type"] = nil // not to be guessed
+	}
+	h["Content-Length"] = []string{strconv.Itoa(len(body))}
+	if after > 0 {
+		h["Retry-After"] = []string{strconv.FormatFloat(after.Seconds(), 'f', 3, 64)}
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // a client that has gone is no fault
+}
+
+// parse reads a whole request. A fault is the answer to one that makes no sense; nothing of it goes on.
+func (f *Front) parse(w http.ResponseWriter, r *http.Request, came time.Time) (front.Dest, *core.Request, *front.Fault) {
+	var dest front.Dest
+	bad := func(status int, why string) (front.Dest, *core.Request, *front.Fault) {
+		return dest, nil, &front.Fault{Status: status, Why: why}
+	}
+	if !r.ProtoAtLeast(1, 1) { // in these net/http drops a Transfer-Encoding unseen
+		return bad(http.StatusHTTPVersionNotSupported, "HTTP/1.1 is spoken here")
+	}
+	if len(r.TransferEncoding) > 0 { // with a Content-Length beside it the body may hide another request
+		return bad(http.StatusLengthRequired, "a body needs Content-Length alone")
+	}
+	dest, fault := f.cfg.Resolver.Resolve(r)
+	if fault != nil {
+		return dest, nil, fault
+	}
+	switch {
+	case r.ContentLength > maxBody:
+		return bad(http.StatusRequestEntityTooLarge, "the body is too large")
+	case r.ContentLength > 0 && dest.Bodiless:
+		return bad(http.StatusBadRequest, "a body on a GET")
+	}
+	body, err := f.body(w, r)
+	if err != nil {
+		return bad(http.StatusBadRequest, "the body broke off")
+	}
+	return dest, &core.Request{
+		Request: logic.Request{ID: dest.ID, Class: dest.Class, Tenant: dest.Tenant, Key: dest.Key,
+			GiveUp: dest.Pool.Clock().At(came.Add(dest.Wait))},
+		Method: r.Method, Target: dest.Target, Host: r.Host, Header: passOn(r.Header, dest.Header), Body: body,
+	}, nil
+}
+
+// body reads a body of known length. It grows with what comes: a length alone costs no memory.
+func (f *Front) body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	until := time.Now().Add(headPatience)
+	if c, ok := r.Context().Value(clientKey{}).(*clientConn); ok && !c.asked.Load() {
+		until = c.came.Add(firstPatience)
+	}
+	c := http.NewResponseController(w)
+	_ = c.SetReadDeadline(until)
+	var body bytes.Buffer
+	_, err := body.ReadFrom(r.Body)
+	// While the answer is awaited net/http reads on, to see a client that goes; that has no deadline.
+	_ = c.SetReadDeadline(time.Time{})
+	return body.Bytes(), err
+}
+
+// passOn is what of a head goes on: not the fields that concern one connection, nor the framing. Those of others
+// stand in for the client's.
+func passOn(h http.Header, others []core.Field) []core.Field {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer",
+		"Transfer-Encoding", "Upgrade", "Expect", "Content-Length"} {
+		delete(h, name)
+	}
+	for _, f := range others {
+		delete(h, f.Name)
+	}
+	out := make([]core.Field, 0, len(h)+len(others))
+	for name, values := range h {
+		for _, v := range values {
+			out = append(out, core.Field{Name: name, Value: v})
+		}
+	}
+	return append(out, others...)
+}
+
+// Drain ends the service after SIGTERM. Until the last call clients are served as ever, and keep their
+// connections: new ones stop coming soon, but a client uses those that it has while they stay open. What else
+// it has is not known here: other proxies may restart close behind each other, and for seconds this one may be
+// the last, while the successor comes no sooner for an early end. Then connections are closed as they fall
+// idle, until none is left or the cutoff has come.
+//
+// This also covers other proxies that have crashed and a front that is slow to take a new one in. It hurts where
+// a supervisor starts the successor only when this process has ended: that is then seconds later.
+func (f *Front) Drain(lastCall, cutoff time.Time) {
+	told := time.Now()
+	f.draining.Store(true)
+	for since := time.Duration(0); since < acceptAfter ||
+		time.Now().Before(lastCall) && f.clients.count() > 0; since = time.Since(told) {
+		f.bound.Store(since >= boundAfter)
+		time.Sleep(drainStep)
+	}
+	f.closing.Store(true)
+	f.clients.Close()
+	for f.clients.closeIdle(acceptAfter) > 0 && time.Now().Before(cutoff) {
+		time.Sleep(drainStep)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), cutoff.Add(drainStep))
+	defer cancel()
+	_ = f.server.Shutdown(ctx)
+	_ = f.server.Close()
+}
--- a/internal/proxy/proxy.go
+++ b/internal/sidecar/sidecar.go
@@ -1,6 +1,6 @@
-// Package proxy is the real proxy round the decision module: clients on one side, backends and discovery on
-// the other. One goroutine, the loop, owns the module; the rest carry out what it decides and report back.
-package proxy
+// Package sidecar joins the parts of a running proxy: fronts, pools, upstreams and the sources of their lists. It
+// starts them, drains them, and ends them.
+package sidecar
 
 import (
 	"context"
@@ -10,8 +10,12 @@
 	"sync"
 	"time"
 
+	"fernlanding/internal/core"
+	front "fernlanding/internal/front/http1"
+	"fernlanding/internal/membership"
+	"fernlanding/internal/membership/catalog"
 	"fernlanding/internal/settings"
-	"fernlanding/logic"
+	upstream "fernlanding/internal/upstream/http1"
 )
 
 const (
@@ -21,12 +25,9 @@
 	largeMB     = 16 // of memory for each of them
 	requestPart = 3  // clients hold this part of the descriptors at most for requests
 
-	boundAfter  = 200 * time.Millisecond // new connections surely come for this long after SIGTERM
-	acceptAfter = 550 * time.Millisecond // and may still come for this long
-	killAfter   = 3 * time.Second        // SIGKILL comes the longest deadline, or this, after SIGTERM
-	killLeeway  = 500 * time.Millisecond // and somewhat more
-	servePart   = 0.7                    // of the time between: requests are taken; the rest is for their answers
-	drainStep   = 20 * time.Millisecond
+	killAfter  = 3 * time.Second        // SIGKILL comes the longest deadline, or this, after SIGTERM
+	killLeeway = 500 * time.Millisecond // and somewhat more
+	servePart  = 0.7                    // of the time between: requests are taken; the rest is for their answers
 )
 
 // Config is what a proxy is told at its start.
@@ -34,27 +35,34 @@
 	Listen    string
 	Discovery string
 	Seed      uint64
-	Sockets   int     // descriptors that the process may hold
-	MemoryMB  float64 // that it may hold; 0 if it is not told
-	Known     *List   // the list as last known; may be nil
+	Sockets   int              // descriptors that the process may hold
+	MemoryMB  float64          // that it may hold; 0 if it is not told
+	Known     *membership.List // the list as last known; may be nil
 	Site      *settings.Site
+	Trusted   bool // backends send nothing behind their answers: connections need no rest
 	Log       *slog.Logger
 }
 
+// rest is how long a connection to a backend rests after an answer.
+func (c Config) rest() time.Duration {
+	if c.Trusted {
+		return 0
+	}
+	return upstream.RestSpoilt
+}
+
 // Proxy is one proxy with its listener open.
 type Proxy struct {
 	cfg    Config
-	loop   *loop
-	front  *frontend
+	pool   *core.Pool
+	up     *upstream.Upstream
+	front  *front.Front
 	renews chan string // addresses of discovery that new configurations name
+	ended  chan struct{}
 }
 
 // New opens the listener; clients are served from Run on.
 func New(cfg Config) (*Proxy, error) {
-	bal, err := logic.New(cfg.Site.Logic, cfg.Seed)
-	if err != nil {
-		return nil, err
-	}
 	// Each open request has at most one attempt out, and a third more connections to backends may be kept for
 	// the next. What is left is the clients': their open requests, and those that are silent or idle.
 	forBackends := cfg.Sockets / requestPart * 4 / 3
@@ -62,46 +70,67 @@
 	if forClients < leastEach {
 		return nil, fmt.Errorf("%d sockets are too few", cfg.Sockets)
 	}
+	p := &Proxy{cfg: cfg, renews: make(chan string), ended: make(chan struct{})}
+	var err error
+	p.up = upstream.New(upstream.Config{DialTimeout: cfg.Site.DialTimeout, IdleClose: cfg.Site.IdleClose,
+		Most: forBackends, Large: max(leastLarge, int(cfg.MemoryMB)/largeMB), Rest: cfg.rest()})
+	p.pool, err = core.New(core.Config{Settings: cfg.Site.Logic, Seed: cfg.Seed, Zones: cfg.Site.Zones,
+		Clock: core.NewClock(), Log: cfg.Log, Upstream: p.up})
+	if err != nil {
+		return nil, err
+	}
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	l := newLoop(bal, clock{time.Now()}, newBackends(cfg.Site.DialTimeout, cfg.Site.IdleClose, forBackends,
-		max(leastLarge, int(cfg.MemoryMB)/largeMB)),
-		newZones(cfg.Site.Zones), cfg.Log)
 	if cfg.Known != nil {
-		l.apply(logic.Cached, cfg.Known)
+		p.pool.Cached(cfg.Known)
 	}
-	return &Proxy{cfg: cfg, loop: l, renews: make(chan string), front: newFrontend(cfg.Site, l, listener, forClients, cfg.Log)}, nil
+	p.front = front.New(front.Config{Listener: listener, Resolver: newPlatform(cfg.Site, p.pool), Healthy: p.healthy,
+		Longest: p.longest(), Most: forClients, Log: cfg.Log})
+	return p, nil
 }
 
 // Addr is where clients connect.
-func (p *Proxy) Addr() string { return p.front.clients.Addr().String() }
+func (p *Proxy) Addr() string { return p.front.Addr() }
+
+func (p *Proxy) healthy() bool {
+	select {
+	case <-p.pool.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
+// longest is the longest deadline of all classes.
+func (p *Proxy) longest() (d time.Duration) {
+	for _, c := range p.cfg.Site.Logic.Classes {
+		d = max(d, time.Duration(c.Deadline)*time.Microsecond)
+	}
+	return d
+}
 
 // Run serves until the context ends, then finishes what it has taken.
 func (p *Proxy) Run(ctx context.Context) error {
+	defer close(p.ended)
 	inner, stop := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	defer stop()
-	parts.Go(func() { p.loop.run(inner) })
+	parts.Go(func() { p.pool.Run(inner) })
 	parts.Go(func() { p.watch(inner) })
 	served := make(chan error, 1)
-	parts.Go(func() { served <- p.front.serve() })
+	parts.Go(func() { served <- p.front.Serve() })
 	select {
 	case err := <-served:
 		return err
 	case <-ctx.Done():
 	}
-	longest := time.Duration(0)
-	for _, c := range p.cfg.Site.Logic.Classes {
-		longest = max(longest, time.Duration(c.Deadline)*time.Microsecond)
-	}
-	told, window := time.Now(), min(longest, killAfter)+killLeeway
+	told, window := time.Now(), min(p.longest(), killAfter)+killLeeway
 	cutoff := told.Add(window)
-	p.front.draining.Store(true)
-	p.loop.post(func() { p.loop.hurry(p.loop.clock.at(cutoff)) })
-	p.front.drain(told.Add(time.Duration(servePart*float64(window))), cutoff)
+	p.pool.Hurry(cutoff)
+	p.front.Drain(told.Add(time.Duration(servePart*float64(window))), cutoff)
 	return nil
 }
 
@@ -109,7 +138,7 @@
 func (p *Proxy) Renew(discovery string) {
 	select {
 	case p.renews <- discovery:
-	case <-p.loop.done:
+	case <-p.ended:
 	}
 }
 
@@ -120,9 +149,9 @@
 	subscribe := p.cfg.Site.Logic.Subscribe && p.cfg.Known != nil // with no list at all nobody says when to ask
 	for addr := p.cfg.Discovery; ctx.Err() == nil; subscribe = false {
 		one, stop := context.WithCancel(ctx)
-		d, first := newDiscovery(addr, p.cfg.Site.Logic.Subscribe, p.cfg.Log, p.loop.lists, p.loop.asked), subscribe
+		d, first := catalog.New(addr, p.cfg.Site.Logic.Subscribe, p.cfg.Log, p.pool, p.pool.Asked()), subscribe
 		var part sync.WaitGroup
-		part.Go(func() { d.run(one, p.cfg.Site.Logic.Subscribe, first) })
+		part.Go(func() { d.Run(one, p.cfg.Site.Logic.Subscribe, first) })
 		addr = p.renewed(ctx, addr)
 		stop()
 		part.Wait()
--- a/internal/proxy/backend.go
+++ b/internal/upstream/http1/upstream.go
@@ -1,4 +1,5 @@
-package proxy
+// Package http1 carries attempts to backends over HTTP/1.1, and keeps their connections for the next.
+package http1
 
 import (
 	"bufio"
@@ -10,14 +11,15 @@
 	"net"
 	"net/http"
 	"net/url"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
+	"fernlanding/internal/core"
+	"fernlanding/internal/membership"
+	"fernlanding/internal/sock"
 	"fernlanding/logic"
 )
 
@@ -32,17 +34,19 @@
 
 	// Once an answer has begun, the rest of it is on its way; one whose length does not fit never ends.
 	answerStall = 500 * time.Millisecond
-	// A second answer or noise may follow an answer. It came within 2 ms where it was seen; a connection that
-	// is used again sooner could take it for the next request's answer.
-	restFor = 20 * time.Millisecond
+	// RestSpoilt is the rest of a connection where backends may be spoilt. A second answer or noise may follow an
+	// answer. It came within 2 ms where it was seen; a connection that is used again sooner could take it for the
+	// next request's answer.
+	RestSpoilt = 20 * time.Millisecond
 )
 
-// backends holds the connections to all backends of the list. It stands in for http.Transport, which by
+// Upstream holds the connections to all backends of a list. It stands in for http.Transport, which by
 // itself sends a GET or a keyed request again when a kept connection turns out to be dead: an attempt that
 // the module would not know of.
-type backends struct {
+type Upstream struct {
 	dialer  func(ctx context.Context, network, addr string) (net.Conn, error)
 	idleFor time.Duration // connections idle for longer are closed, well before the backend does it
+	rest    time.Duration // after an answer, before the next request
 	most    int           // open connections, those being opened included
 	large   chan struct{} // holds one for each large answer that is being read
 
@@ -70,15 +74,25 @@
 	since time.Time
 }
 
-func newBackends(dialTimeout, idleClose time.Duration, most, large int) *backends {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	return &backends{dialer: d.DialContext, idleFor: idleClose * 3 / 4, most: most,
-		large: make(chan struct{}, large), byName: map[string]*backend{}}
+// Config is what an Upstream is made of.
+type Config struct {
+	DialTimeout time.Duration // a connection that is not up by then has failed
+	IdleClose   time.Duration // a backend closes a connection that has been idle this long
+	Most        int           // connections at most, those being opened included
+	Large       int           // large answers that are read at a time
+	Rest        time.Duration // between an answer and the next request on its connection; see RestSpoilt
 }
 
-// apply takes a list or its changes. Connections that stand idle to a backend which has restarted, moved,
+// New returns an Upstream that knows no backend.
+func New(cfg Config) *Upstream {
+	d := net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: -1}
+	return &Upstream{dialer: d.DialContext, idleFor: cfg.IdleClose * 3 / 4, rest: cfg.Rest, most: cfg.Most,
+		large: make(chan struct{}, cfg.Large), byName: map[string]*backend{}}
+}
+
+// Apply implements core.Upstream. Connections that stand idle to a backend which has restarted, moved,
 // drained or gone are closed: nothing new is to go there, or the process at their other end is no more.
-func (p *backends) apply(full bool, entries []endpoint) {
+func (p *Upstream) Apply(full bool, entries []membership.Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	listed := make(map[string]bool, len(entries))
@@ -89,11 +103,11 @@
 			b = &backend{name: e.Name}
 			p.byName[e.Name] = b
 		}
-		if ready := e.Status == statusServing; b.addr != e.Address || b.started != e.SinceMs || b.ready != ready {
+		if ready := e.Status == membership.Serving; b.addr != e.Address || b.started != e.SinceMs || b.ready != ready {
 			b.addr, b.started, b.ready = e.Address, e.SinceMs, ready
 			p.turn(b)
 		}
-		if e.Status == statusDeleted {
+		if e.Status == membership.Deleted {
 			delete(p.byName, e.Name)
 		}
 	}
@@ -107,7 +121,7 @@
 }
 
 // turn begins a new epoch of a backend.
-func (p *backends) turn(b *backend) {
+func (p *Upstream) turn(b *backend) {
 	b.epoch++
 	for _, c := range b.idle {
 		p.closeLocked(c)
@@ -115,25 +129,34 @@
 	b.idle = nil
 }
 
-// find returns a listed backend that takes new requests, with its address and epoch.
-func (p *backends) find(name string) (b *backend, addr string, epoch int, ok bool) {
+// way is a backend as the list had it when the module chose it.
+type way struct {
+	pool    *Upstream
+	backend *backend
+	addr    string
+	epoch   int
+}
+
+// Open implements core.Upstream.
+func (p *Upstream) Open(name string) core.Way {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if b = p.byName[name]; b == nil || !b.ready {
-		return nil, "", 0, false
+	b := p.byName[name]
+	if b == nil || !b.ready {
+		return nil
 	}
-	return b, b.addr, b.epoch, true
+	return &way{p, b, b.addr, b.epoch}
 }
 
 // current tells whether the list says of b what it said in that epoch.
-func (p *backends) current(b *backend, epoch int) bool {
+func (p *Upstream) current(b *backend, epoch int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return b.epoch == epoch
 }
 
 // reuse takes the most recently used idle connection that has rested and that its peer has left quiet.
-func (p *backends) reuse(b *backend, epoch int) *conn {
+func (p *Upstream) reuse(b *backend, epoch int) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if b.epoch != epoch {
@@ -142,11 +165,11 @@
 	now := time.Now()
 	for i := len(b.idle) - 1; i >= 0; i-- {
 		c := b.idle[i]
-		if now.Sub(c.since) < restFor {
+		if now.Sub(c.since) < p.rest {
 			continue
 		}
 		b.idle = slices.Delete(b.idle, i, i+1)
-		if now.Sub(c.since) < p.idleFor && quiet(c.Conn) {
+		if now.Sub(c.since) < p.idleFor && sock.Quiet(c.Conn) {
 			return c
 		}
 		p.closeLocked(c)
@@ -157,7 +180,7 @@
 var errNoSockets = errors.New("no socket left")
 
 // dial opens a connection within the dial time-out and the context's time.
-func (p *backends) dial(ctx context.Context, b *backend, addr string, epoch int) (*conn, error) {
+func (p *Upstream) dial(ctx context.Context, b *backend, addr string, epoch int) (*conn, error) {
 	if !p.reserve() {
 		return nil, errNoSockets
 	}
@@ -172,7 +195,7 @@
 }
 
 // reserve counts a connection in. At the limit the one that has been idle longest makes room.
-func (p *backends) reserve() bool {
+func (p *Upstream) reserve() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open >= p.most {
@@ -193,7 +216,7 @@
 }
 
 // keep puts a connection back for reuse, unless its backend has changed since it was opened.
-func (p *backends) keep(c *conn) {
+func (p *Upstream) keep(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c.of.epoch != c.epoch || !c.of.ready {
@@ -205,25 +228,25 @@
 }
 
 // drop closes a connection.
-func (p *backends) drop(c *conn) {
+func (p *Upstream) drop(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closeLocked(c)
 }
 
-func (p *backends) closeLocked(c *conn) {
+func (p *Upstream) closeLocked(c *conn) {
 	c.Close()
 	p.open--
 }
 
-// sweep closes the idle connections whose time is up or whose peer has closed them.
-func (p *backends) sweep(now time.Time) {
+// Sweep closes the idle connections whose time is up or whose peer has closed them.
+func (p *Upstream) Sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, b := range p.byName {
 		kept := b.idle[:0]
 		for _, c := range b.idle {
-			if now.Sub(c.since) < p.idleFor && quiet(c.Conn) {
+			if now.Sub(c.since) < p.idleFor && sock.Quiet(c.Conn) {
 				kept = append(kept, c)
 			} else {
 				p.closeLocked(c)
@@ -234,126 +257,103 @@
 	}
 }
 
-// quiet tells whether a connection is open with nothing to read: an idle peer that has closed it, or sends
-// what nobody asked for, shows here without a wait.
-func quiet(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	// Control, not Read: Read waits for any other reader, and the server always has one on an idle client.
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && open
-}
+// Stats counts the listed backends and the connections to them.
+type Stats struct{ Backends, Open, Idle int }
 
-// attempt is one Send of the module on its way.
-type attempt struct {
-	req      *request
-	number   int
-	sent     int64 // when the module decided
-	deadline time.Time
-	pool     *backends
-	backend  *backend
-	addr     string
-	epoch    int
-	ctx      context.Context // its end stops the attempt
-	stop     context.CancelFunc
+// Stats returns the present counts.
+func (p *Upstream) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := Stats{Backends: len(p.byName), Open: p.open}
+	for _, b := range p.byName {
+		s.Idle += len(b.idle)
+	}
+	return s
 }
 
-// result is how an attempt ended.
-type result struct {
-	status  logic.Status
-	fault   int    // the backend's 4xx: the request makes no sense, whoever gets it; else 0
-	body    []byte // of a backend's 200
-	content string // and its Content-Type
-}
+// Break ends reads and writes on the connection; it is then closed, never used again.
+func (c *conn) Break() { _ = c.SetDeadline(time.Unix(1, 0)) }
 
-// run carries the attempt out; it returns exactly one result, when nothing of the attempt is left.
-func (a *attempt) run() result {
-	c := a.pool.reuse(a.backend, a.epoch)
+// Carry implements core.Way.
+func (w *way) Carry(a *core.Attempt) core.Result {
+	c := w.pool.reuse(w.backend, w.epoch)
 	if c == nil {
 		var err error
-		if c, err = a.dial(); err != nil {
-			if a.ctx.Err() != nil || errors.Is(err, errNoSockets) {
-				return result{status: logic.Moot} // stopped before anything was sent, or no fault of the backend's
+		if c, err = w.dial(a); err != nil {
+			if a.Stopped() || errors.Is(err, errNoSockets) {
+				return core.Result{Status: logic.Moot} // stopped before anything was sent, or no fault of the backend's
 			}
-			return result{status: logic.ConnectFailed}
+			return core.Result{Status: logic.ConnectFailed}
 		}
 	}
 	// A dial takes time. What has ended, drained or gone meanwhile gets nothing new.
-	if a.ctx.Err() != nil || a.late() || !a.pool.current(a.backend, a.epoch) {
-		a.pool.keep(c)
-		return result{status: logic.Moot}
+	if a.Stopped() || a.Late() || !w.pool.current(w.backend, w.epoch) {
+		w.pool.keep(c)
+		return core.Result{Status: logic.Moot}
 	}
-	res, keep := a.exchange(c)
+	res, keep := w.exchange(a, c)
 	if keep {
-		a.pool.keep(c)
+		w.pool.keep(c)
 	} else {
-		a.pool.drop(c)
+		w.pool.drop(c)
 	}
 	return res
 }
 
-func (a *attempt) late() bool { return !time.Now().Before(a.deadline) }
-
-func (a *attempt) dial() (*conn, error) {
-	ctx, cancel := context.WithDeadline(a.ctx, a.deadline)
-	defer cancel()
-	return a.pool.dial(ctx, a.backend, a.addr, a.epoch)
+func (w *way) dial(a *core.Attempt) (*conn, error) {
+	ctx, done := a.Context()
+	defer done()
+	return w.pool.dial(ctx, w.backend, w.addr, w.epoch)
 }
 
 // exchange writes the request and reads the answer; keep tells whether the connection can serve again.
-func (a *attempt) exchange(c *conn) (res result, keep bool) {
-	// Stopping the attempt ends its reads and writes; the connection is then closed, never used again.
-	unhook := context.AfterFunc(a.ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+func (w *way) exchange(a *core.Attempt, c *conn) (res core.Result, keep bool) {
+	_ = c.SetDeadline(a.Deadline)
+	if !a.Hook(c) {
+		return core.Result{Status: logic.Moot}, false
+	}
 	defer func() {
-		if !unhook() {
+		if !a.Unhook() {
 			keep = false
 		}
 	}()
-	_ = c.SetDeadline(a.deadline)
-	if a.ctx.Err() != nil { // stopped while the deadline was set
-		return result{status: logic.Moot}, false
-	}
-	head, err := a.encode()
+	head, err := encode(a)
 	if err != nil {
-		return result{status: logic.Moot}, true
+		return core.Result{Status: logic.Moot}, true
 	}
 	if _, err := c.Write(head); err != nil {
 		// The last byte was not written, so the backend cannot have begun.
-		return result{status: logic.ConnectFailed}, false
+		return core.Result{Status: logic.ConnectFailed}, false
 	}
-	res, keep, err = a.read(c)
+	res, keep, err = w.read(a, c)
 	switch {
 	case err == nil:
 		return res, keep
-	case a.late():
-		return result{status: logic.TimedOut}, false
-	case a.ctx.Err() != nil:
-		return result{status: logic.Cancelled}, false
+	case a.Late():
+		return core.Result{Status: logic.TimedOut}, false
+	case a.Stopped():
+		return core.Result{Status: logic.Cancelled}, false
 	}
-	return result{status: logic.Reset}, false
+	return core.Result{Status: logic.Reset}, false
 }
 
 // encode writes the whole request into one buffer, so that one write tells whether its last byte went out.
-func (a *attempt) encode() ([]byte, error) {
-	r := a.req
-	left := max(1, time.Until(a.deadline).Milliseconds())
-	r.header.Set("Request-Timeout-Ms", strconv.FormatInt(left, 10))
-	path, query, _ := strings.Cut(r.uri, "?")
-	out := http.Request{Method: r.method, Host: r.host, Header: r.header, ContentLength: int64(len(r.body)),
-		URL: &url.URL{Opaque: path, RawQuery: query, ForceQuery: strings.HasSuffix(r.uri, "?")}}
-	if len(r.body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(r.body))
+func encode(a *core.Attempt) ([]byte, error) {
+	r := a.Request
+	left := max(1, time.Until(a.Deadline).Milliseconds())
+	header := make(http.Header, len(r.Header)+1)
+	for _, f := range r.Header {
+		header[f.Name] = append(header[f.Name], f.Value)
+	}
+	header["Request-Timeout-Ms"] = []string{strconv.FormatInt(left, 10)}
+	if header["User-Agent"] == nil {
+		header["User-Agent"] = []string{""} // none of ours in its place
+	}
+	path, query, _ := strings.Cut(r.Target, "?")
+	out := http.Request{Method: r.Method, Host: r.Host, Header: header, ContentLength: int64(len(r.Body)),
+		URL: &url.URL{Opaque: path, RawQuery: query, ForceQuery: strings.HasSuffix(r.Target, "?")}}
+	if len(r.Body) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(r.Body))
 	}
 	var buf bytes.Buffer
 	if err := out.Write(&buf); err != nil {
@@ -382,15 +382,25 @@
 	}
 }
 
+var errStopped = errors.New("stopped")
+
+// extend gives the connection until then, unless the attempt has been stopped meanwhile.
+func (c *conn) extend(a *core.Attempt, until time.Time) error {
+	_ = c.SetDeadline(until)
+	if a.Stopped() {
+		return errStopped
+	}
+	return nil
+}
+
 // read takes the whole answer: one that breaks off has not been given.
-func (a *attempt) read(c *conn) (res result, keep bool, err error) {
+func (w *way) read(a *core.Attempt, c *conn) (res core.Result, keep bool, err error) {
 	if _, err := c.r.Peek(1); err != nil {
 		return res, false, fmt.Errorf("read answer: %w", err)
 	}
-	if until := time.Now().Add(answerStall); until.Before(a.deadline) {
-		_ = c.SetDeadline(until)
-		if a.ctx.Err() != nil { // stopped while the deadline was set
-			return res, false, a.ctx.Err()
+	if until := time.Now().Add(answerStall); until.Before(a.Deadline) {
+		if err := c.extend(a, until); err != nil {
+			return res, false, err
 		}
 	}
 	var resp *http.Response
@@ -399,7 +409,7 @@
 			return res, false, errors.New("read answer: early words without end")
 		}
 		if err = c.head(); err == nil {
-			resp, err = http.ReadResponse(c.r, &http.Request{Method: a.req.method})
+			resp, err = http.ReadResponse(c.r, &http.Request{Method: a.Method})
 		}
 		if err != nil {
 			return res, false, fmt.Errorf("read answer: %w", err)
@@ -412,15 +422,15 @@
 	}
 	var body []byte
 	if resp.ContentLength > maxAnswer {
-		return result{status: logic.Error}, false, nil
+		return core.Result{Status: logic.Error}, false, nil
 	}
 	if resp.ContentLength > maxBody {
-		body, err = a.readLarge(c, resp)
+		body, err = w.readLarge(a, c, resp)
 	} else if resp.ContentLength >= 0 {
 		body = make([]byte, resp.ContentLength)
 		_, err = io.ReadFull(resp.Body, body)
 	} else if body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1)); len(body) > maxBody {
-		return result{status: logic.Error}, false, nil
+		return core.Result{Status: logic.Error}, false, nil
 	}
 	if err != nil {
 		return res, false, fmt.Errorf("read body: %w", err)
@@ -428,38 +438,40 @@
 	keep = !resp.Close && c.r.Buffered() == 0
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return result{status: logic.OK, body: body, content: resp.Header.Get("Content-Type")}, keep, nil
+		return core.Result{Status: logic.OK, Body: body, Content: resp.Header.Get("Content-Type")}, keep, nil
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		if resp.Header.Get("Not-Started") == "1" {
-			return result{status: logic.FullUp}, keep, nil
+			return core.Result{Status: logic.FullUp}, keep, nil
 		}
 	}
 	if c := resp.StatusCode; c >= 400 && c < 500 && c != http.StatusRequestTimeout && c != http.StatusTooManyRequests {
-		return result{status: logic.Error, fault: c}, keep, nil
+		return core.Result{Status: logic.Error, Fault: c}, keep, nil
 	}
-	return result{status: logic.Error}, keep, nil // it may have run
+	return core.Result{Status: logic.Error}, keep, nil // it may have run
 }
 
 // readLarge reads a large body. Only a few are read at a time, lest their memory add up, and each part of one
 // has as long as a small answer.
-func (a *attempt) readLarge(c *conn, resp *http.Response) ([]byte, error) {
+func (w *way) readLarge(a *core.Attempt, c *conn, resp *http.Response) ([]byte, error) {
+	ctx, done := a.Context()
+	defer done()
 	select {
-	case a.pool.large <- struct{}{}:
-		defer func() { <-a.pool.large }()
-	case <-a.ctx.Done():
-		return nil, a.ctx.Err()
-	case <-time.After(time.Until(a.deadline)):
-		return nil, os.ErrDeadlineExceeded
+	case w.pool.large <- struct{}{}:
+		defer func() { <-w.pool.large }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if !a.Hook(c) {
+		return nil, errStopped
 	}
 	body := make([]byte, resp.ContentLength)
 	for read := 0; read < len(body); {
-		if until := time.Now().Add(answerStall); until.Before(a.deadline) {
-			_ = c.SetDeadline(until)
-		} else {
-			_ = c.SetDeadline(a.deadline)
+		until := time.Now().Add(answerStall)
+		if a.Deadline.Before(until) {
+			until = a.Deadline
 		}
-		if a.ctx.Err() != nil { // stopped while the deadline was set
-			return nil, a.ctx.Err()
+		if err := c.extend(a, until); err != nil {
+			return nil, err
 		}
 		n, err := io.ReadFull(resp.Body, body[read:min(len(body), read+maxBody)])
 		if err != nil {
