--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -15,7 +15,7 @@
 	"strconv"
 	"syscall"
 
-	"fernlanding/internal/membership/catalog"
+	"fernlanding/internal/membership"
 	"fernlanding/internal/settings"
 	"fernlanding/internal/sidecar"
 )
@@ -139,7 +139,7 @@
 		return cfg, file.Limits, fmt.Errorf("settings: %w", err)
 	}
 	if len(file.Known) > 0 && string(file.Known) != "null" {
-		if cfg.Known, err = catalog.Parse(file.Known); err != nil {
+		if cfg.Known, err = membership.Parse(file.Known); err != nil {
 			return cfg, file.Limits, fmt.Errorf("known: %w", err)
 		}
 	}
--- /dev/null
+++ b/internal/allot/allot_test.go
@@ -0,0 +1,170 @@
+package allot
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+func ledger(t *testing.T, total int64, floors ...int64) *Ledger {
+	t.Helper()
+	l, err := New(total)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Set(names(len(floors)), floors); err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func names(n int) (out []string) {
+	for i := range n {
+		out = append(out, string(rune('a'+i)))
+	}
+	return out
+}
+
+// take takes one at a time until there is no more, and returns how many that was.
+func take(l *Ledger, now int64, name string) (n int) {
+	for l.Take(now, name, 1) {
+		n++
+	}
+	return n
+}
+
+// One pool takes all that is free while another is idle; that one still gets its floor at once, and a second later,
+// when the first has ended what it had above its part, its fair part. Then the same the other way round.
+func TestWhatIsLentComesBack(t *testing.T) {
+	l := ledger(t, 100, 20, 10, 10)
+	now := int64(0)
+	if n := take(l, now, "b"); n != 70 {
+		t.Fatalf("alone, b got %d of the 10 and 60 that it could have", n)
+	}
+	for _, turn := range []struct{ poor, rich string }{{"c", "b"}, {"b", "c"}} {
+		before := l.HeldBy(turn.poor)
+		got := take(l, now, turn.poor)
+		if before+int64(got) < 10 {
+			t.Fatalf("%s got %d, less than its floor", turn.poor, got)
+		}
+		if d, ok := l.Debtor(now, turn.poor); !ok || d != turn.rich || !l.Owes(now, turn.rich) {
+			t.Fatalf("debtor of %s: %q, %v", turn.poor, d, ok)
+		}
+		for l.Owes(now, turn.rich) { // its requests end one by one, and it asks for more all the time
+			l.Give(turn.rich, 1)
+			if l.Take(now, turn.rich, 1) && l.lentOver(turn.rich) {
+				t.Fatalf("%s got more while %s is in want", turn.rich, turn.poor)
+			}
+			l.Take(now, turn.poor, 1)
+		}
+		take(l, now, turn.poor)
+		if a, b := l.HeldBy(turn.rich), l.HeldBy(turn.poor); a != 40 || b != 40 {
+			t.Errorf("then %s holds %d and %s %d", turn.rich, a, turn.poor, b)
+		}
+		l.Give(turn.rich, l.HeldBy(turn.rich)) // it falls idle
+		now += WantFor
+		if take(l, now, turn.poor); l.HeldBy(turn.poor) != 70 {
+			t.Errorf("alone again, %s holds %d", turn.poor, l.HeldBy(turn.poor))
+		}
+	}
+	if n := take(l, now, "a"); n != 20 {
+		t.Errorf("a got %d of its floor of 20", n)
+	}
+}
+
+// lentOver tells whether a party holds more than its fair part of what is lent.
+func (l *Ledger) lentOver(name string) bool {
+	p := l.parties[name]
+	return p.lent() > l.fair(0, p)
+}
+
+// Whatever happens in whatever order, the total stands and a floor is there for the asking.
+func TestTheTotalAndTheFloorsHold(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(3, 4))
+	for range 200 {
+		total := int64(20 + rnd.IntN(200))
+		floors := make([]int64, 1+rnd.IntN(6))
+		left := total
+		for i := range floors {
+			floors[i] = rnd.Int64N(left/2 + 1)
+			left -= floors[i]
+		}
+		l := ledger(t, total, floors...)
+		who := names(len(floors))
+		now := int64(0)
+		for range 2000 {
+			i := rnd.IntN(len(who))
+			now += rnd.Int64N(WantFor / 4)
+			before, n := l.HeldBy(who[i]), 1+rnd.Int64N(5)
+			switch rnd.IntN(4) {
+			case 0, 1, 2:
+				if ok := l.Take(now, who[i], n); !ok && before+n <= floors[i] {
+					t.Fatalf("%s holds %d of its floor %d and got no %d more: %+v", who[i], before, floors[i], n, l)
+				} else if ok != (l.HeldBy(who[i]) == before+n) {
+					t.Fatal("the books are wrong")
+				}
+			case 3:
+				l.Give(who[i], n)
+			}
+			sum := int64(0)
+			for _, w := range who {
+				sum += l.HeldBy(w)
+			}
+			if sum != l.Held() || sum > total {
+				t.Fatalf("%d held, %d by the books, of %d", sum, l.Held(), total)
+			}
+		}
+	}
+}
+
+// New floors hold from now on; what was lent before stays until it is given back, and the total stands throughout.
+func TestNewFloors(t *testing.T) {
+	l := ledger(t, 100, 10, 10)
+	take(l, 0, "a")
+	if err := l.Set([]string{"b", "c"}, []int64{60, 40}); err != nil {
+		t.Fatal(err)
+	}
+	if l.HeldBy("a") != 90 || l.Take(0, "a", 1) {
+		t.Errorf("a holds %d and may have more", l.HeldBy("a"))
+	}
+	if n := take(l, 0, "b") + take(l, 0, "c"); n != 10 || l.Held() != 100 {
+		t.Errorf("%d more taken, %d held", n, l.Held())
+	}
+	if d, ok := l.Debtor(0, "c"); !ok || d != "a" {
+		t.Errorf("debtor: %q, %v", d, ok)
+	}
+	l.Give("a", 90)
+	if n, m := take(l, 0, "b"), take(l, 0, "c"); l.HeldBy("b") != 60 || l.HeldBy("c") != 40 {
+		t.Errorf("then %d and %d more", n, m)
+	}
+	if err := l.Set([]string{"b", "c"}, []int64{60, 41}); !errors.Is(err, ErrFloors) {
+		t.Errorf("got %v", err)
+	}
+	if err := l.Set([]string{"b"}, []int64{-1}); err == nil {
+		t.Error("a negative floor is no error")
+	}
+	if l.Give("c", 1000); l.HeldBy("c") != 0 {
+		t.Errorf("c holds %d", l.HeldBy("c"))
+	}
+	l.Set([]string{"b"}, []int64{60})
+	if len(l.parties) != 1 || len(l.order) != 1 {
+		t.Errorf("%d parties left", len(l.parties))
+	}
+	if l.Take(0, "nobody", 1) || l.Take(0, "b", 0) || l.Take(0, "b", 1e9) {
+		t.Error("taken")
+	}
+}
+
+func BenchmarkTakeGive(b *testing.B) {
+	for _, n := range []int{2, 20} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l, _ := New(1000)
+			_ = l.Set(names(n), make([]int64, n))
+			for b.Loop() {
+				l.Take(0, "a", 1)
+				l.Give("a", 1)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,198 @@
+// Package config is the configuration of a sidecar: one description of listeners, services, routes and limits,
+// whether it comes from an application's TOML file or from the platform's LB_CONFIG. It is pure: bytes come in as an
+// argument. A file is taken as a whole or not at all; all that is wrong with it is said at once.
+package config
+
+import (
+	"fmt"
+	"time"
+
+	"fernlanding/internal/membership"
+	"fernlanding/internal/route"
+	"fernlanding/internal/settings"
+	"fernlanding/logic"
+)
+
+// Version is the newest version of the application's format that this program reads.
+const Version = 1
+
+// Bounds of a file.
+const (
+	MaxFile     = 4 << 20 // bytes
+	MaxServices = 256
+	MaxRoutes   = 20_000
+	MaxDeadline = 60 * time.Second // of a class
+	MaxBody     = 8 << 20          // bytes of a request's or an answer's body
+)
+
+// Wording says how requests are put.
+type Wording int
+
+// The wordings.
+const (
+	Application Wording = iota // routes say what a request is for
+	Platform                   // one service; Request-Class and the path say the class
+)
+
+// App is what one sidecar is told.
+type App struct {
+	Name      string
+	Wording   Wording
+	Seed      uint64 // of all random draws; 0: the sidecar draws one
+	Process   Process
+	Listeners []Listener
+	Services  []*Service
+	Routes    []Route
+}
+
+// Process is what the process may use.
+type Process struct {
+	Cores    float64 // 0: not told
+	MemoryMB float64 // 0: not told
+	Sockets  int     // file descriptors
+}
+
+// Listener is where clients connect.
+type Listener struct {
+	Name    string
+	Address string // host:port
+}
+
+// Service is one service that is called.
+type Service struct {
+	Name   string
+	Source Source
+	settings.Site
+	Trusted     bool             // backends send nothing behind their answers: connections need no rest
+	PassAll     bool             // answers of every status go on with their header; otherwise bodies of 200 alone
+	Connections int64            // to backends that it can have at any time; 0: an even part
+	MaxBody     int64            // bytes of a request's body
+	MaxAnswer   int64            // bytes of an answer's
+	Known       *membership.List // the list as last known; may be nil
+}
+
+// Source is where the list of a service's backends comes from.
+type Source struct {
+	Kind      SourceKind
+	Address   string // of Catalog: host:port
+	Endpoints []membership.Endpoint
+}
+
+// SourceKind is a kind of source.
+type SourceKind int
+
+// The kinds of source.
+const (
+	Static  SourceKind = iota // the list stands in the file
+	Catalog                   // the platform's discovery
+)
+
+// Route is one rule and what it leads to.
+type Route struct {
+	Name      string
+	Listeners []string // empty: all
+	Match     route.Match
+	To        []Target
+	Sticky    string        // the field by which a split's side is chosen, in canonical form; empty: none
+	Rewrite   string        // the prefix that goes on instead; empty: none
+	Timeout   time.Duration // 0: the class's deadline
+	Mirror    *Target       // gets a copy; may be nil
+}
+
+// Target is one side of a route.
+type Target struct {
+	Service string
+	Class   string
+	Weight  int
+}
+
+// Service returns the service of a name, or nil.
+func (a *App) Service(name string) *Service {
+	for _, s := range a.Services {
+		if s.Name == name {
+			return s
+		}
+	}
+	return nil
+}
+
+// Class returns the number of a service's class of a name, or -1.
+func (s *Service) Class(name string) int {
+	for i, c := range s.Classes {
+		if c == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// Longest is the longest deadline of all classes of a service.
+func (s *Service) Longest() (d time.Duration) {
+	for _, c := range s.Logic.Classes {
+		d = max(d, time.Duration(c.Deadline)*time.Microsecond)
+	}
+	return d
+}
+
+const (
+	ownSockets = 32       // descriptors that are neither a client's nor a backend's, generously
+	leastEach  = 8        // connections on either side, at least
+	bodyPart   = 4        // this part of the process's memory holds bodies
+	bodyMemory = 64 << 20 // where the process's memory is not told
+	// Clients is the party that clients' connections are counted under.
+	Clients = "(clients)"
+)
+
+// Parts is how a good is divided: see package allot.
+type Parts struct {
+	Total  int64
+	Names  []string
+	Floors []int64
+}
+
+// Descriptors divides the process's file descriptors among clients and services. A third of what is not the process's
+// own is the clients' at any time, a third the services'; the last third is lent.
+func (a *App) Descriptors() (Parts, error) {
+	p := Parts{Total: int64(a.Process.Sockets - ownSockets), Names: []string{Clients}}
+	if p.Total < 2*leastEach {
+		return p, fmt.Errorf("%d descriptors are too few: %d expected at least", a.Process.Sockets, ownSockets+2*leastEach)
+	}
+	p.Floors = []int64{max(leastEach, p.Total/3)}
+	sum := p.Floors[0]
+	for _, s := range a.Services {
+		floor := s.Connections
+		if floor == 0 {
+			floor = max(1, p.Total/3/int64(len(a.Services)))
+		}
+		p.Names, p.Floors = append(p.Names, s.Name), append(p.Floors, floor)
+		sum += floor
+	}
+	if sum > p.Total {
+		return p, fmt.Errorf("%d descriptors are too few: %d for the process, %d for clients and %d for services that are theirs at any time",
+			a.Process.Sockets, ownSockets, p.Floors[0], sum-p.Floors[0])
+	}
+	return p, nil
+}
+
+// Memory divides what the process has for bodies among services. Half of it is theirs at any time, evenly; the other
+// half is lent.
+func (a *App) Memory() (Parts, error) {
+	p := Parts{Total: bodyMemory}
+	if a.Process.MemoryMB > 0 {
+		p.Total = int64(a.Process.MemoryMB * (1 << 20) / bodyPart)
+	}
+	for _, s := range a.Services {
+		floor := p.Total / 2 / int64(len(a.Services))
+		p.Names, p.Floors = append(p.Names, s.Name), append(p.Floors, floor)
+		if s.MaxBody > p.Total/4 || s.MaxAnswer > p.Total/4 {
+			return p, fmt.Errorf("service %s: bodies of %d and answers of %d bytes are too large: a quarter of the %d bytes that all bodies share expected at most",
+				s.Name, s.MaxBody, s.MaxAnswer, p.Total)
+		}
+	}
+	return p, nil
+}
+
+// RepeatName is the word for a repeat rule.
+func RepeatName(r logic.Repeat) string {
+	return [...]string{logic.Safe: "safe", logic.Keyed: "keyed", logic.Unsafe: "unsafe"}[r]
+}
--- a/internal/membership/catalog/catalog.go
+++ b/internal/membership/catalog/catalog.go
@@ -3,12 +3,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,10 +15,6 @@
 )
 
 const (
-	statusServing  = "SERVING"
-	statusDraining = "DRAINING"
-	statusDeleted  = "DELETED"
-
 	// How long a watch may wait for news. A connection to discovery can fall silent, and nothing shows it but
 	// an answer that is overdue: what was to be told meanwhile counts as told 2 s after the wait. Where the list
 	// is pushed, asking costs nothing; where it is asked, all proxies share one service.
@@ -34,64 +28,6 @@
 	maxList      = 4 << 20
 )
 
-// entry is an entry of the list as discovery words it.
-type entry struct {
-	Name    string   `json:"name"`
-	Address string   `json:"address"`
-	Zone    string   `json:"zone"`
-	Group   int      `json:"group"`
-	Status  string   `json:"status"`
-	Weight  *float64 `json:"weight"`
-	SinceMs int64    `json:"since_ms"`
-}
-
-func (e entry) endpoint() (membership.Endpoint, error) {
-	out := membership.Endpoint{Name: e.Name, Address: e.Address, Zone: e.Zone, Cell: e.Group, Weight: 1, SinceMs: e.SinceMs}
-	if e.Name == "" {
-		return out, errors.New("name is missing")
-	}
-	if e.Weight != nil {
-		out.Weight = *e.Weight
-	}
-	switch e.Status {
-	case statusServing:
-		out.Status = membership.Serving
-	case statusDraining:
-		out.Status = membership.Draining
-	case statusDeleted:
-		out.Status = membership.Deleted
-		return out, nil
-	default:
-		return out, fmt.Errorf("unknown status %q", e.Status)
-	}
-	_, _, err := net.SplitHostPort(e.Address)
-	return out, err
-}
-
-// Parse reads a list in discovery's form. A list with an entry that makes no sense is no list.
-func Parse(data []byte) (*membership.List, error) {
-	var raw struct {
-		Index     *int64   `json:"index"`
-		Snapshot  *bool    `json:"snapshot"`
-		Endpoints *[]entry `json:"endpoints"`
-	}
-	if err := json.Unmarshal(data, &raw); err != nil {
-		return nil, err
-	}
-	if raw.Index == nil || raw.Snapshot == nil || raw.Endpoints == nil {
-		return nil, errors.New("index, snapshot or endpoints is missing")
-	}
-	list := &membership.List{Index: *raw.Index, Full: *raw.Snapshot}
-	for i, e := range *raw.Endpoints {
-		out, err := e.endpoint()
-		if err != nil {
-			return nil, fmt.Errorf("endpoints[%d]: %w", i, err)
-		}
-		list.Endpoints = append(list.Endpoints, out)
-	}
-	return list, nil
-}
-
 // Client keeps a watch on the list and hands each answer on.
 type Client struct {
 	addr     string
@@ -187,7 +123,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read the list: %w", err)
 	}
-	list, err := Parse(data)
+	list, err := membership.Parse(data)
 	if err != nil {
 		return nil, fmt.Errorf("garbled list: %w", err)
 	}
--- /dev/null
+++ b/internal/membership/parse.go
@@ -0,0 +1,72 @@
+package membership
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+)
+
+const (
+	statusServing  = "SERVING"
+	statusDraining = "DRAINING"
+	statusDeleted  = "DELETED"
+)
+
+// entry is an entry of the list as discovery words it.
+type entry struct {
+	Name    string   `json:"name"`
+	Address string   `json:"address"`
+	Zone    string   `json:"zone"`
+	Group   int      `json:"group"`
+	Status  string   `json:"status"`
+	Weight  *float64 `json:"weight"`
+	SinceMs int64    `json:"since_ms"`
+}
+
+func (e entry) endpoint() (Endpoint, error) {
+	out := Endpoint{Name: e.Name, Address: e.Address, Zone: e.Zone, Cell: e.Group, Weight: 1, SinceMs: e.SinceMs}
+	if e.Name == "" {
+		return out, errors.New("name is missing")
+	}
+	if e.Weight != nil {
+		out.Weight = *e.Weight
+	}
+	switch e.Status {
+	case statusServing:
+		out.Status = Serving
+	case statusDraining:
+		out.Status = Draining
+	case statusDeleted:
+		out.Status = Deleted
+		return out, nil
+	default:
+		return out, fmt.Errorf("unknown status %q", e.Status)
+	}
+	_, _, err := net.SplitHostPort(e.Address)
+	return out, err
+}
+
+// Parse reads a list in the form of the platform's discovery, which is also that of LB_CONFIG's known. A list with an entry that makes no sense is no list.
+func Parse(data []byte) (*List, error) {
+	var raw struct {
+		Index     *int64   `json:"index"`
+		Snapshot  *bool    `json:"snapshot"`
+		Endpoints *[]entry `json:"endpoints"`
+	}
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return nil, err
+	}
+	if raw.Index == nil || raw.Snapshot == nil || raw.Endpoints == nil {
+		return nil, errors.New("index, snapshot or endpoints is missing")
+	}
+	list := &List{Index: *raw.Index, Full: *raw.Snapshot}
+	for i, e := range *raw.Endpoints {
+		out, err := e.endpoint()
+		if err != nil {
+			return nil, fmt.Errorf("endpoints[%d]: %w", i, err)
+		}
+		list.Endpoints = append(list.Endpoints, out)
+	}
+	return list, nil
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -17,7 +17,6 @@
 
 	"fernlanding/internal/core"
 	"fernlanding/internal/membership"
-	"fernlanding/internal/membership/catalog"
 	"fernlanding/internal/settings"
 )
 
@@ -170,7 +169,7 @@
 	cfg := Config{Listen: "127.0.0.1:0", Discovery: discovery, Seed: 7, Sockets: sockets, Site: site, Trusted: trusted,
 		Log: slog.New(slog.DiscardHandler)}
 	if known != "" {
-		if cfg.Known, err = catalog.Parse([]byte(known)); err != nil {
+		if cfg.Known, err = membership.Parse([]byte(known)); err != nil {
 			t.Fatal(err)
 		}
 	}
