--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -169,7 +169,7 @@
 		if !c.has("repeat") {
 			c.bad("repeat", `"safe", "keyed" or "unsafe" expected: it decides what may be sent again, so there is no default`)
 		}
-		switch c.word("repeat", "unsafe", "unsafe", "keyed", "safe") {
+		switch c.word("repeat", "safe", "safe", "keyed", "unsafe") {
 		case "safe":
 			k.Repeat = logic.Safe
 		case "keyed":
