--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -1,56 +1,96 @@
-// Command fernlanding is one real proxy: it balances calls to the backends of a tier.
+// Command fernlanding is a sidecar: it takes requests and balances them over the backends of the services that it
+// knows.
+//
+//	fernlanding                 the platform's proxy, told by the file that LB_CONFIG names
+//	fernlanding -config FILE    an application's sidecar, told by a TOML file
+//	fernlanding try [...]       a sidecar before an embedded stand-in fleet
+//
+// It ends with 0 after SIGTERM, with 1 when it can't serve and with 2 when its configuration or its arguments make no
+// sense. On SIGHUP it reads its file again; a file that makes no sense is one line in the log and changes nothing.
 package main
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
+	"io"
 	"log/slog"
 	"math"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"strconv"
+	"strings"
 	"syscall"
 
-	"fernlanding/internal/membership"
-	"fernlanding/internal/settings"
+	"fernlanding/internal/config"
 	"fernlanding/internal/sidecar"
 )
 
 const (
-	memoryPart     = 0.6 // of the limit: the runtime collects harder from there on
-	defaultSockets = 1024
+	memoryPart = 0.6 // of the limit: the runtime collects harder from there on
+
+	exitFailed = 1
+	exitUsage  = 2 // arguments or a configuration that make no sense
 )
 
 func main() {
-	if err := run(); err != nil {
-		fmt.Fprintf(os.Stderr, "fernlanding: %v\n", err)
-		os.Exit(1)
-	}
+	os.Exit(run(os.Args[1:], os.Getenv, os.Stdout, os.Stderr))
 }
 
-func run() error {
+// usageError is a fault of the caller's.
+type usageError struct{ error }
+
+func run(args []string, env func(string) string, out, log io.Writer) int {
 	// Caught before all else and to the end: unhandled, either would end the process with what it holds.
 	hups := make(chan os.Signal, 1) // one more than the one being handled: the file is read after the last
 	signal.Notify(hups, syscall.SIGHUP)
+	defer signal.Stop(hups)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	cfg, lim, err := load(os.Getenv)
+	var err error
+	if len(args) > 0 && args[0] == "try" {
+		err = try(ctx, args[1:], out, log)
+	} else {
+		err = serve(ctx, args, env, hups, log)
+	}
+	var usage usageError
+	switch {
+	case err == nil || errors.Is(err, flag.ErrHelp):
+		return 0
+	case errors.As(err, &usage):
+		fmt.Fprintln(log, usage)
+		return exitUsage
+	}
+	fmt.Fprintf(log, "fernlanding: %v\n", err)
+	return exitFailed
+}
+
+// serve is the sidecar's life.
+func serve(ctx context.Context, args []string, env func(string) string, hups <-chan os.Signal, out io.Writer) error {
+	flags := flag.NewFlagSet("fernlanding", flag.ContinueOnError)
+	flags.SetOutput(out)
+	path := flags.String("config", "", "an application's `FILE`; without it the platform's that LB_CONFIG names")
+	if err := flags.Parse(args); err != nil {
+		return asUsage(err)
+	}
+	if flags.NArg() > 0 {
+		return usageError{fmt.Errorf("fernlanding: unknown argument %q; try, -config FILE or nothing expected", flags.Arg(0))}
+	}
+	log := slog.New(slog.NewTextHandler(out, nil))
+	read := func() (*config.App, error) { return load(*path, env) }
+	app, err := read()
 	if err != nil {
-		return fmt.Errorf("configuration: %w", err)
+		return usageError{err}
 	}
-	cfg.Log = log
-	if lim.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(lim.MemoryMB * memoryPart * (1 << 20)))
+	if app.Process.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(app.Process.MemoryMB * memoryPart * (1 << 20)))
 	}
-	if lim.Cores > 0 {
-		runtime.GOMAXPROCS(int(math.Ceil(lim.Cores)))
+	if app.Process.Cores > 0 {
+		runtime.GOMAXPROCS(int(math.Ceil(app.Process.Cores)))
 	}
-	p, err := sidecar.New(cfg)
+	s, err := sidecar.New(app, log)
 	if err != nil {
 		return err
 	}
@@ -60,88 +100,70 @@
 		for {
 			select {
 			case <-hups:
-				renew(os.Getenv, p.Renew, log)
+				reload(read, s.Reload, log)
 			case <-ended:
 				return
 			}
 		}
 	}()
-	return p.Run(ctx)
+	return s.Run(ctx)
 }
 
-// renew reads the configuration again after SIGHUP and passes the address of discovery on; the rest of it
-// holds from the next start. A file that makes no sense changes nothing.
-func renew(env func(string) string, discovery func(string), log *slog.Logger) {
-	cfg, _, err := load(env)
-	if err != nil {
-		log.Error("new configuration not taken", "error", err)
-		return
+// asUsage makes a flag package's error, which it has printed, one of usage.
+func asUsage(err error) error {
+	if errors.Is(err, flag.ErrHelp) {
+		return err
 	}
-	log.Info("new configuration", "discovery", cfg.Discovery)
-	discovery(cfg.Discovery)
-}
-
-type limits struct {
-	Cores    float64 `json:"cores"`
-	MemoryMB float64 `json:"memory_mb"`
-	Sockets  int     `json:"sockets"`
+	return usageError{err}
 }
 
-// load reads the file that LB_CONFIG names; LB_LISTEN and LB_DISCOVERY stand in for what it lacks.
-func load(env func(string) string) (sidecar.Config, limits, error) {
-	var cfg sidecar.Config
-	path := env("LB_CONFIG")
-	if path == "" {
-		return cfg, limits{}, errors.New("LB_CONFIG is not set")
-	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return cfg, limits{}, err
-	}
-	var file struct {
-		Listen    string          `json:"listen"`
-		Discovery string          `json:"discovery"`
-		Seed      string          `json:"seed"`
-		Limits    limits          `json:"limits"`
-		Known     json.RawMessage `json:"known"`
-		Settings  json.RawMessage `json:"settings"`
-	}
-	if err := json.Unmarshal(data, &file); err != nil {
-		return cfg, file.Limits, fmt.Errorf("%s: %w", path, err)
-	}
-	cfg.Listen, cfg.Discovery, cfg.Sockets = file.Listen, file.Discovery, file.Limits.Sockets
-	cfg.MemoryMB = file.Limits.MemoryMB
-	if cfg.Listen == "" {
-		cfg.Listen = env("LB_LISTEN")
+// reload reads the configuration again after SIGHUP and has it take hold. One that makes no sense is one line in the
+// log and changes nothing.
+func reload(read func() (*config.App, error), take func(*config.App) error, log *slog.Logger) {
+	app, err := read()
+	if err == nil {
+		err = take(app)
 	}
-	if cfg.Discovery == "" {
-		cfg.Discovery = env("LB_DISCOVERY")
-	}
-	if cfg.Listen == "" || cfg.Discovery == "" {
-		return cfg, file.Limits, errors.New("listen or discovery is missing")
-	}
-	if cfg.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
-		return cfg, file.Limits, fmt.Errorf("seed: %w", err)
+	if err != nil {
+		log.Error("new configuration not taken", "error", strings.ReplaceAll(err.Error(), "\n", "; "))
+		return
 	}
-	if cfg.Sockets < 0 || file.Limits.Cores < 0 || file.Limits.MemoryMB < 0 {
-		return cfg, file.Limits, errors.New("limits: negative")
+	log.Info("new configuration", "services", len(app.Services), "routes", len(app.Routes), "source", app.Services[0].Source.Address)
+}
+
+// load reads an application's file, or the platform's, in which LB_LISTEN and LB_DISCOVERY stand in for what it lacks.
+func load(path string, env func(string) string) (*config.App, error) {
+	if path != "" {
+		data, err := read(path)
+		if err != nil {
+			return nil, err
+		}
+		return config.Decode(path, data)
 	}
-	if cfg.Sockets == 0 {
-		cfg.Sockets = defaultSockets
+	if path = env("LB_CONFIG"); path == "" {
+		return nil, errors.New("fernlanding: neither -config nor LB_CONFIG names a file")
 	}
-	if len(file.Settings) == 0 {
-		return cfg, file.Limits, errors.New("settings is missing")
+	data, err := read(path)
+	if err != nil {
+		return nil, err
 	}
-	if cfg.Site, err = settings.Decode(file.Settings); err == nil {
-		err = cfg.Site.CheckSockets()
+	app, err := config.DecodePlatform(path, data, env("LB_LISTEN"), env("LB_DISCOVERY"))
+	if err != nil {
+		return nil, fmt.Errorf("fernlanding: configuration: %w", err)
 	}
+	return app, nil
+}
+
+// read reads a file up to the bound of a configuration and one byte more.
+func read(path string) ([]byte, error) {
+	f, err := os.Open(path)
 	if err != nil {
-		return cfg, file.Limits, fmt.Errorf("settings: %w", err)
+		return nil, fmt.Errorf("fernlanding: configuration: %w", err)
 	}
-	if len(file.Known) > 0 && string(file.Known) != "null" {
-		if cfg.Known, err = membership.Parse(file.Known); err != nil {
-			return cfg, file.Limits, fmt.Errorf("known: %w", err)
-		}
+	defer f.Close()
+	data, err := io.ReadAll(io.LimitReader(f, config.MaxFile+1))
+	if err != nil {
+		return nil, fmt.Errorf("fernlanding: configuration: %w", err)
 	}
-	return cfg, file.Limits, nil
+	return data, nil
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -154,6 +154,16 @@
 // own is the clients' at any time, a third the services'; the last third is lent.
 func (a *App) Descriptors() (Parts, error) {
 	p := Parts{Total: int64(a.Process.Sockets - ownSockets), Names: []string{Clients}}
+	if a.Wording == Platform {
+		// Each open request has at most one attempt out, and a third more connections to backends may be kept for
+		// the next. What is left is the clients': their open requests, and those that are silent or idle.
+		backends := int64(a.Process.Sockets / 3 * 4 / 3)
+		p.Names, p.Floors = append(p.Names, PlatformService), []int64{p.Total - backends, backends}
+		if p.Floors[0] < leastEach {
+			return p, fmt.Errorf("%d sockets are too few", a.Process.Sockets)
+		}
+		return p, nil
+	}
 	if p.Total < 2*leastEach {
 		return p, fmt.Errorf("%d descriptors are too few: %d expected at least", a.Process.Sockets, ownSockets+2*leastEach)
 	}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -28,10 +28,9 @@
 
 // Result is how an attempt ended.
 type Result struct {
-	Status  logic.Status
-	Fault   int    // the backend's 4xx: the request makes no sense, whoever gets it; else 0
-	Body    []byte // of a backend's 200
-	Content string // and its media type
+	Status logic.Status
+	Fault  bool   // the backend says that the request makes no sense, whoever gets it
+	Reply  *Reply // with logic.OK and Fault; with logic.Error where replies of all kinds go on
 }
 
 // Breaker is something that an attempt waits on and that can be broken off from another goroutine.
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -193,7 +193,7 @@
 	}
 	if p.reqs[r.ID] != nil { // two under one id could not be told apart
 		p.mu.Unlock()
-		return Answer{Verdict: Rejected, Fault: badRequest}
+		return Answer{Verdict: Rejected}
 	}
 	p.callers.Add(1)
 	defer p.callers.Done()
@@ -220,8 +220,6 @@
 	return r.answer
 }
 
-const badRequest = 400
-
 // tell wakes the goroutine that waits for news of a request.
 func (r *Request) tell() {
 	if r.news != nil {
@@ -271,7 +269,11 @@
 	if r.over {
 		return
 	}
-	r.over, r.answer = true, ans
+	if r.over, r.answer = true, ans; ans.Verdict == Failed {
+		r.answer.Reply, r.last = r.last, nil
+	}
+	r.last.Done()
+	r.last = nil
 	r.tell()
 	p.forget(r)
 }
@@ -322,12 +324,19 @@
 	if r.out == a {
 		r.out = nil
 	}
-	if res.Status == logic.OK {
-		p.end(r, Answer{Verdict: Served, Body: res.Body, Content: res.Content})
+	switch {
+	case r.over:
+		res.Reply.Done() // nobody waits for it
+	case res.Fault:
+		p.end(r, Answer{Verdict: Rejected, Reply: res.Reply})
+	case res.Status == logic.OK:
+		p.end(r, Answer{Verdict: Served, Reply: res.Reply})
+	case res.Reply != nil:
+		r.last.Done()
+		r.last = res.Reply
 	}
-	if res.Fault != 0 {
+	if res.Fault {
 		// The client's fault is no evidence against the backend, and another would say the same.
-		p.end(r, Answer{Verdict: Rejected, Fault: res.Fault})
 		res.Status = logic.Moot
 	}
 	now := p.clock.Now()
--- a/internal/core/pool_test.go
+++ b/internal/core/pool_test.go
@@ -111,7 +111,7 @@
 
 // The client may go before its request is handed over, while it waits, or when it has its answer.
 func TestWithdrawalAtAnyTime(t *testing.T) {
-	up := newScripted(func(*Attempt) Result { return Result{Status: logic.OK, Body: []byte("ok")} })
+	up := newScripted(func(*Attempt) Result { return Result{Status: logic.OK, Reply: &Reply{Code: 200, Body: []byte("ok")}} })
 	p := startPool(t, up)
 	r := newRequest(p, "1", 0, patience)
 	p.Withdraw(r)
@@ -119,7 +119,7 @@
 		t.Errorf("withdrawn before: got %+v, %d attempts", ans, len(up.begun))
 	}
 	r = newRequest(p, "1", 0, patience)
-	if ans := p.Do(r); ans.Verdict != Served || string(ans.Body) != "ok" {
+	if ans := p.Do(r); ans.Verdict != Served || string(ans.Reply.Body) != "ok" {
 		t.Errorf("got %+v", ans)
 	}
 	p.Withdraw(r)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,12 +23,24 @@
 	Pool     Pool
 	ID       string
 	Class    int
-	Tenant   int           // -1: not told
-	Key      string        // its subject, or empty
-	Target   string        // path and query that go on
-	Wait     time.Duration // from its coming to its answer at most
-	Bodiless bool          // a body makes no sense
-	Header   []core.Field  // stands in for the client's fields of these names
+	Tenant   int                 // -1: not told
+	Key      string              // its subject, or empty
+	Target   string              // path and query that go on
+	Wait     time.Duration       // from its coming to its answer at most
+	MaxBody  int64               // bytes of its body
+	Bodiless bool                // a body makes no sense
+	Memory   Memory              // that its body counts in; may be nil
+	Full     time.Duration       // where that has none left: when to come again
+	Mirror   func(*core.Request) // has a copy sent elsewhere, without a wait; may be nil
+	Header   []core.Field        // stands in for the client's fields of these names
+}
+
+// Memory is a part of the process's memory for bodies.
+type Memory interface {
+	// Take takes n bytes, or nothing and is false.
+	Take(n int64) bool
+	// Give gives n bytes back.
+	Give(n int64)
 }
 
 // Fault is the answer to a request that makes no sense, or that nobody serves.
--- a/internal/front/http1/clients.go
+++ b/internal/front/http1/clients.go
@@ -12,7 +12,17 @@
 	"fernlanding/internal/sock"
 )
 
+// Quota is the clients' part of the process's descriptors.
+type Quota interface {
+	// Take counts a connection in, if there is room or others can make some.
+	Take() bool
+	// Give counts a connection out.
+	Give()
+}
+
 const (
+	evictTries = 4 // at making room for one connection
+
 	// A connection that has said nothing for this long is no client about to ask.
 	silentGrace = 250 * time.Millisecond
 	// Bytes that came this lately may be a request that net/http has not yet reported.
@@ -24,7 +34,7 @@
 // The longest silent or idle one makes room; where all carry requests, the new one is closed at once.
 type clients struct {
 	net.Listener
-	most int // open connections
+	quota Quota // of open connections
 
 	mu     sync.Mutex
 	conns  map[net.Conn]*clientConn
@@ -44,8 +54,8 @@
 	place *list.Element
 }
 
-func newClients(l net.Listener, most int) *clients {
-	return &clients{Listener: l, most: most, conns: map[net.Conn]*clientConn{}, silent: list.New(), idle: list.New()}
+func newClients(l net.Listener, quota Quota) *clients {
+	return &clients{Listener: l, quota: quota, conns: map[net.Conn]*clientConn{}, silent: list.New(), idle: list.New()}
 }
 
 // Accept returns the next connection for which there is room.
@@ -65,8 +75,10 @@
 func (l *clients) admit(nc net.Conn) *clientConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.conns) >= l.most && !l.evict() {
-		return nil
+	for tries := 0; !l.quota.Take(); tries++ {
+		if tries == evictTries || !l.evict() {
+			return nil
+		}
 	}
 	c := &clientConn{Conn: nc, of: l, came: time.Now()}
 	l.conns[c] = c
@@ -99,6 +111,13 @@
 	return false
 }
 
+// Shed closes one connection that carries no request, and is false if there is none.
+func (f *Front) Shed() bool {
+	f.clients.mu.Lock()
+	defer f.clients.mu.Unlock()
+	return f.clients.evict()
+}
+
 // rest gives a connection that carries no request the last place in a list; nil takes its place away.
 func (l *clients) rest(c *clientConn, in *list.List) {
 	if c.list != nil {
@@ -109,9 +128,11 @@
 	}
 }
 
+// remove forgets a connection, and counts it out.
 func (l *clients) remove(c *clientConn) {
 	l.rest(c, nil)
 	delete(l.conns, c)
+	l.quota.Give()
 }
 
 // state follows what net/http makes of a connection. A request is open from StateActive, when its head has
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -22,7 +22,6 @@
 
 const (
 	maxHead = 16 << 10 // of a request, before its body
-	maxBody = 64 << 10 // and after it
 
 	// A client that connects is owed an answer or a close within 3 s: it has this long to send a head, and
 	// this long from its connecting to its first body's end. A later body has as long as a head.
@@ -45,7 +44,7 @@
 	Resolver front.Resolver
 	Healthy  func() bool   // whether what is behind can serve
 	Longest  time.Duration // that any request may take
-	Most     int           // open connections
+	Quota    Quota         // of open connections
 	Log      *slog.Logger
 }
 
@@ -61,7 +60,7 @@
 
 // New returns a front that serves from Serve on.
 func New(cfg Config) *Front {
-	f := &Front{cfg: cfg, clients: newClients(cfg.Listener, cfg.Most)}
+	f := &Front{cfg: cfg, clients: newClients(cfg.Listener, cfg.Quota)}
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: headPatience, IdleTimeout: idlePatience, MaxHeaderBytes: maxHead,
 		WriteTimeout: headPatience + cfg.Longest + writeLeeway,
@@ -81,7 +80,6 @@
 
 // Stats is what a front has, and how far its end has come.
 type Stats struct {
-	Most   int // connections at most
 	Open   int
 	Silent int // have never asked
 	Idle   int // stand between two requests
@@ -93,7 +91,7 @@
 func (f *Front) Stats() Stats {
 	f.clients.mu.Lock()
 	defer f.clients.mu.Unlock()
-	return Stats{Most: f.clients.most, Open: len(f.clients.conns), Silent: f.clients.silent.Len(), Idle: f.clients.idle.Len(),
+	return Stats{Open: len(f.clients.conns), Silent: f.clients.silent.Len(), Idle: f.clients.idle.Len(),
 		Draining: f.draining.Load(), Bound: f.bound.Load(), Closing: f.closing.Load()}
 }
 
@@ -115,25 +113,54 @@
 		f.health(w)
 		return
 	}
-	var ans core.Answer
+	if fault := f.check(r); fault != nil {
+		f.turnAway(w, *fault)
+		return
+	}
+	var body []byte
 	for tries := 1; ; tries++ {
-		dest, req, fault := f.parse(w, r, came)
+		dest, fault := f.cfg.Resolver.Resolve(r)
+		if fault == nil && tries == 1 {
+			if n := r.ContentLength; dest.Memory != nil && n > 0 && n <= dest.MaxBody {
+				if !dest.Memory.Take(n) {
+					f.turnAway(w, front.Fault{Status: http.StatusServiceUnavailable, Why: "no memory is left for the body", After: dest.Full})
+					return
+				}
+				defer dest.Memory.Give(n)
+			}
+			body, fault = f.body(w, r, &dest)
+		}
 		if fault != nil {
 			f.turnAway(w, *fault)
 			return
 		}
-		if f.bound.Load() {
-			req.Lines, req.Spare = f.clients.lines()
+		if tries > 1 {
+			dest.Mirror = nil // has its copy
 		}
-		letGo := context.AfterFunc(r.Context(), func() { dest.Pool.Withdraw(req) }) // the client has gone
-		ans = dest.Pool.Do(req)
-		letGo()
+		ans := f.pass(r, came, &dest, body)
 		if ans.Verdict != core.NotTaken || tries == mostTries {
-			break
+			f.reply(w, ans)
+			return
 		}
 		// The pool has closed since it was named, and has seen nothing of the request.
 	}
-	f.reply(w, ans)
+}
+
+// pass hands a request to its pool and waits for the answer.
+func (f *Front) pass(r *http.Request, came time.Time, dest *front.Dest, body []byte) core.Answer {
+	req := &core.Request{
+		Request: logic.Request{ID: dest.ID, Class: dest.Class, Tenant: dest.Tenant, Key: dest.Key,
+			GiveUp: dest.Pool.Clock().At(came.Add(dest.Wait))},
+		Method: r.Method, Target: dest.Target, Host: r.Host, Header: passOn(r.Header, dest.Header), Body: body,
+	}
+	if f.bound.Load() {
+		req.Lines, req.Spare = f.clients.lines()
+	}
+	if dest.Mirror != nil {
+		dest.Mirror(req)
+	}
+	defer context.AfterFunc(r.Context(), func() { dest.Pool.Withdraw(req) })() // the client has gone
+	return dest.Pool.Do(req)
 }
 
 func (f *Front) health(w http.ResponseWriter) {
@@ -153,84 +180,80 @@
 	if fault.Allow != "" {
 		h.Set("Allow", fault.Allow)
 	}
-	f.write(w, fault.Status, []byte(fault.Why+"\n"), "text/plain", fault.After, true)
+	f.write(w, &core.Reply{Code: fault.Status, Header: []core.Field{{Name: "Content-Type", Value: "text/plain"}}, Body: []byte(fault.Why + "\n")}, fault.After, true)
 }
 
-// status words a verdict. Served has the only answer with a body.
-func status(ans core.Answer) int {
-	switch ans.Verdict {
-	case core.Served:
-		return http.StatusOK
+// word puts a verdict that comes without a backend's reply into a status.
+func word(v core.Verdict) int {
+	switch v {
 	case core.Refused, core.NotTaken:
 		return http.StatusServiceUnavailable
 	case core.Expired:
 		return http.StatusGatewayTimeout
 	case core.Rejected:
-		return ans.Fault
+		return http.StatusBadRequest
 	}
 	return http.StatusBadGateway
 }
 
 func (f *Front) reply(w http.ResponseWriter, ans core.Answer) {
+	defer ans.Reply.Done()
 	if ans.Verdict == core.Aborted {
 		panic(http.ErrAbortHandler) // a return would answer 200
 	}
-	f.write(w, status(ans), ans.Body, ans.Content, time.Duration(ans.After)*time.Microsecond, ans.Verdict == core.Rejected)
+	if ans.Reply == nil {
+		ans.Reply = &core.Reply{Code: word(ans.Verdict)}
+	}
+	f.write(w, ans.Reply, time.Duration(ans.After)*time.Microsecond, ans.Verdict == core.Rejected)
 }
 
-func (f *Front) write(w http.ResponseWriter, status int, body []byte, content string, after time.Duration, last bool) {
+func (f *Front) write(w http.ResponseWriter, reply *core.Reply, after time.Duration, last bool) {
 	h := w.Header()
+	h["Content-Type"] = nil // not to be guessed
+	for _, f := range reply.Header {
+		h[f.Name] = append(h[f.Name], f.Value)
+	}
 	if last || f.closing.Load() {
 		h["Connection"] = []string{"close"}
 	}
-	if content != "" {
-		h["Content-Type"] = []string{content}
-	} else {
-		h["Content-Type"] = nil // not to be guessed
+	if bodyAllowed(reply.Code) && h["Content-Length"] == nil { // a reply to HEAD gives the length of a body that it lacks
+		h["Content-Length"] = []string{strconv.Itoa(len(reply.Body))}
 	}
-	h["Content-Length"] = []string{strconv.Itoa(len(body))}
 	if after > 0 {
 		h["Retry-After"] = []string{strconv.FormatFloat(after.Seconds(), 'f', 3, 64)}
 	}
-	w.WriteHeader(status)
-	_, _ = w.Write(body) // a client that has gone is no fault
+	w.WriteHeader(reply.Code)
+	if len(reply.Body) > 0 {
+		_, _ = w.Write(reply.Body) // a client that has gone is no fault
+	}
 }
 
-// parse reads a whole request. A fault is the answer to one that makes no sense; nothing of it goes on.
-func (f *Front) parse(w http.ResponseWriter, r *http.Request, came time.Time) (front.Dest, *core.Request, *front.Fault) {
-	var dest front.Dest
-	bad := func(status int, why string) (front.Dest, *core.Request, *front.Fault) {
-		return dest, nil, &front.Fault{Status: status, Why: why}
-	}
+// bodyAllowed tells whether an answer of this status may have a body (RFC 9110, section 15).
+func bodyAllowed(status int) bool {
+	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// check looks at what makes no sense whatever the request is for.
+func (f *Front) check(r *http.Request) *front.Fault {
 	if !r.ProtoAtLeast(1, 1) { // in these net/http drops a Transfer-Encoding unseen
-		return bad(http.StatusHTTPVersionNotSupported, "HTTP/1.1 is spoken here")
+		return &front.Fault{Status: http.StatusHTTPVersionNotSupported, Why: "HTTP/1.1 is spoken here"}
 	}
 	if len(r.TransferEncoding) > 0 { // with a Content-Length beside it the body may hide another request
-		return bad(http.StatusLengthRequired, "a body needs Content-Length alone")
-	}
-	dest, fault := f.cfg.Resolver.Resolve(r)
-	if fault != nil {
-		return dest, nil, fault
-	}
-	switch {
-	case r.ContentLength > maxBody:
-		return bad(http.StatusRequestEntityTooLarge, "the body is too large")
-	case r.ContentLength > 0 && dest.Bodiless:
-		return bad(http.StatusBadRequest, "a body on a GET")
+		return &front.Fault{Status: http.StatusLengthRequired, Why: "a body needs Content-Length alone"}
 	}
-	body, err := f.body(w, r)
-	if err != nil {
-		return bad(http.StatusBadRequest, "the body broke off")
-	}
-	return dest, &core.Request{
-		Request: logic.Request{ID: dest.ID, Class: dest.Class, Tenant: dest.Tenant, Key: dest.Key,
-			GiveUp: dest.Pool.Clock().At(came.Add(dest.Wait))},
-		Method: r.Method, Target: dest.Target, Host: r.Host, Header: passOn(r.Header, dest.Header), Body: body,
-	}, nil
+	return nil
 }
 
 // body reads a body of known length. It grows with what comes: a length alone costs no memory.
-func (f *Front) body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+func (f *Front) body(w http.ResponseWriter, r *http.Request, dest *front.Dest) ([]byte, *front.Fault) {
+	switch {
+	case r.ContentLength > dest.MaxBody:
+		return nil, &front.Fault{Status: http.StatusRequestEntityTooLarge, Why: "the body is too large"}
+	case r.ContentLength > 0 && dest.Bodiless:
+		return nil, &front.Fault{Status: http.StatusBadRequest, Why: "a body on a GET"}
+	case r.ContentLength == 0:
+		return nil, nil
+	}
 	until := time.Now().Add(headPatience)
 	if c, ok := r.Context().Value(clientKey{}).(*clientConn); ok && !c.asked.Load() {
 		until = c.came.Add(firstPatience)
@@ -241,7 +264,10 @@
 	_, err := body.ReadFrom(r.Body)
 	// While the answer is awaited net/http reads on, to see a client that goes; that has no deadline.
 	_ = c.SetReadDeadline(time.Time{})
-	return body.Bytes(), err
+	if err != nil {
+		return nil, &front.Fault{Status: http.StatusBadRequest, Why: "the body broke off"}
+	}
+	return body.Bytes(), nil
 }
 
 // passOn is what of a head goes on: not the fields that concern one connection, nor the framing. Those of others
@@ -268,6 +294,9 @@
 	return append(out, others...)
 }
 
+// Close ends the front at once.
+func (f *Front) Close() { _ = f.server.Close() }
+
 // Drain ends the service after SIGTERM. Until the last call clients are served as ever, and keep their
 // connections: new ones stop coming soon, but a client uses those that it has while they stay open. What else
 // it has is not known here: other proxies may restart close behind each other, and for seconds this one may be
--- a/internal/sidecar/platform.go
+++ b/internal/sidecar/platform.go
@@ -23,13 +23,14 @@
 // platform resolves requests as the platform words them: one service, the class by Request-Class.
 type platform struct {
 	site    *settings.Site
+	maxBody int64
 	pool    front.Pool
 	classes map[string]int
 	tenants map[string]int
 }
 
-func newPlatform(site *settings.Site, pool front.Pool) *platform {
-	return &platform{site, pool, numbers(site.Classes), numbers(site.Tenants)}
+func newPlatform(site *settings.Site, maxBody int64, pool front.Pool) *platform {
+	return &platform{site, maxBody, pool, numbers(site.Classes), numbers(site.Tenants)}
 }
 
 func numbers(names []string) map[string]int {
@@ -61,8 +62,8 @@
 	return nil
 }
 
-// Resolve implements front.Resolver.
-func (p *platform) Resolve(r *http.Request) (front.Dest, *front.Fault) {
+// resolve says as what a request goes on.
+func (p *platform) resolve(r *http.Request) (front.Dest, *front.Fault) {
 	bad := func(status int, why string) (front.Dest, *front.Fault) {
 		return front.Dest{}, &front.Fault{Status: status, Why: why}
 	}
@@ -102,5 +103,5 @@
 	wait := min(time.Duration(k.Deadline)*time.Microsecond, time.Duration(min(ms, 1e9))*time.Millisecond)
 	return front.Dest{Pool: p.pool, ID: id, Class: class, Tenant: tenant, Key: rest[strings.LastIndexByte(rest, '/')+1:],
 		Target: r.RequestURI, Wait: wait - min(answerMargin, wait/marginPart),
-		Bodiless: method == http.MethodGet}, nil
+		MaxBody: p.maxBody, Bodiless: method == http.MethodGet}, nil
 }
--- /dev/null
+++ b/internal/sidecar/service.go
@@ -0,0 +1,225 @@
+package sidecar
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"reflect"
+	"slices"
+	"sync"
+	"time"
+
+	"fernlanding/internal/config"
+	"fernlanding/internal/core"
+	"fernlanding/internal/membership"
+	"fernlanding/internal/membership/catalog"
+	upstream "fernlanding/internal/upstream/http1"
+)
+
+const (
+	leastLarge = 2        // large answers that the platform's proxy reads at a time, at least
+	largeMB    = 16       // of memory for each of them
+	platformIn = 64 << 10 // bytes of an answer that count nowhere on the platform
+	countedIn  = 4 << 10  // and elsewhere
+	drainPoll  = 20 * time.Millisecond
+)
+
+// service is one pool with its upstream and the source of its list, from the configuration that names it until its
+// last request has ended.
+type service struct {
+	cfg    *config.Service // does not change; where the list comes from does
+	pool   *core.Pool
+	up     *upstream.Upstream
+	roster *roster
+	stop   context.CancelFunc
+	parts  sync.WaitGroup
+
+	mu     sync.Mutex // held while the source changes
+	from   config.Source
+	unplug context.CancelFunc
+	source sync.WaitGroup
+	over   bool
+}
+
+// parted is what services share.
+type parted struct {
+	clock    core.Clock
+	log      *slog.Logger
+	sockets  *shares
+	memory   *shares // nil on the platform
+	memoryMB float64
+}
+
+// newService makes a service; it stands still until start.
+func newService(cfg *config.Service, seed uint64, with parted) (*service, error) {
+	s := &service{cfg: cfg}
+	uc := upstream.Config{DialTimeout: cfg.DialTimeout, IdleClose: cfg.IdleClose, Rest: upstream.RestSpoilt,
+		Quota: descriptors{with.sockets, cfg.Name}, MaxAnswer: cfg.MaxAnswer, PassAll: cfg.PassAll}
+	if cfg.Trusted {
+		uc.Rest = 0
+	}
+	if with.memory != nil {
+		uc.Memory, uc.Free, uc.Hold = memory{with.memory, cfg.Name}, countedIn, true
+	} else {
+		uc.Memory, uc.Free = make(slots, max(leastLarge, int(with.memoryMB)/largeMB)), platformIn
+	}
+	s.up = upstream.New(uc)
+	var err error
+	s.pool, err = core.New(core.Config{Settings: cfg.Logic, Seed: seed, Zones: cfg.Zones, Upstream: s.up, Clock: with.clock,
+		Log: with.log.With("service", cfg.Name)})
+	if err != nil {
+		return nil, err
+	}
+	s.roster = &roster{pool: s.pool, all: map[string]membership.Endpoint{}}
+	if cfg.Known != nil {
+		s.roster.cached(cfg.Known)
+	}
+	return s, nil
+}
+
+// start begins the pool's time and follows its list.
+func (s *service) start(log *slog.Logger) {
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	s.parts.Go(func() { s.pool.Run(ctx) })
+	s.plug(s.cfg.Source, log)
+}
+
+// plug follows a source, instead of the one before. A new one begins with the whole
+// list, since the versions of two sources do not compare, and only when the old one has ended, so that nothing of the
+// old follows the new. Until the new one has answered the old list stands.
+func (s *service) plug(from config.Source, log *slog.Logger) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.over {
+		return
+	}
+	if s.unplug != nil {
+		if reflect.DeepEqual(from, s.from) {
+			return
+		}
+		s.unplug()
+		s.source.Wait()
+	}
+	first := s.unplug == nil && s.cfg.Known != nil // with no list at all nobody says when to ask
+	s.from = from
+	ctx, unplug := context.WithCancel(context.Background())
+	s.unplug = unplug
+	if from.Kind == config.Static {
+		s.roster.Listed(&membership.List{Full: true, Endpoints: from.Endpoints})
+		return
+	}
+	subscribe := s.cfg.Logic.Subscribe
+	c := catalog.New(from.Address, subscribe, log.With("service", s.cfg.Name), s.roster, s.pool.Asked())
+	s.source.Go(func() { c.Run(ctx, subscribe, subscribe && first) })
+}
+
+// end stops the service and waits until nothing of it is left. Requests that are open are aborted.
+func (s *service) end() {
+	s.mu.Lock()
+	s.over = true
+	if s.unplug != nil {
+		s.unplug()
+	}
+	s.source.Wait()
+	s.mu.Unlock()
+	if s.stop != nil {
+		s.stop()
+	}
+	s.parts.Wait()
+	s.up.Apply(true, nil) // closes what is idle
+}
+
+// drain takes nothing new, and ends when the last request has, at the latest after the longest deadline.
+func (s *service) drain(ctx context.Context) {
+	s.pool.Close()
+	left, cancel := context.WithTimeout(ctx, s.cfg.Longest()+time.Second)
+	defer cancel()
+	poll := time.NewTicker(drainPoll)
+	defer poll.Stop()
+	for s.pool.Stats().Requests > 0 && left.Err() == nil {
+		select {
+		case <-poll.C:
+		case <-left.Done():
+		}
+	}
+	s.end()
+}
+
+// listSource is where the list comes from now.
+func (s *service) listSource() config.Source {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unplug == nil {
+		return s.cfg.Source
+	}
+	return s.from
+}
+
+// ready tells whether the service has a list.
+func (s *service) ready() bool {
+	select {
+	case <-s.pool.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
+// same tells whether two configurations of a service differ in nothing but its source: its pool can stay.
+func same(a, b *config.Service) bool {
+	x, y := *a, *b
+	x.Source, y.Source = config.Source{}, config.Source{}
+	x.Known, y.Known = nil, nil
+	return reflect.DeepEqual(x, y)
+}
+
+// roster hands lists to a pool and keeps the whole list, which a successor of the pool begins with.
+type roster struct {
+	pool *core.Pool
+
+	mu    sync.Mutex
+	index int64
+	all   map[string]membership.Endpoint
+}
+
+// Listed implements membership.Sink.
+func (r *roster) Listed(l *membership.List) {
+	r.take(l)
+	r.pool.Listed(l)
+}
+
+// Missed implements membership.Sink.
+func (r *roster) Missed() { r.pool.Missed() }
+
+func (r *roster) cached(l *membership.List) {
+	r.take(l)
+	r.pool.Cached(l)
+}
+
+func (r *roster) take(l *membership.List) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.index = l.Index; l.Full {
+		clear(r.all)
+	}
+	for _, e := range l.Endpoints {
+		if r.all[e.Name] = e; e.Status == membership.Deleted {
+			delete(r.all, e.Name)
+		}
+	}
+}
+
+// list is the whole list as it stands; nil if there is none yet.
+func (r *roster) list() *membership.List {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.all) == 0 {
+		return nil
+	}
+	l := &membership.List{Index: r.index, Full: true}
+	for _, name := range slices.Sorted(maps.Keys(r.all)) {
+		l.Endpoints = append(l.Endpoints, r.all[name])
+	}
+	return l
+}
--- /dev/null
+++ b/internal/sidecar/shares.go
@@ -0,0 +1,161 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"fernlanding/internal/allot"
+	"fernlanding/internal/config"
+	"fernlanding/internal/core"
+)
+
+// shares is a ledger of descriptors or memory that many goroutines use.
+type shares struct {
+	clock core.Clock
+
+	mu     sync.Mutex
+	ledger *allot.Ledger
+	shed   map[string]func() bool // has a party give back one of what it keeps idle; called with no lock held
+	given  chan struct{}          // closed, and made anew, when something is given back that somebody waits for
+}
+
+func newShares(clock core.Clock, total int64) (*shares, error) {
+	ledger, err := allot.New(total)
+	if err != nil {
+		return nil, err
+	}
+	return &shares{clock: clock, ledger: ledger, shed: map[string]func() bool{}}, nil
+}
+
+// divide sets the floors anew.
+func (s *shares) divide(parts config.Parts) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if parts.Total != s.ledger.Total() {
+		return fmt.Errorf("%d in all, %d since the start", parts.Total, s.ledger.Total())
+	}
+	return s.ledger.Set(parts.Names, parts.Floors)
+}
+
+// held is what all parties hold, and what one does.
+func (s *shares) held(party string) (all, one int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Held(), s.ledger.HeldBy(party)
+}
+
+// shedBy names what has a party give back; nil: nothing.
+func (s *shares) shedBy(party string, f func() bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.shed[party] = f; f == nil {
+		delete(s.shed, party)
+	}
+}
+
+const recallTries = 4 // at having others give back one
+
+func (s *shares) take(party string, n int64) bool {
+	for range recallTries {
+		s.mu.Lock()
+		now := s.clock.Now()
+		ok := s.ledger.Take(now, party, n)
+		var shed func() bool
+		if !ok {
+			if debtor, owes := s.ledger.Debtor(now, party); owes {
+				shed = s.shed[debtor]
+			}
+		}
+		s.mu.Unlock()
+		if ok {
+			return true
+		}
+		if shed == nil || !shed() {
+			return false
+		}
+	}
+	return false
+}
+
+func (s *shares) give(party string, n int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Give(party, n)
+	if s.given != nil {
+		close(s.given)
+		s.given = nil
+	}
+}
+
+// wait is a channel that is closed when something has been given back.
+func (s *shares) wait() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.given == nil {
+		s.given = make(chan struct{})
+	}
+	return s.given
+}
+
+// descriptors is a party's part of the descriptors. It is the Quota of fronts and upstreams.
+type descriptors struct {
+	of    *shares
+	party string
+}
+
+// Take counts a connection in.
+func (d descriptors) Take() bool { return d.of.take(d.party, 1) }
+
+// Give counts a connection out.
+func (d descriptors) Give() { d.of.give(d.party, 1) }
+
+// Owes tells that kept connections are to be given back.
+func (d descriptors) Owes() bool {
+	d.of.mu.Lock()
+	defer d.of.mu.Unlock()
+	return d.of.ledger.Owes(d.of.clock.Now(), d.party)
+}
+
+// memory is a service's part of the process's memory for bodies.
+type memory struct {
+	of    *shares
+	party string
+}
+
+// Take implements front.Memory.
+func (m memory) Take(n int64) bool { return m.of.take(m.party, n) }
+
+// Give implements front.Memory and the upstream's.
+func (m memory) Give(n int64) { m.of.give(m.party, n) }
+
+// Reserve waits for n bytes until the context ends.
+func (m memory) Reserve(ctx context.Context, n int64) error {
+	for {
+		given := m.of.wait()
+		if m.of.take(m.party, n) {
+			return nil
+		}
+		select {
+		case <-given:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// slots is memory for so many bodies of whatever size.
+type slots chan struct{}
+
+// Reserve waits for a slot until the context ends.
+func (s slots) Reserve(ctx context.Context, _ int64) error {
+	select {
+	case s <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Give gives a slot back.
+func (s slots) Give(int64) { <-s }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -1,173 +1,326 @@
 // Package sidecar joins the parts of a running proxy: fronts, pools, upstreams and the sources of their lists. It
-// starts them, drains them, and ends them.
+// starts them, gives them new configurations, drains them, and ends them.
 package sidecar
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
+	"net/http"
+	"reflect"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"fernlanding/internal/config"
 	"fernlanding/internal/core"
-	front "fernlanding/internal/front/http1"
-	"fernlanding/internal/membership"
-	"fernlanding/internal/membership/catalog"
-	"fernlanding/internal/settings"
-	upstream "fernlanding/internal/upstream/http1"
+	"fernlanding/internal/front"
+	"fernlanding/internal/front/http1"
 )
 
 const (
-	ownSockets  = 32 // descriptors that are neither a client's nor a backend's, generously
-	leastEach   = 8  // connections on either side, at least
-	leastLarge  = 2  // large answers that are read at a time, at least
-	largeMB     = 16 // of memory for each of them
-	requestPart = 3  // clients hold this part of the descriptors at most for requests
-
 	killAfter  = 3 * time.Second        // SIGKILL comes the longest deadline, or this, after SIGTERM
 	killLeeway = 500 * time.Millisecond // and somewhat more
 	servePart  = 0.7                    // of the time between: requests are taken; the rest is for their answers
 )
 
-// Config is what a proxy is told at its start.
-type Config struct {
-	Listen    string
-	Discovery string
-	Seed      uint64
-	Sockets   int              // descriptors that the process may hold
-	MemoryMB  float64          // that it may hold; 0 if it is not told
-	Known     *membership.List // the list as last known; may be nil
-	Site      *settings.Site
-	Trusted   bool // backends send nothing behind their answers: connections need no rest
-	Log       *slog.Logger
+// Sidecar is a proxy with its listeners open.
+type Sidecar struct {
+	log    *slog.Logger
+	with   parted
+	fronts []*http1.Front
+	world  atomic.Pointer[world]
+	ended  chan struct{}
+
+	mu       sync.Mutex // one configuration takes hold at a time
+	app      *config.App
+	services map[string]*service
+	started  bool
+	leaving  map[*service]bool // those that the configuration names no more, while they drain
+	draining sync.WaitGroup
+	halt     context.Context
+	halted   context.CancelFunc // ends their wait
 }
 
-// rest is how long a connection to a backend rests after an answer.
-func (c Config) rest() time.Duration {
-	if c.Trusted {
-		return 0
+// New opens the listeners; clients are served from Run on.
+func New(app *config.App, log *slog.Logger) (*Sidecar, error) {
+	s := &Sidecar{log: log, ended: make(chan struct{}), services: map[string]*service{}, leaving: map[*service]bool{},
+		with: parted{clock: core.NewClock(), log: log, memoryMB: app.Process.MemoryMB}}
+	s.halt, s.halted = context.WithCancel(context.Background())
+	parts, err := app.Descriptors()
+	if err != nil {
+		return nil, err
+	}
+	if s.with.sockets, err = newShares(s.with.clock, parts.Total); err != nil {
+		return nil, err
+	}
+	if app.Wording == config.Application {
+		parts, err := app.Memory()
+		if err != nil {
+			return nil, err
+		}
+		if s.with.memory, err = newShares(s.with.clock, parts.Total); err != nil {
+			return nil, err
+		}
+	}
+	w, _, err := s.prepare(app)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.listen(app); err != nil {
+		return nil, err
 	}
-	return upstream.RestSpoilt
+	s.adopt(app, w)
+	return s, nil
 }
 
-// Proxy is one proxy with its listener open.
-type Proxy struct {
-	cfg    Config
-	pool   *core.Pool
-	up     *upstream.Upstream
-	front  *front.Front
-	renews chan string // addresses of discovery that new configurations name
-	ended  chan struct{}
+// listen opens the listeners, all or none.
+func (s *Sidecar) listen(app *config.App) error {
+	var open []net.Listener
+	for _, l := range app.Listeners {
+		listener, err := net.Listen("tcp", l.Address)
+		if err != nil {
+			for _, o := range open {
+				o.Close()
+			}
+			return fmt.Errorf("listen: %w", err)
+		}
+		open = append(open, listener)
+	}
+	longest := config.MaxDeadline
+	if app.Wording == config.Platform {
+		longest = app.Services[0].Longest()
+	}
+	for i, l := range app.Listeners {
+		s.fronts = append(s.fronts, http1.New(http1.Config{Listener: open[i], Resolver: &resolver{s, l.Name}, Healthy: s.healthy,
+			Longest: longest, Quota: descriptors{s.with.sockets, config.Clients}, Log: s.log}))
+	}
+	s.with.sockets.shedBy(config.Clients, func() bool {
+		for _, f := range s.fronts {
+			if f.Shed() {
+				return true
+			}
+		}
+		return false
+	})
+	return nil
 }
 
-// New opens the listener; clients are served from Run on.
-func New(cfg Config) (*Proxy, error) {
-	// Each open request has at most one attempt out, and a third more connections to backends may be kept for
-	// the next. What is left is the clients': their open requests, and those that are silent or idle.
-	forBackends := cfg.Sockets / requestPart * 4 / 3
-	forClients := cfg.Sockets - ownSockets - forBackends
-	if forClients < leastEach {
-		return nil, fmt.Errorf("%d sockets are too few", cfg.Sockets)
-	}
-	p := &Proxy{cfg: cfg, renews: make(chan string), ended: make(chan struct{})}
-	var err error
-	p.up = upstream.New(upstream.Config{DialTimeout: cfg.Site.DialTimeout, IdleClose: cfg.Site.IdleClose,
-		Most: forBackends, Large: max(leastLarge, int(cfg.MemoryMB)/largeMB), Rest: cfg.rest()})
-	p.pool, err = core.New(core.Config{Settings: cfg.Site.Logic, Seed: cfg.Seed, Zones: cfg.Site.Zones,
-		Clock: core.NewClock(), Log: cfg.Log, Upstream: p.up})
-	if err != nil {
-		return nil, err
+// Addr is where clients connect to the first listener.
+func (s *Sidecar) Addr() string { return s.fronts[0].Addr() }
+
+// Addrs is where clients connect, in the order of the configuration's listeners.
+func (s *Sidecar) Addrs() (out []string) {
+	for _, f := range s.fronts {
+		out = append(out, f.Addr())
 	}
-	listener, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+	return out
+}
+
+// healthy tells whether the sidecar can serve. One service that has no list yet holds up neither the others nor this:
+// it is enough that one has, or that none waits for its first.
+func (s *Sidecar) healthy() bool {
+	w := s.world.Load()
+	for _, v := range w.services {
+		if v.ready() {
+			return true
+		}
 	}
-	if cfg.Known != nil {
-		p.pool.Cached(cfg.Known)
+	return len(w.services) == 0
+}
+
+// WaitReady waits until every service has a list, but no longer than a time.
+func (s *Sidecar) WaitReady(ctx context.Context, most time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	for name, v := range s.world.Load().services {
+		select {
+		case <-v.pool.Ready():
+		case <-ctx.Done():
+			return fmt.Errorf("service %s has no list of backends: %w", name, ctx.Err())
+		}
 	}
-	p.front = front.New(front.Config{Listener: listener, Resolver: newPlatform(cfg.Site, p.pool), Healthy: p.healthy,
-		Longest: p.longest(), Most: forClients, Log: cfg.Log})
-	return p, nil
+	return nil
 }
 
-// Addr is where clients connect.
-func (p *Proxy) Addr() string { return p.front.Addr() }
+// prepare makes all that a configuration needs and that is not there, and starts none of it. An error changes
+// nothing.
+func (s *Sidecar) prepare(app *config.App) (w *world, fresh []*service, err error) {
+	seed := app.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	services := map[string]*service{}
+	for i, cfg := range app.Services {
+		old := s.services[cfg.Name]
+		if old != nil && same(old.cfg, cfg) {
+			services[cfg.Name] = old
+			continue
+		}
+		if old != nil && reflect.DeepEqual(old.listSource(), cfg.Source) { // it begins with what its predecessor knows
+			cfg.Known = old.roster.list()
+		}
+		v, err := newService(cfg, seed+uint64(i), s.with)
+		if err != nil {
+			return nil, nil, fmt.Errorf("service %s: %w", cfg.Name, err)
+		}
+		services[cfg.Name] = v
+		fresh = append(fresh, v)
+	}
+	w, err = newWorld(app, services, s.world.Load(), s.with)
+	return w, fresh, err
+}
 
-func (p *Proxy) healthy() bool {
-	select {
-	case <-p.pool.Ready():
-		return true
-	default:
-		return false
+// adopt has a configuration take hold. It can't fail.
+func (s *Sidecar) adopt(app *config.App, w *world) {
+	if parts, err := app.Descriptors(); err == nil { // has been checked
+		_ = s.with.sockets.divide(parts)
+	}
+	if s.with.memory != nil {
+		if parts, err := app.Memory(); err == nil {
+			_ = s.with.memory.divide(parts)
+		}
+	}
+	old := s.services
+	s.app, s.services = app, w.services
+	for name, v := range w.services {
+		if old[name] == v {
+			v.plug(app.Service(name).Source, s.log)
+			continue
+		}
+		s.with.sockets.shedBy(name, v.up.Shed)
+		if s.started {
+			v.start(s.log)
+		}
+	}
+	s.world.Store(w)
+	for name, v := range old {
+		if w.services[name] == v {
+			continue
+		}
+		if w.services[name] == nil {
+			s.with.sockets.shedBy(name, nil)
+		}
+		s.leaving[v] = true
+		s.draining.Go(func() {
+			v.drain(s.halt)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			delete(s.leaving, v)
+		})
 	}
 }
 
-// longest is the longest deadline of all classes.
-func (p *Proxy) longest() (d time.Duration) {
-	for _, c := range p.cfg.Site.Logic.Classes {
-		d = max(d, time.Duration(c.Deadline)*time.Microsecond)
+var errFixed = errors.New("can't change while the program runs")
+
+// Reload has a new configuration take hold as a whole, or not at all. Requests that are open are not touched: a
+// service that is named no more takes nothing new and ends with its last answer. Listeners and process limits can't
+// change.
+func (s *Sidecar) Reload(app *config.App) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if app.Wording != s.app.Wording {
+		return fmt.Errorf("wording: %w", errFixed)
+	}
+	if app.Wording == config.Platform {
+		// Only discovery changes; the rest of the file holds from the next start.
+		if s.started {
+			s.services[config.PlatformService].plug(app.Services[0].Source, s.log)
+		}
+		return nil
+	}
+	if !reflect.DeepEqual(app.Listeners, s.app.Listeners) {
+		return fmt.Errorf("listeners: %w", errFixed)
 	}
-	return d
+	if app.Process != s.app.Process {
+		return fmt.Errorf("process: %w", errFixed)
+	}
+	w, _, err := s.prepare(app)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-s.ended:
+		return errors.New("the sidecar is ending")
+	default:
+	}
+	s.adopt(app, w)
+	return nil
 }
 
 // Run serves until the context ends, then finishes what it has taken.
-func (p *Proxy) Run(ctx context.Context) error {
-	defer close(p.ended)
-	inner, stop := context.WithCancel(context.Background())
+func (s *Sidecar) Run(ctx context.Context) error {
+	s.mu.Lock()
+	for _, v := range s.services {
+		v.start(s.log)
+	}
+	s.started = true
+	s.mu.Unlock()
+	defer s.end()
 	var parts sync.WaitGroup
 	defer parts.Wait()
-	defer stop()
-	parts.Go(func() { p.pool.Run(inner) })
-	parts.Go(func() { p.watch(inner) })
-	served := make(chan error, 1)
-	parts.Go(func() { served <- p.front.Serve() })
+	served := make(chan error, len(s.fronts))
+	for _, f := range s.fronts {
+		parts.Go(func() { served <- f.Serve() })
+	}
+	var err error
 	select {
-	case err := <-served:
-		return err
+	case err = <-served:
 	case <-ctx.Done():
 	}
-	told, window := time.Now(), min(p.longest(), killAfter)+killLeeway
+	s.mu.Lock() // no configuration takes hold from here on
+	close(s.ended)
+	longest := time.Duration(0)
+	for _, v := range s.services {
+		longest = max(longest, v.cfg.Longest())
+	}
+	told, window := time.Now(), min(longest, killAfter)+killLeeway
 	cutoff := told.Add(window)
-	p.pool.Hurry(cutoff)
-	p.front.Drain(told.Add(time.Duration(servePart*float64(window))), cutoff)
-	return nil
+	for _, v := range s.services {
+		v.pool.Hurry(cutoff)
+	}
+	for v := range s.leaving {
+		v.pool.Hurry(cutoff)
+	}
+	s.mu.Unlock()
+	if err != nil { // one listener has failed: the rest end at once
+		cutoff = told
+	}
+	var fronts sync.WaitGroup
+	for _, f := range s.fronts {
+		fronts.Go(func() {
+			if err != nil {
+				f.Close()
+			} else {
+				f.Drain(told.Add(time.Duration(servePart*float64(window))), cutoff)
+			}
+		})
+	}
+	fronts.Wait()
+	return err
 }
 
-// Renew takes the address of discovery that a new configuration names. It may be called while Run does its work.
-func (p *Proxy) Renew(discovery string) {
-	select {
-	case p.renews <- discovery:
-	case <-p.ended:
+// end ends all services, those included that drain.
+func (s *Sidecar) end() {
+	s.halted()
+	s.draining.Wait()
+	var all sync.WaitGroup
+	for _, v := range s.services {
+		all.Go(v.end)
 	}
+	all.Wait()
 }
 
-// watch keeps a watch on the list at the address named last. A new one begins with the whole list, since the
-// versions of two addresses do not compare, and only when the old one has ended, so that nothing of the old
-// follows the new. Until the new one has answered the old list stands.
-func (p *Proxy) watch(ctx context.Context) {
-	subscribe := p.cfg.Site.Logic.Subscribe && p.cfg.Known != nil // with no list at all nobody says when to ask
-	for addr := p.cfg.Discovery; ctx.Err() == nil; subscribe = false {
-		one, stop := context.WithCancel(ctx)
-		d, first := catalog.New(addr, p.cfg.Site.Logic.Subscribe, p.cfg.Log, p.pool, p.pool.Asked()), subscribe
-		var part sync.WaitGroup
-		part.Go(func() { d.Run(one, p.cfg.Site.Logic.Subscribe, first) })
-		addr = p.renewed(ctx, addr)
-		stop()
-		part.Wait()
-	}
+// resolver resolves the requests of one listener by the configuration that holds.
+type resolver struct {
+	of       *Sidecar
+	listener string
 }
 
-// renewed waits for another address than the present one, or the end.
-func (p *Proxy) renewed(ctx context.Context, present string) string {
-	for {
-		select {
-		case addr := <-p.renews:
-			if addr != present {
-				return addr
-			}
-		case <-ctx.Done():
-			return present
-		}
-	}
+// Resolve implements front.Resolver.
+func (r *resolver) Resolve(req *http.Request) (front.Dest, *front.Fault) {
+	return r.of.world.Load().resolve(r.listener, req)
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -15,9 +15,10 @@
 	"testing"
 	"time"
 
+	"fernlanding/internal/config"
 	"fernlanding/internal/core"
+	"fernlanding/internal/front/http1"
 	"fernlanding/internal/membership"
-	"fernlanding/internal/settings"
 )
 
 const siteText = `{"contract":{"cold_us":1000000,"start_capacity":0.3},"failure_domains":["a"],"limits":{` +
@@ -150,11 +151,23 @@
 
 // running is a proxy at work; stop is SIGTERM to it, done gives what Run returned.
 type running struct {
-	*Proxy
+	*Sidecar
+	app  *config.App
 	stop context.CancelFunc
 	done chan error
 }
 
+func (r *running) tier() *service     { return r.services[config.PlatformService] }
+func (r *running) stats() http1.Stats { return r.fronts[0].Stats() }
+
+// renew names another discovery.
+func (r *running) renew(discovery string) {
+	app, s := *r.app, *r.app.Services[0]
+	s.Source.Address = discovery
+	app.Services = []*config.Service{&s}
+	_ = r.Reload(&app)
+}
+
 func startProxy(t *testing.T, discovery string, sockets int, known string) *running {
 	t.Helper()
 	return startWith(t, discovery, sockets, known, false)
@@ -162,23 +175,28 @@
 
 func startWith(t *testing.T, discovery string, sockets int, known string, trusted bool) *running {
 	t.Helper()
-	site, err := settings.Decode([]byte(siteText))
+	text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":%q,"seed":"7","limits":{"sockets":%d},"settings":%s}`, discovery, sockets, siteText)
+	app, err := config.DecodePlatform("test", []byte(text), "", "")
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg := Config{Listen: "127.0.0.1:0", Discovery: discovery, Seed: 7, Sockets: sockets, Site: site, Trusted: trusted,
-		Log: slog.New(slog.DiscardHandler)}
+	app.Services[0].Trusted = trusted
 	if known != "" {
-		if cfg.Known, err = membership.Parse([]byte(known)); err != nil {
+		if app.Services[0].Known, err = membership.Parse([]byte(known)); err != nil {
 			t.Fatal(err)
 		}
 	}
-	p, err := New(cfg)
+	return start(t, app)
+}
+
+func start(t *testing.T, app *config.App) *running {
+	t.Helper()
+	p, err := New(app, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r := &running{Proxy: p, stop: stop, done: make(chan error, 1)}
+	r := &running{Sidecar: p, app: app, stop: stop, done: make(chan error, 1)}
 	ended := make(chan struct{})
 	go func() { defer close(ended); r.done <- p.Run(ctx) }()
 	t.Cleanup(func() { stop(); wait(t, "end of the proxy", ended) })
@@ -329,7 +347,7 @@
 		})
 	}
 	all.Wait()
-	waitUntil(t, func() bool { return p.front.Stats().Open == 0 })
+	waitUntil(t, func() bool { return p.stats().Open == 0 })
 	if n := b.requests.Load(); n != 0 {
 		t.Errorf("%d requests went on", n)
 	}
@@ -418,16 +436,16 @@
 	wait(t, "request", came)
 	c.Close()
 	wait(t, "end of the attempt", gone)
-	waitUntil(t, func() bool { return p.pool.Stats().Requests == 0 }) // nothing is left of it
+	waitUntil(t, func() bool { return p.tier().pool.Stats().Requests == 0 }) // nothing is left of it
 }
 
 func TestAClientThatGoesInMidRequestLeavesNothing(t *testing.T) {
 	p, b := serving(t, says(served, true))
 	c := connect(t, p)
 	c.send(t, post("3", "Content-Length: 9")+"abc")
-	waitUntil(t, func() bool { return p.front.Stats().Open == 1 })
+	waitUntil(t, func() bool { return p.stats().Open == 1 })
 	c.Close()
-	waitUntil(t, func() bool { return p.front.Stats().Open == 0 })
+	waitUntil(t, func() bool { return p.stats().Open == 0 })
 	if n := b.requests.Load(); n != 0 {
 		t.Errorf("%d requests went on", n)
 	}
@@ -450,7 +468,11 @@
 	t.Helper()
 	b := startBackend(t, reply)
 	p = startProxy(t, startDiscovery(t).addr, 80, listText(1, true, listed("a", b.addr, "SERVING")))
-	return p, p.front.Stats().Most
+	d, err := p.app.Descriptors()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p, int(d.Floors[0])
 }
 
 // Clients that ask once and keep their connection, and such that never ask, filled the proxy for good; the
@@ -470,7 +492,7 @@
 		if resp, body := c.answer(t); resp.StatusCode != 200 || body != "ok" {
 			t.Fatalf("newcomer %d: got %s", i, resp.Status)
 		}
-		if n := p.front.Stats().Open; n > most {
+		if n := p.stats().Open; n > most {
 			t.Fatalf("%d connections of at most %d", n, most)
 		}
 	}
@@ -491,7 +513,7 @@
 		asking = append(asking, c)
 	}
 	waitUntil(t, func() bool {
-		s := p.front.Stats()
+		s := p.stats()
 		return s.Open == most && s.Silent == 0
 	})
 	over := connect(t, p)
@@ -610,18 +632,18 @@
 	ds[0].say <- listText(50, true, listed("a", a.addr, "SERVING"))
 	query(ds[0], "from=50&hold_ms=2000")
 	ask("1", a)
-	p.Renew(ds[0].addr) // the same again changes nothing
-	p.Renew(ds[1].addr)
+	p.renew(ds[0].addr) // the same again changes nothing
+	p.renew(ds[1].addr)
 	query(ds[1], "")
 	ask("2", a)
 	ds[1].say <- listText(3, true, listed("b", b.addr, "SERVING"))
 	query(ds[1], "from=3&hold_ms=2000")
 	ask("3", b)
 	for range 5 { // several in a row
-		p.Renew(ds[0].addr)
-		p.Renew(ds[1].addr)
+		p.renew(ds[0].addr)
+		p.renew(ds[1].addr)
 	}
-	p.Renew(ds[0].addr)
+	p.renew(ds[0].addr)
 	for range cap(ds[0].say) { // some may go to calls that have ended
 		ds[0].say <- listText(1, true, listed("a", a.addr, "SERVING"))
 	}
@@ -633,11 +655,11 @@
 	})
 	ask("4", a)
 	p.stop()
-	p.Renew(ds[1].addr) // while it ends
+	p.renew(ds[1].addr) // while it ends
 	if err := wait(t, "end of Run", p.done); err != nil {
 		t.Error(err)
 	}
-	p.Renew(ds[0].addr) // and after
+	p.renew(ds[0].addr) // and after
 }
 
 // holds serves requests, those whose id begins with h only after the release.
@@ -668,7 +690,7 @@
 	waitUntil(t, func() bool { return b.requests.Load() == 11 })
 	unused := connect(t, p)
 	p.stop()
-	waitUntil(t, func() bool { return p.front.Stats().Draining })
+	waitUntil(t, func() bool { return p.stats().Draining })
 	for i, c := range []*client{idle, connect(t, p)} {
 		for n := range 5 {
 			c.send(t, look(fmt.Sprint("n", i, n), 8000))
@@ -677,7 +699,7 @@
 			}
 		}
 	}
-	waitUntil(t, func() bool { return p.front.Stats().Closing })
+	waitUntil(t, func() bool { return p.stats().Closing })
 	close(release)
 	var all sync.WaitGroup
 	for _, c := range held {
@@ -708,9 +730,9 @@
 		all[i].send(t, look(fmt.Sprint(i), 8000))
 		all[i].answer(t)
 	}
-	waitUntil(t, func() bool { return p.front.Stats().Idle == len(all) })
+	waitUntil(t, func() bool { return p.stats().Idle == len(all) })
 	p.stop()
-	waitUntil(t, func() bool { return p.front.Stats().Bound })
+	waitUntil(t, func() bool { return p.stats().Bound })
 	for i, c := range all[:5] {
 		c.send(t, look(fmt.Sprint("h", i), 8000))
 	}
@@ -770,11 +792,11 @@
 	all.Wait()
 	for i := range 5000 {
 		e := membership.Endpoint{Name: fmt.Sprint("s", i), Address: "127.0.0.1:1", Zone: fmt.Sprint("z", i)}
-		p.pool.Listed(&membership.List{Index: int64(i), Endpoints: []membership.Endpoint{e}})
+		p.tier().pool.Listed(&membership.List{Index: int64(i), Endpoints: []membership.Endpoint{e}})
 		e.Status = membership.Deleted
-		p.pool.Listed(&membership.List{Index: int64(i), Endpoints: []membership.Endpoint{e}})
+		p.tier().pool.Listed(&membership.List{Index: int64(i), Endpoints: []membership.Endpoint{e}})
 	}
-	if s := p.pool.Stats(); s != (core.Stats{Zones: 1}) || p.up.Stats().Backends != 1 {
-		t.Errorf("left behind: %+v, %+v", s, p.up.Stats())
+	if s := p.tier().pool.Stats(); s != (core.Stats{Zones: 1}) || p.tier().up.Stats().Backends != 1 {
+		t.Errorf("left behind: %+v, %+v", s, p.tier().up.Stats())
 	}
 }
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,127 @@
+package standin
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Window is how long a pod of the fleet's billing service recalls a key.
+const Window = 7500 * time.Millisecond
+
+// Fleet is two services of five workers each, of three speeds, each service with a discovery of its own.
+type Fleet struct {
+	Workers []*Worker // the tariff service's, then the billing service's
+	Effects *Effects
+	tariff  *Discovery
+	billing *Discovery
+}
+
+const each = 5 // workers of a service
+
+// NewFleet starts a fleet. Close ends it.
+func NewFleet() (f *Fleet, err error) {
+	f = &Fleet{Effects: NewEffects(Window)}
+	defer func() {
+		if err != nil {
+			f.Close()
+		}
+	}()
+	if f.tariff, err = NewDiscovery(); err != nil {
+		return f, err
+	}
+	if f.billing, err = NewDiscovery(); err != nil {
+		return f, err
+	}
+	speeds := [each]float64{2, 1.2, 1.2, 0.8, 0.8}
+	for i := range 2 * each {
+		service, d := "tariff", f.tariff
+		if i >= each {
+			service, d = "billing", f.billing
+		}
+		w, err := NewWorker(WorkerConfig{Cores: 2, Waiting: 16, Work: 5 * time.Millisecond, Speed: speeds[i%each],
+			Pod: i % 2, Effects: f.Effects})
+		if err != nil {
+			return f, err
+		}
+		f.Workers = append(f.Workers, w)
+		d.Put(Member{Name: fmt.Sprintf("%s-%d", service, i%each+1), Address: w.Addr(), Zone: "a", Group: i % 2})
+	}
+	return f, nil
+}
+
+// Close ends the fleet.
+func (f *Fleet) Close() {
+	for _, w := range f.Workers {
+		w.Close()
+	}
+	for _, d := range []*Discovery{f.tariff, f.billing} {
+		if d != nil {
+			d.Close()
+		}
+	}
+}
+
+// Trouble makes some workers slow and some hang, the first of each service in turn, or ends that.
+func (f *Fleet) Trouble(slow, hung int) {
+	for i, w := range f.Workers {
+		n := 2 * (i % each) // 0 2 4 .. of tariff, 1 3 5 .. of billing: troubles alternate between the services
+		if i >= each {
+			n++
+		}
+		w.Slow(1)
+		if n < slow {
+			w.Slow(8)
+		}
+		w.Hang(n >= slow && n < slow+hung)
+	}
+}
+
+// Classes are the fleet's classes, as Config words them.
+func (f *Fleet) Classes() []Class {
+	return []Class{
+		{Name: "tariff-lookup", Method: "GET", Path: "/tariffs/%d", Share: 0.6, Objective: 300 * time.Millisecond, Deadline: time.Second},
+		{Name: "usage-rate", Method: "POST", Path: "/usage", Body: `{"minutes":3}`, Keyed: true, Share: 0.25,
+			Objective: 500 * time.Millisecond, Deadline: 2 * time.Second},
+		{Name: "charge-post", Method: "POST", Path: "/accounts/%d/charges", Body: `{"amount":"12.50"}`, Share: 0.15,
+			Objective: 700 * time.Millisecond, Deadline: 2 * time.Second},
+	}
+}
+
+// Config is the configuration of a sidecar before the fleet, in the application's format.
+func (f *Fleet) Config(listen string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, `version = 1
+name = "try"
+
+[[listeners]]
+address = %q
+
+[services.tariff]
+membership = "catalog"
+discovery = %q
+trusted = true
+
+[services.billing]
+membership = "catalog"
+discovery = %q
+trusted = true
+
+`, listen, f.tariff.Addr(), f.billing.Addr())
+	for i, c := range f.Classes() {
+		service, repeat := "billing", "unsafe"
+		switch {
+		case c.Keyed:
+			repeat = "keyed"
+		case c.Method == "GET":
+			service, repeat = "tariff", "safe"
+		}
+		fmt.Fprintf(&b, "[services.%s.classes.%s]\nrepeat = %q\nobjective = %q\ndeadline = %q\n", service, c.Name, repeat, c.Objective, c.Deadline)
+		if c.Keyed {
+			fmt.Fprintf(&b, "dedup_scope = \"cell\"\ndedup_window = %q\n", Window)
+		}
+		path := [...]string{"prefix = \"/tariffs\"", "exact = \"/usage\"", "template = \"/accounts/{account}/charges\""}[i]
+		fmt.Fprintf(&b, "\n[[routes]]\nname = %q\n%s\nmethods = [%q]\nservice = %q\nclass = %q\n\n", c.Name, path, c.Method, service, c.Name)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/upstream/http1/exchange.go
@@ -0,0 +1,260 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"time"
+
+	"fernlanding/internal/core"
+	"fernlanding/logic"
+)
+
+const (
+	answerHead = 8 << 10 // of a backend's answer, before its body
+	mostEarly  = 8       // 1xx answers ahead of one, at most
+	mostTrail  = 4 << 10 // bytes of trailers behind chunks, at most
+	readPart   = 64 << 10
+	keptBuffer = 16 << 10 // a buffer that has grown beyond this is not kept
+
+	// Once an answer has begun, the rest of it is on its way; one whose length does not fit never ends.
+	answerStall = 500 * time.Millisecond
+)
+
+// Break ends reads and writes on the connection; it is then closed, never used again.
+func (c *conn) Break() { _ = c.SetDeadline(time.Unix(1, 0)) }
+
+// exchange writes the request and reads the answer; keep tells whether the connection can serve again.
+func (w *way) exchange(a *core.Attempt, c *conn) (res core.Result, keep bool) {
+	_ = c.SetDeadline(a.Deadline)
+	if !a.Hook(c) {
+		return core.Result{Status: logic.Moot}, false
+	}
+	defer func() {
+		if !a.Unhook() {
+			keep = false
+		}
+	}()
+	if _, err := c.Write(c.encode(a)); err != nil {
+		// The last byte was not written, so the backend cannot have begun.
+		return core.Result{Status: logic.ConnectFailed}, false
+	}
+	res, keep, err := w.read(a, c)
+	switch {
+	case err == nil:
+		return res, keep
+	case a.Late():
+		return core.Result{Status: logic.TimedOut}, false
+	case a.Stopped():
+		return core.Result{Status: logic.Cancelled}, false
+	}
+	return core.Result{Status: logic.Reset}, false
+}
+
+// encode writes the whole request into one buffer, so that one write tells whether its last byte went out.
+func (c *conn) encode(a *core.Attempt) []byte {
+	r, b := a.Request, c.out[:0]
+	b = append(append(append(b, r.Method...), ' '), r.Target...)
+	b = append(append(append(b, " HTTP/1.1\r\nHost: "...), r.Host...), "\r\n"...)
+	for _, f := range r.Header {
+		if f.Name != timeoutField {
+			b = append(append(append(append(b, f.Name...), ": "...), f.Value...), "\r\n"...)
+		}
+	}
+	b = append(b, timeoutField+": "...)
+	b = append(strconv.AppendInt(b, max(1, time.Until(a.Deadline).Milliseconds()), 10), "\r\n"...)
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b = append(b, "Content-Length: "...)
+		b = append(strconv.AppendInt(b, int64(len(r.Body)), 10), "\r\n"...)
+	}
+	b = append(append(b, "\r\n"...), r.Body...)
+	if c.out = b; cap(b) > keptBuffer {
+		c.out = nil
+	}
+	return b
+}
+
+const timeoutField = "Request-Timeout-Ms"
+
+var errStopped = errors.New("stopped")
+
+// extend gives the connection until then, unless the attempt has been stopped meanwhile.
+func (c *conn) extend(a *core.Attempt, until time.Time) error {
+	if a.Deadline.Before(until) {
+		until = a.Deadline
+	}
+	_ = c.SetDeadline(until)
+	if a.Stopped() {
+		return errStopped
+	}
+	return nil
+}
+
+// head reads the bytes of the next head, without the empty line. They are good until the next read.
+func (c *conn) head() ([]byte, error) {
+	for n := 1; ; {
+		_, err := c.r.Peek(n)
+		b, _ := c.r.Peek(c.r.Buffered())
+		if end := bytes.Index(b, []byte("\r\n\r\n")); end >= 0 {
+			_, _ = c.r.Discard(end + 4)
+			return b[:end+2], nil
+		}
+		if err != nil { // also a head that does not end
+			return nil, err
+		}
+		n = len(b) + 1
+	}
+}
+
+// read takes the whole answer: one that breaks off has not been given.
+func (w *way) read(a *core.Attempt, c *conn) (res core.Result, keep bool, err error) {
+	if _, err := c.r.Peek(1); err != nil {
+		return res, false, fmt.Errorf("read answer: %w", err)
+	}
+	if err := c.extend(a, time.Now().Add(answerStall)); err != nil {
+		return res, false, err
+	}
+	var h head
+	for early := 0; h.code < 200; early++ {
+		if early > mostEarly {
+			return res, false, errors.New("read answer: early words without end")
+		}
+		b, err := c.head()
+		if err == nil {
+			h, err = parseHead(b, w.pool.cfg.PassAll)
+		}
+		if err != nil {
+			return res, false, fmt.Errorf("read answer: %w", err)
+		}
+	}
+	reply := &core.Reply{Code: h.code, Header: h.fields}
+	if err := w.body(a, c, &h, reply); errors.Is(err, errTooLarge) {
+		return core.Result{Status: logic.Error}, false, nil
+	} else if err != nil {
+		return res, false, fmt.Errorf("read body: %w", err)
+	}
+	return w.judge(h, reply), !h.close && c.r.Buffered() == 0, nil
+}
+
+// judge says what an answer means. Only 503 and 504 with the proof say that the request never ran.
+func (w *way) judge(h head, reply *core.Reply) core.Result {
+	all := w.pool.cfg.PassAll
+	switch code := h.code; {
+	case code == http.StatusOK, all && code < 400:
+		return core.Result{Status: logic.OK, Reply: reply}
+	case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) && h.notStarted:
+		reply.Done()
+		return core.Result{Status: logic.FullUp}
+	case code >= 400 && code < 500 && code != http.StatusRequestTimeout && code != http.StatusTooManyRequests:
+		if !all {
+			reply = &core.Reply{Code: code}
+		}
+		return core.Result{Status: logic.Error, Fault: true, Reply: reply}
+	}
+	if !all {
+		reply = nil
+	}
+	return core.Result{Status: logic.Error, Reply: reply} // it may have run
+}
+
+var errTooLarge = errors.New("too large")
+
+// body reads the body that a head announces into the reply.
+func (w *way) body(a *core.Attempt, c *conn, h *head, reply *core.Reply) (err error) {
+	cfg := &w.pool.cfg
+	switch {
+	case a.Method == http.MethodHead && h.length >= 0:
+		reply.Header = append(reply.Header, core.Field{Name: "Content-Length", Value: strconv.FormatInt(h.length, 10)})
+		return nil
+	case a.Method == http.MethodHead || h.code == http.StatusNoContent || h.code == http.StatusNotModified:
+		return nil // RFC 9112, section 6.3
+	case h.length > cfg.MaxAnswer:
+		return errTooLarge
+	case h.length > cfg.Free:
+		return w.large(a, c, h.length, reply)
+	case h.length >= 0:
+		reply.Body = make([]byte, h.length)
+		_, err = io.ReadFull(c.r, reply.Body)
+		return err
+	case !h.chunked:
+		return errors.New("length not given") // its end would look the same as a break
+	}
+	// The length is not known ahead; it counts as the most that is read.
+	most := min(cfg.MaxAnswer, readPart)
+	if most > cfg.Free {
+		if reply.Release, err = w.reserve(a, c, most); err != nil {
+			return err
+		}
+	}
+	reply.Body, err = io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.r), most+1))
+	if err == nil && int64(len(reply.Body)) > most {
+		err = errTooLarge
+	}
+	if err == nil {
+		err = trailer(c.r)
+	}
+	if err != nil || !cfg.Hold {
+		reply.Done()
+	}
+	return err
+}
+
+// trailer reads what stands behind the last chunk: fields that nobody asked for, and an empty line.
+func trailer(r *bufio.Reader) error {
+	for n := 0; n <= mostTrail; {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		if len(line) <= 2 {
+			if string(line) != "\r\n" {
+				return errors.New("no empty line behind the chunks")
+			}
+			return nil
+		}
+		n += len(line)
+	}
+	return errors.New("trailers without end")
+}
+
+// large reads a large body, whose memory is reserved first. Each part of one has as long as a small answer.
+func (w *way) large(a *core.Attempt, c *conn, length int64, reply *core.Reply) (err error) {
+	if reply.Release, err = w.reserve(a, c, length); err != nil {
+		return err
+	}
+	body := make([]byte, length)
+	for read := 0; read < len(body) && err == nil; {
+		if err = c.extend(a, time.Now().Add(answerStall)); err == nil {
+			var n int
+			n, err = io.ReadFull(c.r, body[read:min(len(body), read+readPart)])
+			read += n
+		}
+	}
+	if err != nil || !w.pool.cfg.Hold {
+		reply.Done()
+	}
+	reply.Body = body
+	return err
+}
+
+// reserve waits for memory until the attempt's time is up.
+func (w *way) reserve(a *core.Attempt, c *conn, n int64) (release func(), err error) {
+	ctx, done := a.Context()
+	err = w.pool.cfg.Memory.Reserve(ctx, n)
+	done()
+	if err != nil {
+		return nil, err
+	}
+	release = func() { w.pool.cfg.Memory.Give(n) }
+	if !a.Hook(c) {
+		release()
+		return nil, context.Canceled
+	}
+	return release, nil
+}
--- a/internal/upstream/http1/upstream_test.go
+++ b/internal/upstream/http1/upstream_test.go
@@ -98,8 +98,45 @@
 	return membership.Endpoint{Name: name, Address: addr, Zone: "a", Status: status}
 }
 
+const (
+	maxBody   = 64 << 10
+	maxAnswer = 1 << 20
+)
+
+// fixed is a quota that nobody shares.
+type fixed struct {
+	mu        sync.Mutex
+	most, has int
+}
+
+func (q *fixed) Take() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.has == q.most {
+		return false
+	}
+	q.has++
+	return true
+}
+func (q *fixed) Give()      { q.mu.Lock(); q.has--; q.mu.Unlock() }
+func (q *fixed) Owes() bool { return false }
+
+// slots is memory for so many answers of whatever size.
+type slots chan struct{}
+
+func (s slots) Reserve(ctx context.Context, _ int64) error {
+	select {
+	case s <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+func (s slots) Give(int64) { <-s }
+
 func poolWith(most int, addrs ...string) *Upstream {
-	p := New(Config{DialTimeout: 5 * time.Second, IdleClose: 40 * time.Second, Most: most, Large: 1, Rest: RestSpoilt})
+	p := New(Config{DialTimeout: 5 * time.Second, IdleClose: 40 * time.Second, Rest: RestSpoilt, Quota: &fixed{most: most},
+		Memory: make(slots, 1), MaxAnswer: maxAnswer, Free: maxBody})
 	var list []membership.Endpoint
 	for i, a := range addrs {
 		list = append(list, entry(string(rune('a'+i)), a, membership.Serving))
@@ -165,8 +202,8 @@
 			b := startBackend(t, says(c.text, false))
 			p := poolWith(4, b.addr)
 			res := newAttempt(p, "a", patience).run()
-			if res.Status != c.want || c.want == logic.OK && string(res.Body) != "ok" {
-				t.Errorf("got %v %q, want %v", res.Status, res.Body, c.want)
+			if res.Status != c.want || c.want == logic.OK && string(res.Reply.Body) != "ok" {
+				t.Errorf("got %+v, want %v", res, c.want)
 			}
 			if n := b.requests.Load(); n != 1 {
 				t.Errorf("%d requests came", n)
@@ -183,14 +220,14 @@
 		var all sync.WaitGroup
 		for range 4 {
 			all.Go(func() {
-				if res := newAttempt(p, "a", patience).run(); res.Status != logic.OK || len(res.Body) != size {
-					t.Errorf("%d bytes: got %v with %d", size, res.Status, len(res.Body))
+				if res := newAttempt(p, "a", patience).run(); res.Status != logic.OK || len(res.Reply.Body) != size {
+					t.Errorf("%d bytes: got %v with %d", size, res.Status, len(res.Reply.Body))
 				}
 			})
 		}
 		all.Wait()
-		if len(p.large) != 0 {
-			t.Errorf("%d large answers still counted", len(p.large))
+		if len(p.cfg.Memory.(slots)) != 0 {
+			t.Errorf("%d large answers still counted", len(p.cfg.Memory.(slots)))
 		}
 	}
 }
@@ -236,8 +273,8 @@
 			p := poolWith(100, b.addr)
 			for n := range 60 {
 				res := newAttempt(p, "a", patience).run()
-				if res.Status != logic.OK || string(res.Body) != fmt.Sprintf("%04d", n+1) {
-					t.Fatalf("request %d: got %v %q", n+1, res.Status, res.Body)
+				if res.Status != logic.OK || string(res.Reply.Body) != fmt.Sprintf("%04d", n+1) {
+					t.Fatalf("request %d: got %+v", n+1, res)
 				}
 			}
 		})
