--- a/internal/allot/allot.go
+++ b/internal/allot/allot.go
@@ -2,14 +2,16 @@
 // pure: no I/O, no clock.
 //
 // Each party has a floor that it can have at any time. What the floors leave is lent to whoever asks. A party that is
-// turned away counts as in want for a while, until it has its fair part of what is lent; as long, those that hold more
-// than theirs get no more, and Debtor names one that is to give back. The sum of what is held never passes the total.
+// turned away counts as in want for a while, until it has been given something; as long, those that hold more than
+// their fair part of what is lent get no more, and Debtor names one that is to give back. The sum of what is held never passes the total.
 // Times are in microseconds of one clock.
 package allot
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"slices"
 )
 
 // WantFor is how long a party that was turned away counts as in want, in microseconds. It asks again with its next
@@ -121,14 +123,21 @@
 		return false
 	}
 	if !l.may(now, p, n) {
-		p.until = now + WantFor
 		return false
 	}
 	p.held += n
 	l.held += n
+	p.until = 0
 	return true
 }
 
+// Deny says that a party goes without what Take did not give it, whatever others could give back: it is in want.
+func (l *Ledger) Deny(now int64, name string) {
+	if p := l.parties[name]; p != nil {
+		p.until = now + WantFor
+	}
+}
+
 // may tells whether a party can have n more.
 func (l *Ledger) may(now int64, p *party, n int64) bool {
 	if l.held+n > l.total {
@@ -171,27 +180,31 @@
 	return max(0, left) / max(1, n)
 }
 
-// Debtor names the party that holds most beyond its fair part while name is in want, or beyond its floor while name
-// is under its own. It is to give back what it holds idle, and to keep nothing new idle. False: nobody owes anything.
-func (l *Ledger) Debtor(now int64, name string) (debtor string, ok bool) {
+// Debt is what a party holds beyond its floor.
+type Debt struct {
+	Name string
+	Over bool // beyond its fair part too, or while the one in want has not its floor
+}
+
+// Debtors are the others that hold something beyond their floors where name could have more of it, those first that
+// hold most.
+// What they keep idle is to be given back; what is in use only where they are Over, and by keeping nothing new.
+func (l *Ledger) Debtors(now int64, name string) (debts []Debt) {
 	p := l.parties[name]
-	if p == nil || now >= p.until {
-		return "", false
+	if p == nil || p.held >= p.floor && l.others(now, p) && p.lent() >= l.fair(now, p) {
+		return nil // it would get nothing of what others give back
 	}
-	most := int64(0)
+	var who []*party
 	for _, q := range l.order {
-		if q == p {
-			continue
-		}
-		owed := q.lent()
-		if p.held >= p.floor {
-			owed -= l.fair(now, q)
-		}
-		if owed > most {
-			most, debtor = owed, q.name
+		if q != p && q.lent() > 0 {
+			who = append(who, q)
 		}
 	}
-	return debtor, most > 0
+	slices.SortStableFunc(who, func(a, b *party) int { return cmp.Compare(b.lent(), a.lent()) })
+	for _, q := range who {
+		debts = append(debts, Debt{q.name, q.lent() > l.fair(now, q) || p.held < p.floor})
+	}
+	return debts
 }
 
 // Owes tells whether a party holds more than its fair part while another is in want: what it holds idle is to be
--- a/internal/allot/allot_test.go
+++ b/internal/allot/allot_test.go
@@ -31,6 +31,7 @@
 	for l.Take(now, name, 1) {
 		n++
 	}
+	l.Deny(now, name)
 	return n
 }
 
@@ -48,15 +49,18 @@
 		if before+int64(got) < 10 {
 			t.Fatalf("%s got %d, less than its floor", turn.poor, got)
 		}
-		if d, ok := l.Debtor(now, turn.poor); !ok || d != turn.rich || !l.Owes(now, turn.rich) {
-			t.Fatalf("debtor of %s: %q, %v", turn.poor, d, ok)
+		if d := l.Debtors(now, turn.poor); len(d) != 1 || d[0] != (Debt{turn.rich, true}) || !l.Owes(now, turn.rich) {
+			t.Fatalf("debtors of %s: %v", turn.poor, d)
 		}
-		for l.Owes(now, turn.rich) { // its requests end one by one, and it asks for more all the time
+		for l.lentOver(turn.rich) { // its requests end one by one, and it asks for more all the time
 			l.Give(turn.rich, 1)
 			if l.Take(now, turn.rich, 1) && l.lentOver(turn.rich) {
 				t.Fatalf("%s got more while %s is in want", turn.rich, turn.poor)
 			}
-			l.Take(now, turn.poor, 1)
+			if !l.Take(now, turn.poor, 1) {
+				t.Fatalf("%s did not get what was given back", turn.poor)
+			}
+			l.Deny(now, turn.poor) // it wants still more
 		}
 		take(l, now, turn.poor)
 		if a, b := l.HeldBy(turn.rich), l.HeldBy(turn.poor); a != 40 || b != 40 {
@@ -99,7 +103,11 @@
 			before, n := l.HeldBy(who[i]), 1+rnd.Int64N(5)
 			switch rnd.IntN(4) {
 			case 0, 1, 2:
-				if ok := l.Take(now, who[i], n); !ok && before+n <= floors[i] {
+				ok := l.Take(now, who[i], n)
+				if !ok {
+					l.Deny(now, who[i])
+				}
+				if !ok && before+n <= floors[i] {
 					t.Fatalf("%s holds %d of its floor %d and got no %d more: %+v", who[i], before, floors[i], n, l)
 				} else if ok != (l.HeldBy(who[i]) == before+n) {
 					t.Fatal("the books are wrong")
@@ -131,8 +139,8 @@
 	if n := take(l, 0, "b") + take(l, 0, "c"); n != 10 || l.Held() != 100 {
 		t.Errorf("%d more taken, %d held", n, l.Held())
 	}
-	if d, ok := l.Debtor(0, "c"); !ok || d != "a" {
-		t.Errorf("debtor: %q, %v", d, ok)
+	if d := l.Debtors(0, "c"); len(d) != 1 || d[0] != (Debt{"a", true}) {
+		t.Errorf("debtors: %v", d)
 	}
 	l.Give("a", 90)
 	if n, m := take(l, 0, "b"), take(l, 0, "c"); l.HeldBy("b") != 60 || l.HeldBy("c") != 40 {
--- a/internal/sidecar/shares.go
+++ b/internal/sidecar/shares.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 
 	"fernlanding/internal/allot"
@@ -54,30 +55,42 @@
 	}
 }
 
-const recallTries = 4 // at having others give back one
+const recallTries = 32 // at having others give back one
 
+// take takes n for a party. Where there is no room, what others keep idle makes some.
 func (s *shares) take(party string, n int64) bool {
 	for range recallTries {
-		s.mu.Lock()
-		now := s.clock.Now()
-		ok := s.ledger.Take(now, party, n)
-		var shed func() bool
-		if !ok {
-			if debtor, owes := s.ledger.Debtor(now, party); owes {
-				shed = s.shed[debtor]
-			}
-		}
-		s.mu.Unlock()
+		ok, idle := s.tryTake(party, n)
 		if ok {
 			return true
 		}
-		if shed == nil || !shed() {
-			return false
+		if !slices.ContainsFunc(idle, func(shed func() bool) bool { return shed() }) {
+			break
 		}
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Deny(s.clock.Now(), party)
 	return false
 }
 
+// tryTake takes n, or returns what may make room.
+func (s *shares) tryTake(party string, n int64) (ok bool, idle []func() bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	if s.ledger.Take(now, party, n) {
+		return true, nil
+	}
+	for _, d := range s.ledger.Debtors(now, party) {
+		// A client's idle connection is no mere cache: its close may cross a request.
+		if shed := s.shed[d.Name]; shed != nil && (d.Over || d.Name != config.Clients) {
+			idle = append(idle, shed)
+		}
+	}
+	return false, idle
+}
+
 func (s *shares) give(party string, n int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/sidecar/world.go
+++ b/internal/sidecar/world.go
@@ -288,8 +288,14 @@
 	default:
 		return
 	}
-	c := &core.Request{Request: r.Request, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body}
+	c := &core.Request{Request: r.Request, Method: r.Method, Target: r.Target, Host: r.Host, Body: r.Body}
 	c.ID, c.Class, c.Tenant, c.Key = r.ID+"-mirror", to.class, -1, ""
+	for _, f := range r.Header {
+		if f.Name == "Request-Id" {
+			f.Value = c.ID
+		}
+		c.Header = append(c.Header, f)
+	}
 	go func() {
 		defer func() { <-w.mirrors }()
 		to.pool.Do(c).Reply.Done()
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -21,6 +21,7 @@
 	Content []byte // the body
 	Number  int    // of the backend's requests, from 1
 	Conn    net.Conn
+	Done    <-chan struct{} // closed when the backend ends
 }
 
 // Reply writes a whole answer with a length.
@@ -39,7 +40,7 @@
 
 // Backend is an HTTP/1.1 server on a loopback socket that carries one request at a time on a connection.
 type Backend struct {
-	handler  Handler
+	handler  atomic.Pointer[Handler]
 	listener net.Listener
 	done     chan struct{}
 	all      sync.WaitGroup
@@ -50,7 +51,6 @@
 	conns map[net.Conn]bool
 	runs  map[string]int // by Request-Id
 	keys  map[string]int // by Idempotency-Key
-	paths map[string]int // by Request-Class, or else by method and path
 }
 
 // NewBackend starts a backend. Close ends it.
@@ -59,12 +59,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("backend: %w", err)
 	}
-	b := &Backend{handler: handler, listener: l, done: make(chan struct{}), conns: map[net.Conn]bool{},
-		runs: map[string]int{}, keys: map[string]int{}, paths: map[string]int{}}
+	b := &Backend{listener: l, done: make(chan struct{}), conns: map[net.Conn]bool{},
+		runs: map[string]int{}, keys: map[string]int{}}
+	b.handler.Store(&handler)
 	b.all.Go(b.serve)
 	return b, nil
 }
 
+// SetHandler has the backend answer calls that come from now on in another way.
+func (b *Backend) SetHandler(h Handler) { b.handler.Store(&h) }
+
 // Addr is where the backend listens.
 func (b *Backend) Addr() string { return b.listener.Addr().String() }
 
@@ -156,7 +160,7 @@
 		if err != nil {
 			return
 		}
-		if !b.handler(&Call{Request: req, Content: content, Number: b.count(req), Conn: c}) {
+		if !(*b.handler.Load())(&Call{Request: req, Content: content, Number: b.count(req), Conn: c, Done: b.done}) {
 			return
 		}
 	}
--- a/internal/upstream/http1/exchange.go
+++ b/internal/upstream/http1/exchange.go
@@ -158,9 +158,15 @@
 		return core.Result{Status: logic.Error, Fault: true, Reply: reply}
 	}
 	if !all {
-		reply = nil
+		return core.Result{Status: logic.Error} // it may have run
 	}
-	return core.Result{Status: logic.Error, Reply: reply} // it may have run
+	// A client takes 429 and 503 for a refusal, after which trying again is harmless, and 408 for much the same. Only
+	// this proxy can say that, which knows of all attempts.
+	switch reply.Code {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		reply.Code = http.StatusBadGateway
+	}
+	return core.Result{Status: logic.Error, Reply: reply}
 }
 
 var errTooLarge = errors.New("too large")
