--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -20,15 +20,17 @@
 // server answers every request without a body with the same bytes.
 type server struct {
 	net.Listener
+	work               time.Duration // before each answer
 	opened, open, most atomic.Int64
+	busy, mostBusy     *atomic.Int64 // requests at all servers of a fleet
 }
 
-func newServer() (*server, error) {
+func newServer(work time.Duration, busy, mostBusy *atomic.Int64) (*server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &server{Listener: l}
+	s := &server{Listener: l, work: work, busy: busy, mostBusy: mostBusy}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -50,6 +52,11 @@
 		if err := skipHead(r); err != nil {
 			return
 		}
+		if s.work > 0 {
+			s.mostBusy.Store(max(s.mostBusy.Load(), s.busy.Add(1)))
+			time.Sleep(s.work)
+			s.busy.Add(-1)
+		}
 		if _, err := io.WriteString(c, answer); err != nil {
 			return
 		}
@@ -77,6 +84,7 @@
 	cpu           time.Duration // of the proxy's process, for each request
 	conns         int64         // to backends at once, at most
 	opened        int64         // and in all
+	busy          int64         // requests at backends at once, at most; 0: not counted
 }
 
 func (f figures) String() string {
@@ -86,8 +94,9 @@
 
 func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
-// play sends requests one after another on each of some connections for a time.
-func play(addr string, conns int, long time.Duration) (figures, error) {
+// play sends requests one after another on each of some connections for a time, at pace (0: as fast as it goes) from
+// the begin of one to the begin of the next.
+func play(addr string, conns int, long, pace time.Duration) (figures, error) {
 	var mu sync.Mutex
 	var f figures
 	var times []time.Duration
@@ -96,7 +105,7 @@
 	start := time.Now()
 	for i := range conns {
 		all.Go(func() {
-			mine, other, err := one(addr, i, start.Add(long))
+			mine, other, err := one(addr, i, start.Add(long), pace)
 			if err != nil {
 				errs <- err
 			}
@@ -122,7 +131,7 @@
 }
 
 // one is one client's connection.
-func one(addr string, client int, until time.Time) (times []time.Duration, other int, err error) {
+func one(addr string, client int, until time.Time, pace time.Duration) (times []time.Duration, other int, err error) {
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		return nil, 0, err
@@ -147,6 +156,7 @@
 		} else {
 			other++
 		}
+		time.Sleep(time.Until(began.Add(pace)))
 		if !again { // the proxy has closed
 			c.Close()
 			if c, err = net.Dial("tcp", addr); err != nil {
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"runtime"
+	"runtime/pprof"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -25,7 +26,10 @@
 )
 
 // Each proxy is a process of its own, this test's binary started again, so that its processor time is its own.
-const proxyEnv = "FERNLANDING_BENCH_PROXY"
+const (
+	proxyEnv   = "FERNLANDING_BENCH_PROXY"
+	profileEnv = "FERNLANDING_BENCH_PROFILE" // names a file for the sidecar's processor profile
+)
 
 func TestMain(m *testing.M) {
 	if kind, rest, ok := strings.Cut(os.Getenv(proxyEnv), " "); ok {
@@ -80,18 +84,34 @@
 	if err != nil {
 		return err
 	}
+	if path := os.Getenv(profileEnv); path != "" {
+		f, err := os.Create(path)
+		if err != nil {
+			return err
+		}
+		if err := pprof.StartCPUProfile(f); err != nil {
+			return err
+		}
+	}
 	fmt.Println(s.Addr())
-	go func() { <-ctx.Done(); os.Exit(0) }()
+	go func() { <-ctx.Done(); pprof.StopCPUProfile(); os.Exit(0) }()
 	return s.Run(context.Background())
 }
 
 // measure starts a proxy of a kind, plays, and ends it.
 func measure(tb testing.TB, kind string, conns int, long time.Duration) figures {
 	tb.Helper()
+	return paced(tb, kind, conns, long, 0, 0)
+}
+
+// paced does the same at a pace, before backends that take some time for each request.
+func paced(tb testing.TB, kind string, conns int, long, pace, work time.Duration) figures {
+	tb.Helper()
+	var busy, mostBusy atomic.Int64
 	var servers []*server
 	var addrs []string
 	for range 4 {
-		s, err := newServer()
+		s, err := newServer(work, &busy, &mostBusy)
 		if err != nil {
 			tb.Fatal(err)
 		}
@@ -122,11 +142,11 @@
 		}
 		addr = strings.TrimSpace(line)
 	}
-	if _, err := play(addr, conns, long/4); err != nil { // a warm-up
+	if _, err := play(addr, conns, long/4, pace); err != nil { // a warm-up
 		tb.Fatal(err)
 	}
 	before := cpu(tb, cmd)
-	f, err := play(addr, conns, long)
+	f, err := play(addr, conns, long, pace)
 	if err != nil {
 		tb.Fatal(err)
 	}
@@ -137,6 +157,7 @@
 		f.conns += s.most.Load()
 		f.opened += s.opened.Load()
 	}
+	f.busy = mostBusy.Load()
 	return f
 }
 
@@ -212,6 +233,25 @@
 	return x[len(x)/2]
 }
 
+// BenchmarkConnections gives the backend connections for each request at work, at 2,500 requests a second of 5 ms: with
+// backends that are trusted and with such that may be spoilt.
+//
+//	go test -run - -bench Connections -benchtime 1x ./internal/bench
+func BenchmarkConnections(b *testing.B) {
+	for _, kind := range []string{"sidecar", "wary", "peer"} {
+		b.Run(kind, func(b *testing.B) {
+			for b.Loop() {
+				const conns = 100
+				f := paced(b, kind, conns, length, conns*time.Second/2500, 5*time.Millisecond)
+				b.Logf("%v, at most %d at work", f, f.busy)
+				b.ReportMetric(f.rate, "req/s")
+				b.ReportMetric(float64(f.conns)/float64(f.busy), "conns/at-work")
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
 // BenchmarkIdle gives the resident memory and the time to the first answer of a sidecar's process that stands idle.
 func BenchmarkIdle(b *testing.B) {
 	for b.Loop() {
@@ -227,7 +267,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		_, _ = play(strings.TrimSpace(line), 1, 0)
+		_, _ = play(strings.TrimSpace(line), 1, 0, 0)
 		b.ReportMetric(ms(time.Since(start)), "start-ms")
 		data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", cmd.Process.Pid))
 		if err != nil {
