Set fewer deadlines for answers that have come whole; measure connections out of step

Need: two deadlines an attempt cost 4.5% of the processor time at 16 connections. Change: an answer whose head and body are in the buffer needs no stall bound; the rig's clients at a pace do not all ask at once.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -105,7 +105,7 @@
 	start := time.Now()
 	for i := range conns {
 		all.Go(func() {
-			mine, other, err := one(addr, i, start.Add(long), pace)
+			mine, other, err := one(addr, i, start.Add(long), pace, pace*time.Duration(i)/time.Duration(conns))
 			if err != nil {
 				errs <- err
 			}
@@ -131,7 +131,7 @@
 }
 
 // one is one client's connection.
-func one(addr string, client int, until time.Time, pace time.Duration) (times []time.Duration, other int, err error) {
+func one(addr string, client int, until time.Time, pace, offset time.Duration) (times []time.Duration, other int, err error) {
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		return nil, 0, err
@@ -140,6 +140,7 @@
 	_ = c.SetDeadline(until.Add(20 * time.Second))
 	r := bufio.NewReader(c)
 	var out bytes.Buffer
+	time.Sleep(offset) // so that the clients are not in step
 	for n := 0; time.Now().Before(until); n++ {
 		out.Reset()
 		fmt.Fprintf(&out, "GET /s/%d HTTP/1.1\r\nHost: bench.example.org\r\nRequest-Id: %d-%d\r\nAccept: */*\r\n\r\n", n, client, n)
--- a/internal/upstream/http1/exchange.go
+++ b/internal/upstream/http1/exchange.go
@@ -117,14 +117,16 @@
 	if _, err := c.r.Peek(1); err != nil {
 		return res, false, fmt.Errorf("read answer: %w", err)
 	}
-	if err := c.extend(a, time.Now().Add(answerStall)); err != nil {
-		return res, false, err
-	}
 	var h head
 	for early := 0; h.code < 200; early++ {
 		if early > mostEarly {
 			return res, false, errors.New("read answer: early words without end")
 		}
+		if here, _ := c.r.Peek(c.r.Buffered()); !bytes.Contains(here, []byte("\r\n\r\n")) {
+			if err := c.extend(a, time.Now().Add(answerStall)); err != nil {
+				return res, false, err
+			}
+		}
 		b, err := c.head()
 		if err == nil {
 			h, err = parseHead(b, w.pool.cfg.PassAll)
@@ -185,6 +187,11 @@
 	case h.length > cfg.Free:
 		return w.large(a, c, h.length, reply)
 	case h.length >= 0:
+		if int64(c.r.Buffered()) < h.length {
+			if err := c.extend(a, time.Now().Add(answerStall)); err != nil {
+				return err
+			}
+		}
 		reply.Body = make([]byte, h.length)
 		_, err = io.ReadFull(c.r, reply.Body)
 		return err
@@ -198,6 +205,10 @@
 			return err
 		}
 	}
+	if err := c.extend(a, time.Now().Add(answerStall)); err != nil {
+		reply.Done()
+		return err
+	}
 	reply.Body, err = io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.r), most+1))
 	if err == nil && int64(len(reply.Body)) > most {
 		err = errTooLarge
