Give no attempt up before a fifth of its aim

Cause: at 16 connections 2 of 280,000 requests were refused. An attempt was given up after 12 mean times, which is 1.2 to 4 ms where calls take 0.1 to 0.3 ms: a hiccup of the machine, as long as that, ended all attempts of a request (timeout). Change: not before a fifth of the aim.

--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -16,11 +16,8 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math"
 	"os"
 	"os/signal"
-	"runtime"
-	"runtime/debug"
 	"strings"
 	"syscall"
 
@@ -29,8 +26,6 @@
 )
 
 const (
-	memoryPart = 0.6 // of the limit: the runtime collects harder from there on
-
 	exitFailed = 1
 	exitUsage  = 2 // arguments or a configuration that make no sense
 )
@@ -84,12 +79,7 @@
 	if err != nil {
 		return usageError{err}
 	}
-	if app.Process.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(app.Process.MemoryMB * memoryPart * (1 << 20)))
-	}
-	if app.Process.Cores > 0 {
-		runtime.GOMAXPROCS(int(math.Ceil(app.Process.Cores)))
-	}
+	sidecar.Tune(app)
 	s, err := sidecar.New(app, log)
 	if err != nil {
 		return err
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -22,8 +22,8 @@
 	risePart   = 0.2  // but no more than this part of a small count
 	spareTimes = 1.5  // a good round leaves a count no higher than this times the calls it saw out: an
 	spareCalls = 2.0  // unused count guards from no burst; and this many more, for chance at sparse copies
-	lightPart  = 0.05 // but calls that would take no more than this part of their aim, were their time to grow with
-	// their number, are no burst: where they take microseconds, a round is over before its peak says anything
+	lightPart  = 0.05 // but calls that would take no more than this part of their aim, were their time to grow
+	// with their number, are no burst: where they take microseconds, a round is over before its peak says much
 	cutDepth  = 0.6 // a bad round cuts a count or a share by this times its bad part
 	roundSize = 12  // finishes in a round of evidence: fewer are chance, more are late
 	roundSpan = 2   // aims: a round with fewer finishes has lasted long enough
@@ -34,7 +34,7 @@
 	lateBar    = 0.8 // of the aim: slower finishes count against the tier and the class
 	slowBar    = 0.6 // of the aim: slower finishes press the shares, in time to mend what is late next
 	crowdBar   = 1.6 // of the time under little load: slower finishes press the shares too
-	crowdLeast = 0.1 // of the aim: what is quicker than this is no crowd, whatever the time under little load is
+	crowdLeast = 0.1 // of the aim: what is quicker than this is no crowd
 	crowdLow   = 0.8 // but not below this multiple, since load is then not what makes them slow
 	yieldRatio = 1.5 // a class yields to one that is worth more than this many times as much for its work
 
@@ -80,6 +80,7 @@
 	baseGain   = 0.001       // of the time under little load, upwards; it follows at once downwards
 	firstMean  = 0.25        // of the aim: a fresh copy's guess at the mean time
 	hangMeans  = 12.0        // an attempt is given up after this many mean times
+	hangLeast  = 0.2         // but not before this part of the aim: any hiccup is many times a millisecond
 	leastMeans = 0.5         // a request with less time left than this many mean times cannot make it
 	ownSpan    = 10 * second // without a stated budget, this one holds
 	ownFree    = 5.0         // further attempts in it, whatever was taken
@@ -400,7 +401,8 @@
 func (b *Balancer) timeout(now int64, q *request) int64 {
 	left := b.deadline(q) - now
 	if b.s.Classes[q.Class].Repeat != Unsafe && len(q.attempts) < b.s.MaxAttempts {
-		left = min(left, int64(hangMeans*b.classes[q.Class].mean))
+		hang := max(hangMeans*b.classes[q.Class].mean, hangLeast*float64(b.s.Classes[q.Class].Aim))
+		left = min(left, int64(hang))
 	}
 	return max(left, 1)
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1017,3 +1017,23 @@
 		t.Error("nothing is refused though all is late")
 	}
 }
+
+// Where calls take a tenth of a millisecond, twelve times that is a hiccup of the machine and no hang: each one was given
+// up and sent again, up to the last attempt, and then refused.
+func TestAQuickCallIsNotGivenUpAtAHiccup(t *testing.T) {
+	b, err := New(testSettings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, now := &recorder{}, start
+	b.List(now, h, Full, []Server{{ID: "a", State: Ready, Size: 1}})
+	for i := range 500 {
+		id := fmt.Sprint(i)
+		b.Request(now, h, Request{ID: id, Tenant: -1, GiveUp: now + 1_500_000})
+		now += 100
+		b.Outcome(now, h, Outcome{ID: id, Status: OK, Took: 100, Closed: true})
+	}
+	if last := h.sends[len(h.sends)-1].timeout; last < 100_000 {
+		t.Errorf("given up after %d us of an aim of 500,000", last)
+	}
+}
