--- a/logic/logic.go
+++ b/logic/logic.go
@@ -22,8 +22,8 @@
 	risePart   = 0.2  // but no more than this part of a small count
 	spareTimes = 1.5  // a good round leaves a count no higher than this times the calls it saw out: an
 	spareCalls = 2.0  // unused count guards from no burst; and this many more, for chance at sparse copies
-	lightPart  = 0.05 // but calls that would take no more than this part of their aim, were their time to grow
-	// with their number, are no burst: where they take microseconds, a round is over before its peak says much
+	lightPart  = 0.05 // but calls that take no more than this part of their aim, were their time to grow with
+	// their number, are no burst: a round of microseconds is over before its peak says much
 	cutDepth  = 0.6 // a bad round cuts a count or a share by this times its bad part
 	roundSize = 12  // finishes in a round of evidence: fewer are chance, more are late
 	roundSpan = 2   // aims: a round with fewer finishes has lasted long enough
