Take out a cutoff that nothing read and a counter that nobody asked for

Cause: read over once more. Where a listener fails the fronts are closed at once and no cutoff is looked at; a worker counted requests that it had worked on, which Effects and Runs tell. Change: both are gone; behaviour stays.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -286,13 +286,10 @@
 		v.pool.Hurry(cutoff)
 	}
 	s.mu.Unlock()
-	if err != nil { // one listener has failed: the rest end at once
-		cutoff = told
-	}
 	var fronts sync.WaitGroup
 	for _, f := range s.fronts {
 		fronts.Go(func() {
-			if err != nil {
+			if err != nil { // one listener has failed: the rest end at once
 				f.Close()
 			} else {
 				f.Drain(told.Add(time.Duration(servePart*float64(window))), cutoff)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -19,8 +19,7 @@
 	slow atomic.Int64 // times slower, if more than 1
 	hung atomic.Bool
 	fail atomic.Bool
-	ran  atomic.Int64 // requests that were worked on
-	full atomic.Int64 // and that found no room
+	full atomic.Int64 // requests that found no room
 }
 
 // WorkerConfig is what a worker is made of.
@@ -74,7 +73,6 @@
 	case <-w.Done():
 		return false
 	}
-	w.ran.Add(1)
 	w.effects.happen(w.pod, c)
 	work := time.NewTimer(w.work * time.Duration(max(1, w.slow.Load())))
 	defer work.Stop()
