--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,18 +7,22 @@
 	"fmt"
 	"time"
 
+	"fernlanding/internal/doc"
 	"fernlanding/internal/membership"
 	"fernlanding/internal/route"
 	"fernlanding/internal/settings"
 	"fernlanding/logic"
 )
 
-// Version is the newest version of the application's format that this program reads.
-const Version = 1
+// Version is the newest version of the application's format that this program reads. It reads all before it as well.
+const Version = 2
+
+// Program is the version of this program: major.minor, raised when a file may ask for what an earlier one lacks.
+const Program = "0.3"
 
 // Bounds of a file.
 const (
-	MaxFile     = 4 << 20 // bytes
+	MaxFile     = doc.MaxFile // bytes
 	MaxServices = 256
 	MaxRoutes   = 20_000
 	MaxDeadline = 60 * time.Second // of a class
@@ -36,7 +40,12 @@
 
 // App is what one sidecar is told.
 type App struct {
+	Version   int // of the format that it was written in
 	Name      string
+	Team      string   // that runs the application; may be empty
+	Host      string   // that it runs on; empty: not told
+	Serves    []string // services that the application itself is a backend of
+	Head      Head
 	Wording   Wording
 	Seed      uint64 // of all random draws; 0: the sidecar draws one
 	Process   Process
@@ -45,6 +54,14 @@
 	Routes    []Route
 }
 
+// Head says where a generated file comes from. It changes nothing in a sidecar.
+type Head struct {
+	By          string // what wrote it
+	Requires    string // the oldest program that can read it
+	Sources     string // digest of the catalogue
+	Environment string
+}
+
 // Process is what the process may use.
 type Process struct {
 	Cores    float64 // 0: not told
@@ -61,14 +78,51 @@
 // Service is one service that is called.
 type Service struct {
 	Name   string
+	Owner  string // the team that owns it; may be empty
 	Source Source
 	settings.Site
-	Trusted     bool             // backends send nothing behind their answers: connections need no rest
-	PassAll     bool             // answers of every status go on with their header; otherwise bodies of 200 alone
-	Connections int64            // to backends that it can have at any time; 0: an even part
-	MaxBody     int64            // bytes of a request's body
-	MaxAnswer   int64            // bytes of an answer's
-	Known       *membership.List // the list as last known; may be nil
+	Rules        []Rule           // of its classes, in their order; none on the platform
+	Codes        Codes            // of the sidecar's own answers
+	ColdMultiple float64          // of its present capacity that a cold backend bears
+	Share        float64          // of the service that this application may use; 0: not told
+	Trusted      bool             // backends send nothing behind their answers: connections need no rest
+	PassAll      bool             // answers of every status go on with their header; otherwise bodies of 200 alone
+	Connections  int64            // to backends that it can have at any time; 0: an even part
+	MaxBody      int64            // bytes of a request's body
+	MaxAnswer    int64            // bytes of an answer's
+	Known        *membership.List // the list as last known; may be nil
+}
+
+// Rule is what a class's owner states about running a request again. Logic.Classes has what the module is told, which
+// differs where Resend is narrower than the repeat rule.
+type Rule struct {
+	Repeat   logic.Repeat
+	Group    logic.Group   // of Keyed: who drops repeats between them
+	Window   time.Duration // of Keyed: for how long
+	Key      string        // of Keyed: the field that carries the key, in canonical form
+	Resend   Resend
+	Early    bool     // taken in early data (RFC 8470)
+	Formerly []string // names that the class had
+}
+
+// Resend says where a request that may have run may be sent again. What is proven not to have run may always be.
+type Resend int
+
+// The allowances.
+const (
+	Never   Resend = iota
+	InScope        // to those that drop its repeats, while they recall
+	Any
+)
+
+// String is the word for an allowance in a file.
+func (r Resend) String() string { return [...]string{"never", "scope", "any"}[r] }
+
+// Codes are the codes of the sidecar's own answers; 0 is the usual one.
+type Codes struct {
+	Refused int // nothing has run, or it may be repeated: 503 or 429
+	Failed  int // it may have run: 502 or 500
+	Expired int // its time is up, and it may have run: 504, 502 or 500
 }
 
 // Source is where the list of a service's backends comes from.
@@ -91,6 +145,7 @@
 type Route struct {
 	Name      string
 	Listeners []string // empty: all
+	For       []string // classes of services that the application serves, as service/class, that cause it; empty: any
 	Match     route.Match
 	To        []Target
 	Sticky    string        // the field by which a split's side is chosen, in canonical form; empty: none
@@ -126,6 +181,17 @@
 	return -1
 }
 
+// Limit is how long a request of a route may take at one of its sides: the shorter of the route's time limit and the
+// class's deadline.
+func (a *App) Limit(r *Route, t Target) time.Duration {
+	s := a.Service(t.Service)
+	d := time.Duration(s.Logic.Classes[s.Class(t.Class)].Deadline) * time.Microsecond
+	if r.Timeout > 0 {
+		d = min(d, r.Timeout)
+	}
+	return d
+}
+
 // Longest is the longest deadline of all classes of a service.
 func (s *Service) Longest() (d time.Duration) {
 	for _, c := range s.Logic.Classes {
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -139,7 +140,7 @@
 		}
 		ans := f.pass(r, came, &dest, body)
 		if ans.Verdict != core.NotTaken || tries == mostTries {
-			f.reply(w, ans)
+			f.reply(w, ans, dest.Codes)
 			return
 		}
 		// The pool has closed since it was named, and has seen nothing of the request.
@@ -184,25 +185,25 @@
 }
 
 // word puts a verdict that comes without a backend's reply into a status.
-func word(v core.Verdict) int {
+func word(v core.Verdict, c front.Codes) int {
 	switch v {
 	case core.Refused, core.NotTaken:
-		return http.StatusServiceUnavailable
+		return cmp.Or(c.Refused, http.StatusServiceUnavailable)
 	case core.Expired:
-		return http.StatusGatewayTimeout
+		return cmp.Or(c.Expired, http.StatusGatewayTimeout)
 	case core.Rejected:
 		return http.StatusBadRequest
 	}
-	return http.StatusBadGateway
+	return cmp.Or(c.Failed, http.StatusBadGateway)
 }
 
-func (f *Front) reply(w http.ResponseWriter, ans core.Answer) {
+func (f *Front) reply(w http.ResponseWriter, ans core.Answer, codes front.Codes) {
 	defer ans.Reply.Done()
 	if ans.Verdict == core.Aborted {
 		panic(http.ErrAbortHandler) // a return would answer 200
 	}
 	if ans.Reply == nil {
-		ans.Reply = &core.Reply{Code: word(ans.Verdict)}
+		ans.Reply = &core.Reply{Code: word(ans.Verdict, codes)}
 	}
 	f.write(w, ans.Reply, time.Duration(ans.After)*time.Microsecond, ans.Verdict == core.Rejected)
 }
