--- /dev/null
+++ b/internal/catalogue/model.go
@@ -0,0 +1,381 @@
+package catalogue
+
+import (
+	"fmt"
+	"net/textproto"
+	"slices"
+	"strings"
+	"time"
+
+	"fernlanding/internal/config"
+	"fernlanding/internal/doc"
+	"fernlanding/internal/rules"
+)
+
+// The fields that go on to the files of applications as they stand. Their values are judged there, once, by the reader
+// of the sidecar itself.
+var (
+	serviceFields = []string{"trusted", "connections", "max_body", "max_answer", "attempts", "retry_after", "dial_timeout", "idle_close",
+		"drain_grace", "cold", "start_capacity", "cold_multiple", "tier", "weighted", "order_settle", "full_may_run", "subscribe"}
+	serviceTables = []string{"retry_budget", "answers"}
+	callFields    = []string{"connections", "max_body", "max_answer", "attempts", "retry_after", "dial_timeout", "cold_multiple"}
+	classFields   = []string{"repeat", "dedup_scope", "dedup_window", "key", "resend", "early_data", "hedge", "objective", "deadline", "worth", "late_worth", "in_order", "formerly"}
+	calledFields  = []string{"resend", "early_data", "hedge"} // that a caller may narrow
+	stated        = []string{"repeat", "dedup_scope", "dedup_window", "key"}
+	matchFields   = []string{"hosts", "prefix", "exact", "template", "methods", "headers", "rewrite_prefix", "listeners", "sticky_header"}
+)
+
+// model is a catalogue with one environment's figures.
+type model struct {
+	*doc.Reader
+	services map[string]*service
+	names    []string // of services, sorted
+	apps     []*application
+	factor   float64
+}
+
+type service struct {
+	name    string
+	v       *doc.Value
+	team    string
+	zones   []string
+	classes map[string]*class
+	names   []string // of classes, sorted
+	pods    []pod
+	tenants map[string]*doc.Value
+	called  int // instances of all applications that call it
+}
+
+type class struct {
+	v      *doc.Value
+	routes []*doc.Value
+}
+
+type pod struct {
+	v         *doc.Value
+	endpoints []*doc.Value
+}
+
+type application struct {
+	name      string
+	v         *doc.Value
+	serves    []string
+	instances int
+	calls     []*call
+}
+
+type call struct {
+	service *service
+	v       *doc.Value
+	tenants []string
+	classes []*called
+	ordinal int
+}
+
+type called struct {
+	name string
+	of   *class
+	v    *doc.Value // the call's own table of the class; may be nil
+}
+
+// read makes the model of a tree.
+func read(r *doc.Reader, root *doc.Value) *model {
+	m := &model{Reader: r, services: map[string]*service{}, factor: DefaultRetryFactor}
+	s := doc.NewScope(r, root)
+	f := s.Sub("fleet")
+	m.factor = f.Number("retry_factor", DefaultRetryFactor, 1, 100)
+	f.Done()
+	names, scopes := s.Each("services")
+	for i, v := range scopes {
+		m.services[names[i]] = m.service(v, names[i])
+	}
+	m.names = slices.Sorted(func(yield func(string) bool) {
+		for n := range m.services {
+			if !yield(n) {
+				return
+			}
+		}
+	})
+	names, scopes = s.Each("applications")
+	for i, v := range scopes {
+		m.apps = append(m.apps, m.application(v, names[i]))
+	}
+	slices.SortFunc(m.apps, func(a, b *application) int { return strings.Compare(a.name, b.name) })
+	for _, a := range m.apps {
+		for _, c := range a.calls {
+			c.ordinal = c.service.called
+			c.service.called += a.instances
+		}
+	}
+	return m
+}
+
+// DefaultRetryFactor is how often attempts may multiply over all tiers where a fleet does not say.
+const DefaultRetryFactor = 1.2
+
+func (m *model) name(s doc.Scope, name string) {
+	if !config.IsName(name) {
+		s.Fault(s.V, rules.Name, s.Path, fmt.Sprintf("%q", doc.Clip(name)), "a name of 1 to 64 letters, digits and signs expected")
+	}
+}
+
+func (m *model) service(s doc.Scope, name string) *service {
+	m.name(s, name)
+	v := &service{name: name, v: s.V, classes: map[string]*class{}, tenants: map[string]*doc.Value{}}
+	if v.team = s.Text("team", ""); v.team == "" {
+		s.Bad(rules.Missing, "team", "the team that owns the service expected")
+	}
+	v.zones = s.Texts("zones")
+	s.Take(serviceFields...)
+	for _, f := range serviceTables {
+		s.Get(f, doc.Table)
+	}
+	switch s.Word("membership", "static", "static", "catalog") {
+	case "catalog":
+		s.Take("discovery")
+		if s.Has("pods") {
+			s.Bad(rules.Exclusive, "pods", `stand in the catalogue where membership is "static"`)
+			s.Take("pods")
+		}
+	default:
+		if s.Has("discovery") {
+			s.Bad(rules.Exclusive, "discovery", `goes with membership = "catalog"`)
+			s.Take("discovery")
+		}
+		m.pods(s, v)
+	}
+	names, scopes := s.Each("classes")
+	for i, c := range scopes {
+		k := &class{v: c.V}
+		c.Take(classFields...)
+		for _, r := range c.List("routes") {
+			r.Take(matchFields...)
+			r.Done()
+			k.routes = append(k.routes, r.V)
+		}
+		c.Done()
+		v.classes[names[i]] = k
+	}
+	v.names = slices.Sorted(slices.Values(names))
+	if len(names) == 0 {
+		s.Bad(rules.Missing, "classes", "one class at least expected")
+	}
+	names, scopes = s.Each("tenants")
+	for i, t := range scopes {
+		t.Take("portion", "quota")
+		t.Done()
+		v.tenants[names[i]] = t.V
+	}
+	s.Done()
+	return v
+}
+
+// pods reads where a service's backends are. The members of a pod share one record of keys.
+func (m *model) pods(s doc.Scope, v *service) {
+	names, scopes := s.Each("pods")
+	if len(names) == 0 {
+		s.Bad(rules.Missing, "pods", `one at least expected where membership is "static"`)
+	}
+	cells, addresses := map[string]*doc.Value{}, map[string]*doc.Value{}
+	for i, p := range scopes {
+		m.name(p, names[i])
+		p.Take("zone")
+		if !p.Has("cell") {
+			p.Bad(rules.Missing, "cell", "the number of the pod expected: its members drop each other's repeats")
+		} else if c := p.Get("cell", doc.Integer); c != nil {
+			if old := cells[c.Text]; old != nil {
+				m.Faults = append(m.Faults, doc.Fault{Place: c.Place, Rule: rules.DoubleName, Field: p.Name("cell"), Found: c.Say(), Expect: "another pod has this number", See: old.Place})
+			}
+			cells[c.Text] = c
+		}
+		one := pod{v: p.V}
+		for _, e := range p.List("endpoints") {
+			e.Take("name", "address", "weight", "status")
+			e.Done()
+			one.endpoints = append(one.endpoints, e.V)
+			if a := e.V.Fields["address"]; a != nil {
+				if old := addresses[a.Text]; old != nil && old != p.V {
+					m.Faults = append(m.Faults, doc.Fault{Place: a.Place, Rule: rules.PodDisagrees, Field: e.Name("address"), Found: a.Say(), Expect: "this address is in another pod too", See: old.Place})
+				}
+				addresses[a.Text] = p.V
+			}
+		}
+		if len(one.endpoints) == 0 {
+			p.Bad(rules.Missing, "endpoints", "one at least expected")
+		}
+		p.Done()
+		v.pods = append(v.pods, one)
+	}
+	if len(v.pods) == len(names) { // in the order of their names
+		order := slices.Clone(names)
+		slices.Sort(order)
+		sorted := make([]pod, 0, len(names))
+		for _, n := range order {
+			sorted = append(sorted, v.pods[slices.Index(names, n)])
+		}
+		v.pods = sorted
+	}
+}
+
+func (m *model) application(s doc.Scope, name string) *application {
+	m.name(s, name)
+	a := &application{name: name, v: s.V, serves: s.Texts("serves"), instances: int(s.Whole("instances", 1, 1, 100_000))}
+	s.Take("team", "host", "zone")
+	s.Get("process", doc.Table)
+	s.Get("listeners", doc.Array)
+	for _, of := range a.serves {
+		m.find(s, "serves", of)
+	}
+	names, scopes := s.Each("calls")
+	for i, c := range scopes {
+		if one := m.call(c, names[i]); one != nil {
+			a.calls = append(a.calls, one)
+		}
+	}
+	slices.SortFunc(a.calls, func(x, y *call) int { return strings.Compare(x.service.name, y.service.name) })
+	if len(names) == 0 {
+		s.Bad(rules.Missing, "calls", "one service that it calls at least expected")
+	}
+	s.Done()
+	return a
+}
+
+// find returns a service of a name, or faults the field that names it.
+func (m *model) find(s doc.Scope, field, name string) *service {
+	v := m.services[name]
+	if v == nil {
+		expect := "one of the services of the catalogue expected"
+		if near := doc.Nearest(name, m.names); near != "" {
+			expect += ": " + near + " meant?"
+		}
+		s.Bad(rules.UnknownService, field, "%s, found %q", expect, doc.Clip(name))
+	}
+	return v
+}
+
+func (m *model) call(s doc.Scope, name string) *call {
+	v := m.find(s, "", name)
+	c := &call{service: v, v: s.V, tenants: s.Texts("tenants")}
+	s.Take(callFields...)
+	s.Take("share", "time_limit", "zone", "for")
+	s.Get("retry_budget", doc.Table)
+	s.Get("split", doc.Array)
+	names, scopes := s.Each("classes")
+	for i, k := range scopes {
+		k.Take(calledFields...)
+		k.Take(stated...)
+		k.Take("time_limit", "for", "mirror")
+		for _, r := range k.List("routes") {
+			r.Take(matchFields...)
+			r.Done()
+		}
+		k.Done()
+		if v == nil {
+			continue
+		}
+		of := v.classes[names[i]]
+		if of == nil {
+			m.noClass(k, v, names[i])
+			continue
+		}
+		m.agree(k, v, names[i], of)
+		c.classes = append(c.classes, &called{names[i], of, k.V})
+	}
+	s.Done()
+	if v == nil {
+		return nil
+	}
+	if len(names) == 0 {
+		for _, n := range v.names {
+			c.classes = append(c.classes, &called{name: n, of: v.classes[n]})
+		}
+	}
+	slices.SortFunc(c.classes, func(a, b *called) int { return strings.Compare(a.name, b.name) })
+	for _, t := range c.tenants {
+		if v.tenants[t] == nil {
+			expect := "no tenant of " + name + " is named so"
+			if near := doc.Nearest(t, keys(v.tenants)); near != "" {
+				expect += ": " + near + " meant?"
+			}
+			s.Bad(rules.UnknownTenant, "tenants", "%s, found %q", expect, doc.Clip(t))
+		}
+	}
+	m.within(s, v)
+	return c
+}
+
+// within holds a caller to bounds that the owner states.
+func (m *model) within(s doc.Scope, v *service) {
+	owner := doc.Scope{Reader: &doc.Reader{}, V: v.v.Clone()}
+	most := owner.Whole("attempts", 3, 1, 16)
+	if n := s.Whole("attempts", 1, 1, 16); n > most {
+		s.Bad(rules.Range, "attempts", "%d at most expected, as the owner states, team %s", most, v.team)
+	}
+	cold := owner.Number("cold_multiple", 3, 0, 100)
+	if x := s.Number("cold_multiple", 1, 0, 100); x > cold {
+		s.Bad(rules.ColdMultiple, "cold_multiple", "%g at most expected, as the owner states, team %s", cold, v.team)
+	}
+}
+
+func (m *model) noClass(s doc.Scope, v *service, name string) {
+	for _, n := range v.names {
+		if f := v.classes[n].v.Fields["formerly"]; f != nil {
+			for _, item := range f.Items {
+				if item.Text == name {
+					m.Faults = append(m.Faults, doc.Fault{Place: s.V.Place, Rule: rules.ClassRenamed, Field: s.Path, Expect: n + " expected: that is its name now", See: f.Place})
+					return
+				}
+			}
+		}
+	}
+	expect := "one of the classes of " + v.name + " expected"
+	if near := doc.Nearest(name, v.names); near != "" {
+		expect += ": " + near + " meant?"
+	}
+	s.Fault(s.V, rules.UnknownClass, s.Path, "", expect)
+}
+
+// agree compares what a caller states of a class with what its owner states.
+func (m *model) agree(s doc.Scope, v *service, name string, of *class) {
+	for _, f := range stated {
+		mine, theirs := s.V.Fields[f], of.v.Fields[f]
+		if mine == nil || theirs != nil && meaning(f, mine) == meaning(f, theirs) {
+			continue
+		}
+		at, says := of.v.Place, "says nothing"
+		if theirs != nil {
+			at, says = theirs.Place, "says "+theirs.Say()
+		} else if f == "dedup_scope" && mine.Text == "cell" && of.v.Fields["repeat"] != nil && of.v.Fields["repeat"].Text == "keyed" {
+			continue // the default
+		}
+		m.Faults = append(m.Faults, doc.Fault{Place: mine.Place, Rule: rules.ClassDisagrees, Field: s.Name(f), Found: mine.Say(),
+			Expect: fmt.Sprintf("team %s, which owns %s, %s of class %s", v.team, v.name, says, name), See: at})
+	}
+	order := map[string]int{"never": 0, "scope": 1, "any": 2}
+	if mine, theirs := s.V.Fields["resend"], of.v.Fields["resend"]; mine != nil && theirs != nil && order[mine.Text] > order[theirs.Text] {
+		m.Faults = append(m.Faults, doc.Fault{Place: mine.Place, Rule: rules.ClassDisagrees, Field: s.Name("resend"), Found: mine.Say(),
+			Expect: fmt.Sprintf("team %s, which owns %s, allows %s of class %s", v.team, v.name, theirs.Say(), name), See: theirs.Place})
+	}
+}
+
+// meaning is what a value of a field means, whatever way it is written.
+func meaning(field string, v *doc.Value) string {
+	switch field {
+	case "dedup_window":
+		if d, err := time.ParseDuration(v.Text); err == nil {
+			return d.String()
+		}
+	case "key":
+		return textproto.CanonicalMIMEHeaderKey(v.Text)
+	}
+	return v.Text
+}
+
+func keys[V any](m map[string]V) []string {
+	var out []string
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/check/chain.go
@@ -0,0 +1,282 @@
+package check
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"fernlanding/internal/config"
+	"fernlanding/internal/doc"
+	"fernlanding/internal/rules"
+	"fernlanding/logic"
+)
+
+// A chain is made of calls: an application that is a backend of one service calls a class of another. A node is a class of
+// a service; an edge is a route of an application that leads to it, with the nodes that cause it.
+
+// node is a class of a service.
+type node struct{ service, class string }
+
+func (n node) String() string { return n.service + "/" + n.class }
+
+// edge is a route to a node.
+type edge struct {
+	d      *config.Document
+	route  int // of the document, from 0
+	to     node
+	limit  time.Duration
+	budget float64 // how often a request becomes an attempt at the most, over time
+	may    bool    // a request that may have run may be sent again
+	causes []node  // empty: the calls come from outside of the fleet
+}
+
+func (e *edge) at() doc.Place {
+	p, _ := e.d.Place("routes", strconv.Itoa(e.route+1))
+	return p
+}
+
+func (e *edge) limitAt() []string { return []string{"routes", strconv.Itoa(e.route + 1), "timeout"} }
+
+// graph is all calls of a fleet.
+type graph struct {
+	in    map[node][]*edge // that lead to a node
+	nodes []node           // in order
+}
+
+func (f *fleet) graph() *graph {
+	g := &graph{in: map[node][]*edge{}}
+	classes := map[string][]string{} // of each service, as any file has them
+	for _, d := range f.docs {
+		for _, s := range d.App.Services {
+			for _, c := range s.Classes {
+				if !slices.Contains(classes[s.Name], c) {
+					classes[s.Name] = append(classes[s.Name], c)
+				}
+			}
+		}
+	}
+	for _, d := range f.docs {
+		served := []node{} // all that the application is a backend of
+		for _, s := range d.App.Serves {
+			for _, c := range classes[s] {
+				served = append(served, node{s, c})
+			}
+		}
+		for i := range d.App.Routes {
+			r := &d.App.Routes[i]
+			causes := served
+			if len(r.For) > 0 {
+				causes = nil
+				for _, c := range r.For {
+					service, class, _ := strings.Cut(c, "/")
+					causes = append(causes, node{service, class})
+				}
+			}
+			targets := r.To
+			if r.Mirror != nil {
+				targets = append(targets[:len(targets):len(targets)], *r.Mirror)
+			}
+			for _, t := range targets {
+				s := d.App.Service(t.Service)
+				rule := s.Rules[s.Class(t.Class)]
+				e := &edge{d: d, route: i, to: node{t.Service, t.Class}, limit: d.App.Limit(r, t), budget: 1, causes: causes, may: rule.Resend != config.Never}
+				if e.may && s.Logic.MaxAttempts > 1 {
+					e.budget += min(s.Logic.BudgetShare, float64(s.Logic.MaxAttempts-1))
+				}
+				if g.in[e.to] == nil {
+					g.nodes = append(g.nodes, e.to)
+				}
+				g.in[e.to] = append(g.in[e.to], e)
+			}
+		}
+	}
+	slices.SortFunc(g.nodes, func(a, b node) int { return strings.Compare(a.String(), b.String()) })
+	return g
+}
+
+// chains judges what goes over several tiers.
+func (f *fleet) chains() {
+	g := f.graph()
+	if f.cycles(g) {
+		return // along a circle nothing else makes sense
+	}
+	c := chain{fleet: f, g: g, spans: map[node]span{}, factors: map[node]product{}}
+	for _, n := range g.nodes {
+		for _, e := range g.in[n] {
+			c.limits(e)
+			c.window(e)
+			c.retries(e)
+		}
+	}
+}
+
+// cycles finds services that call each other in a circle, and prints one way round for each.
+func (f *fleet) cycles(g *graph) bool {
+	const (
+		fresh = iota
+		open
+		done
+	)
+	state, found := map[node]int{}, false
+	var way []*edge // from a node back to what causes it
+	var visit func(n node)
+	visit = func(n node) {
+		state[n] = open
+		for _, e := range g.in[n] {
+			for _, cause := range e.causes {
+				switch state[cause] {
+				case fresh:
+					way = append(way, e)
+					visit(cause)
+					way = way[:len(way)-1]
+				case open:
+					found = true
+					f.cycle(append(way[:len(way):len(way)], e), cause)
+				}
+			}
+		}
+		state[n] = done
+	}
+	for _, n := range g.nodes {
+		if state[n] == fresh {
+			visit(n)
+		}
+	}
+	return found
+}
+
+// cycle reports a circle. way leads backwards; its last edge is caused by from, which is one of its nodes.
+func (f *fleet) cycle(way []*edge, from node) {
+	for i, e := range way {
+		if e.to == from {
+			way = way[i:]
+			break
+		}
+	}
+	words := []string{from.String()}
+	for _, e := range slices.Backward(way) {
+		words = append(words, fmt.Sprintf("%s (%s by %s)", e.to, e.at().Short(), e.d.App.Name))
+	}
+	// Begin with the smallest place, so that one circle is told in one way.
+	first := slices.MinFunc(way, func(a, b *edge) int { return a.at().Compare(b.at()) })
+	f.bad(first.d, rules.ServiceCycle, []string{"routes", strconv.Itoa(first.route + 1)}, "", strings.Join(words, " -> "), doc.Place{})
+}
+
+// chain is one look at all chains.
+type chain struct {
+	*fleet
+	g       *graph
+	spans   map[node]span
+	factors map[node]product
+}
+
+// limits compares a call's time with what its caller has.
+func (c *chain) limits(e *edge) {
+	var short *edge
+	for _, cause := range e.causes {
+		for _, outer := range c.g.in[cause] {
+			if outer.limit < e.limit && (short == nil || outer.limit < short.limit) {
+				short = outer
+			}
+		}
+	}
+	if short != nil {
+		at, _ := short.d.Place(short.limitAt()...)
+		c.bad(e.d, rules.LimitGrows, e.limitAt(), e.limit.String(),
+			fmt.Sprintf("%s allows %v for %s, which causes the call", short.d.App.Name, short.limit, short.to), at)
+	}
+}
+
+// span is how long after the first copy of a request another may come to a node, and the call that allows it.
+type span struct {
+	time time.Duration
+	by   *edge
+}
+
+// span is that of all calls to a node together.
+func (c *chain) span(n node) span {
+	if s, known := c.spans[n]; known {
+		return s
+	}
+	var most span
+	for _, e := range c.g.in[n] {
+		if e.may && e.limit > most.time {
+			most = span{e.limit, e}
+		}
+		if s := c.outer(e); s.time > most.time {
+			most = s
+		}
+	}
+	c.spans[n] = most
+	return most
+}
+
+// outer is what outer tiers allow of a call.
+func (c *chain) outer(e *edge) (most span) {
+	for _, cause := range e.causes {
+		if s := c.span(cause); s.time > most.time {
+			most = s
+		}
+	}
+	return most
+}
+
+// window finds calls that outer tiers may make again when the records of their keys are gone.
+func (c *chain) window(e *edge) {
+	s := e.d.App.Service(e.to.service)
+	rule := s.Rules[s.Class(e.to.class)]
+	if rule.Repeat != logic.Keyed {
+		return
+	}
+	if outer := c.outer(e); outer.time > rule.Window {
+		c.bad(e.d, rules.WindowChain, []string{"routes", strconv.Itoa(e.route + 1)}, e.to.String()+" recalled for "+rule.Window.String(),
+			fmt.Sprintf("%s may send %s, which causes it, again for %v", outer.by.d.App.Name, outer.by.to, outer.time), outer.by.at())
+	}
+}
+
+// product is how often an outermost request may become an attempt at a node, and the calls that multiply it.
+type product struct {
+	x   float64
+	way []*edge
+}
+
+func (c *chain) factor(n node) product {
+	if p, known := c.factors[n]; known {
+		return p
+	}
+	most := product{x: 0}
+	for _, e := range c.g.in[n] {
+		if p := c.along(e); p.x > most.x {
+			most = p
+		}
+	}
+	c.factors[n] = most
+	return most
+}
+
+// along is the product of the calls up to and including one.
+func (c *chain) along(e *edge) product {
+	most := product{x: 1}
+	for _, cause := range e.causes {
+		if p := c.factor(cause); p.x > most.x {
+			most = p
+		}
+	}
+	return product{most.x * e.budget, append(most.way[:len(most.way):len(most.way)], e)}
+}
+
+// retries finds the call with which attempts multiply beyond the factor.
+func (c *chain) retries(e *edge) {
+	p := c.along(e)
+	if p.x <= c.fleet.factor+1e-9 || p.x/e.budget > c.fleet.factor+1e-9 {
+		return // not, or further out already
+	}
+	var words []string
+	for _, w := range p.way {
+		words = append(words, fmt.Sprintf("%s to %s %s", w.d.App.Name, w.to, number(w.budget)))
+	}
+	c.bad(e.d, rules.RetryFactor, []string{"routes", strconv.Itoa(e.route + 1)}, number(p.x)+" = "+strings.Join(words, " x "),
+		number(c.fleet.factor)+" at most", doc.Place{})
+}
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -522,9 +522,9 @@
 			var sh *route.Shadowed
 			if errors.As(e, &sh) {
 				by := scopes[numbers[sh.By]]
-				at.Fault(at.V, rules.RouteDead, at.Path, strconv.Quote(a.Routes[numbers[re.Rule]].Name),
-					fmt.Sprintf("it can't be reached at listener %s: %q in line %d takes all its requests before",
-						l.Name, a.Routes[numbers[sh.By]].Name, by.V.Place.Line))
+				s.Faults = append(s.Faults, Fault{Place: at.V.Place, Rule: rules.RouteDead, Field: at.Path,
+					Found: strconv.Quote(doc.Clip(a.Routes[numbers[re.Rule]].Name)), See: by.V.Place,
+					Expect: fmt.Sprintf("it can't be reached at listener %s: %q takes all its requests before", l.Name, doc.Clip(a.Routes[numbers[sh.By]].Name))})
 				continue
 			}
 			for _, why := range split(re.Err) {
--- a/internal/config/decode_test.go
+++ b/internal/config/decode_test.go
@@ -159,7 +159,7 @@
 		{`timeout = "900ms"`, `timeout = "2s"`, `the deadline of class lookup (1.5s) expected at most`},
 		{`prefix = "/v1/tariffs"`, `prefix = "/v1//tariffs"`, `f:47:3: routes[1]: path "/v1//tariffs": requests are matched in canonical form, write "/v1/tariffs"`},
 		{`prefix = "/v1/tariffs"`, "prefix = \"/v1/tariffs\"\nexact = \"/x\"", `one of prefix, exact and template expected`},
-		{`exact = "/rate"`, `template = "/accounts/{x}/charges"`, `"rate": it can't be reached at listener main: "post" in line 58 takes`},
+		{`exact = "/rate"`, `template = "/accounts/{x}/charges"`, `"rate": it can't be reached at listener main: "post" takes all its requests before (f:58)`},
 		{`name = "rate"`, `name = "post"`, `another route has this name`},
 		{`sticky_header = "x-account"`, `sticky_header = "x account"`, `the name of a field expected`},
 		{`weight = 95`, `weight = 0`, ``},
--- a/internal/doc/fault.go
+++ b/internal/doc/fault.go
@@ -44,6 +44,7 @@
 	Field  string
 	Found  string // what stands there; empty where something is missing or the fault says it all
 	Expect string // what was expected instead, or why it can't be
+	See    Place  // another place that has to do with it; none if its File is empty
 }
 
 // Warning tells whether the fault is accepted.
@@ -51,7 +52,7 @@
 
 // Error is the fault as one line: the place, the rule, what was found and what was expected.
 func (f Fault) Error() string {
-	return oneLine(f.Place.String() + ": " + string(f.Rule) + ": " + f.what() + f.Expect)
+	return oneLine(f.Place.String() + ": " + string(f.Rule) + ": " + f.what())
 }
 
 // oneLine takes out what would break a line, such as control characters in a quoted key.
@@ -72,6 +73,10 @@
 	if f.Found != "" {
 		b.WriteString("found " + f.Found + ": ")
 	}
+	b.WriteString(f.Expect)
+	if f.See.File != "" {
+		b.WriteString(" (" + f.See.Short() + ")")
+	}
 	return b.String()
 }
 
@@ -81,7 +86,7 @@
 	if r.Severity == rules.Warning {
 		mark = " (warning)"
 	}
-	return oneLine(fmt.Sprintf("%s: %s%s: %s%s; %s; %s", f.Place, f.Rule, mark, f.what(), f.Expect, r.Why, r.Instead))
+	return oneLine(fmt.Sprintf("%s: %s%s: %s; %s; %s", f.Place, f.Rule, mark, f.what(), r.Why, r.Instead))
 }
 
 // Faults is all that is wrong, in the order in which it stands.
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -133,6 +133,7 @@
 	OldVersion      ID = "OLD-VERSION"
 	Unused          ID = "UNUSED"
 	NoHint          ID = "NO-HINT"
+	ClassFormer     ID = "CLASS-FORMER"
 )
 
 var all = []Rule{
@@ -214,6 +215,7 @@
 
 	{OldVersion, groupWarning, Warning, 0, "a file of an older version of the format", "rules of later versions do not hold for it in the sidecar", "run fernctl migrate"},
 	{Unused, groupWarning, Warning, 0, "a service or class that no route leads to", "it takes descriptors and memory and serves nobody", "remove it, or add its route"},
+	{ClassFormer, groupWarning, Warning, 0, "a class that one file has under its former name and another under its new one", "its figures in logs fall apart until all have the new name", "generate and deploy the file that has the former name"},
 	{NoHint, groupWarning, Warning, 0, "refusals without a time to come back", "refused clients come back at once, all together", `write retry_after = "1s"`},
 }
 
