--- a/internal/catalogue/generate.go
+++ b/internal/catalogue/generate.go
@@ -232,7 +232,9 @@
 	e.line(s.v.Place, "")
 	e.line(s.v.Place, "[%s]", path)
 	e.fields(s.v, "membership", "discovery")
-	e.line(s.v.Place, "owner = %s", quote(s.team))
+	if s.team != "" {
+		e.line(s.v.Fields["team"].Place, "owner = %s", quote(s.team))
+	}
 	e.zone(s, c)
 	if c != nil {
 		if share := c.v.Fields["share"]; share != nil {
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -275,8 +276,11 @@
 	for i, t := range scopes {
 		named(t, "", names[i])
 		v.Tenants = append(v.Tenants, names[i])
+		before := len(s.Faults)
 		l.Tenants = append(l.Tenants, logic.Tenant{Portion: t.Number("portion", 1, 0, 1), Quota: t.Number("quota", 0, 0, 1e9)})
-		portions += l.Tenants[i].Portion
+		if len(s.Faults) == before {
+			portions += l.Tenants[i].Portion
+		}
 		t.Done()
 	}
 	if len(names) > 1 && portions > 1+1e-9 { // one tenant alone may have it all by default
@@ -449,7 +453,13 @@
 }
 
 func (x *decoder) source(s doc.Scope, v *Service) {
-	switch s.Word("membership", "static", "static", "catalog") {
+	before := len(s.Faults)
+	kind := s.Word("membership", "static", "static", "catalog")
+	if len(s.Faults) > before { // what goes with it can't be told
+		s.Take("discovery", "endpoints", "subscribe")
+		return
+	}
+	switch kind {
 	case "catalog":
 		v.Source = Source{Kind: Catalog, Address: address(s, "discovery", false)}
 		if s.Has("endpoints") {
@@ -479,7 +489,7 @@
 			one.Name = one.Address
 		}
 		if x.version >= 2 && !slices.Contains(v.Zones, one.Zone) {
-			e.Bad(rules.UnknownZone, "zone", "one of the zones of the service expected: %s", strings.Join(v.Zones, ", "))
+			e.Bad(rules.UnknownZone, "zone", "one of the zones of the service expected: %s", cmp.Or(strings.Join(v.Zones, ", "), "it names none"))
 		}
 		if seen[one.Name] {
 			e.Bad(rules.DoubleName, "name", "another endpoint of %s has this name", s.Path)
@@ -662,7 +672,7 @@
 		if _, of, _ := x.app.class(r.To[first]); of.Repeat != rule.Repeat {
 			s.Bad(rules.SplitRepeat, "split", "its sides disagree on what may be repeated: %s of %s is %s, %s of %s is %s",
 				r.To[first].Class, r.To[first].Service, RepeatName(of.Repeat), t.Class, t.Service, RepeatName(rule.Repeat))
-		} else if rule.Repeat == logic.Keyed && i > first {
+		} else if rule.Repeat == logic.Keyed && i > first && of.Key != "" && rule.Key != "" && of.Window > 0 && rule.Window > 0 {
 			sameScope(s, r.To[first], of, t, rule)
 		}
 		if d := time.Duration(k.Deadline) * time.Microsecond; r.Timeout > d {
--- a/internal/config/migrate.go
+++ b/internal/config/migrate.go
@@ -78,7 +78,7 @@
 		if n := root.Fields["name"]; n != nil {
 			m.edits = append(m.edits, edit{n.Raw, fmt.Sprintf("%q", name)})
 		} else {
-			m.edits = append(m.edits, edit{doc.Range{From: v.Raw.To, To: v.Raw.To}, fmt.Sprintf("\nname = %q", name)})
+			m.edits = append(m.edits, edit{m.lineEnd(v.Raw.To), fmt.Sprintf("\nname = %q", name)})
 		}
 		m.step(v.Place, fmt.Sprintf("name = %q", name), "checks over many files tell applications apart by it; it is the file's name")
 	}
@@ -101,11 +101,24 @@
 		prefix := string(m.data[by.Line.From:by.Last.From])
 		begin := bytes.LastIndexByte(m.data[:by.Line.From], '\n') + 1
 		indent := string(m.data[begin:by.Line.From])
-		text = fmt.Sprintf("\n%s%s%s = %q", indent, prefix, field, value)
+		m.edits = append(m.edits, edit{m.lineEnd(by.Raw.To), fmt.Sprintf("\n%s%s%s = %q", indent, prefix, field, value)})
+		return
 	}
 	m.edits = append(m.edits, edit{doc.Range{From: by.Raw.To, To: by.Raw.To}, text})
 }
 
+// lineEnd is the empty range before the end of a line, behind a comment.
+func (m *migration) lineEnd(from int) doc.Range {
+	end := len(m.data)
+	if n := bytes.IndexByte(m.data[from:], '\n'); n >= 0 {
+		end = from + n
+	}
+	if end > from && m.data[end-1] == '\r' {
+		end--
+	}
+	return doc.Range{From: end, To: end}
+}
+
 // apply makes the edits, which do not overlap.
 func (m *migration) apply() []byte {
 	slices.SortStableFunc(m.edits, func(a, b edit) int { return a.at.From - b.at.From })
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -109,6 +109,14 @@
 	return nil
 }
 
+// Discard closes the listeners of a sidecar that is not to run.
+func (s *Sidecar) Discard() {
+	for _, f := range s.fronts {
+		f.Close()
+	}
+	s.end()
+}
+
 // Addr is where clients connect to the first listener.
 func (s *Sidecar) Addr() string { return s.fronts[0].Addr() }
 
