--- a/internal/check/chain.go
+++ b/internal/check/chain.go
@@ -28,8 +28,9 @@
 	to     node
 	limit  time.Duration
 	budget float64 // how often a request becomes an attempt at the most, over time
-	may    bool    // a request that may have run may be sent again
-	causes []node  // empty: the calls come from outside of the fleet
+	may    bool    // a request that may have run may be sent again, or beside itself
+	rule   config.Rule
+	causes []node // empty: the calls come from outside of the fleet
 }
 
 func (e *edge) at() doc.Place {
@@ -78,11 +79,11 @@
 			if r.Mirror != nil {
 				targets = append(targets[:len(targets):len(targets)], *r.Mirror)
 			}
-			for _, t := range targets {
+			for n, t := range targets {
 				s := d.App.Service(t.Service)
 				rule := s.Rules[s.Class(t.Class)]
-				e := &edge{d: d, route: i, to: node{t.Service, t.Class}, limit: d.App.Limit(r, t), budget: 1, causes: causes, may: rule.Resend != config.Never}
-				if e.may && s.Logic.MaxAttempts > 1 {
+				e := &edge{d: d, route: i, to: node{t.Service, t.Class}, limit: d.App.Limit(r, t), budget: 1, causes: causes, may: rule.Resend != config.Never || n >= len(r.To), rule: rule}
+				if rule.Resend != config.Never && s.Logic.MaxAttempts > 1 {
 					e.budget += min(s.Logic.BudgetShare, float64(s.Logic.MaxAttempts-1))
 				}
 				if g.in[e.to] == nil {
@@ -102,11 +103,12 @@
 	if f.cycles(g) {
 		return // along a circle nothing else makes sense
 	}
-	c := chain{fleet: f, g: g, spans: map[node]span{}, factors: map[node]product{}}
+	c := chain{fleet: f, g: g, spans: map[node]span{}, factors: map[node]product{}, repeated: map[node]*edge{}}
 	for _, n := range g.nodes {
 		for _, e := range g.in[n] {
 			c.limits(e)
 			c.window(e)
+			c.again(e)
 			c.retries(e)
 		}
 	}
@@ -179,9 +181,10 @@
 // chain is one look at all chains.
 type chain struct {
 	*fleet
-	g       *graph
-	spans   map[node]span
-	factors map[node]product
+	g        *graph
+	spans    map[node]span
+	factors  map[node]product
+	repeated map[node]*edge
 }
 
 // limits compares a call's time with what its caller has.
@@ -248,6 +251,65 @@
 	}
 }
 
+// repeats is a call by which requests of a class run again: a safe one is sent again, or its caller is. Classes that are
+// keyed run once, whatever is sent; nil where nothing is repeated.
+func (c *chain) repeats(n node) *edge {
+	if e, known := c.repeated[n]; known {
+		return e
+	}
+	c.repeated[n] = nil
+	for _, e := range c.g.in[n] {
+		if e.rule.Repeat == logic.Keyed {
+			continue
+		}
+		if e.rule.Repeat == logic.Safe && e.may {
+			c.repeated[n] = e
+			break
+		}
+		for _, cause := range e.causes {
+			if by := c.repeats(cause); by != nil && c.repeated[n] == nil {
+				c.repeated[n] = by
+			}
+		}
+	}
+	return c.repeated[n]
+}
+
+// again finds calls that must not run twice and are made anew with each run of what causes them.
+func (c *chain) again(e *edge) {
+	for _, cause := range e.causes {
+		by := c.repeats(cause)
+		if by == nil {
+			continue
+		}
+		at := []string{"routes", strconv.Itoa(e.route + 1)}
+		switch {
+		case e.rule.Repeat == logic.Unsafe:
+			c.bad(e.d, rules.RepeatChain, at, e.to.String(), fmt.Sprintf("%s may send %s, which causes it, again", by.d.App.Name, by.to), by.at())
+			return
+		case e.rule.Repeat == logic.Keyed && e.rule.Group != logic.GroupAll && several(e.d.App.Service(e.to.service), e.rule.Group):
+			c.bad(e.d, rules.ScopeChain, at, e.to.String()+" of scope "+config.GroupName(e.rule.Group), fmt.Sprintf("%s may send %s, which causes it, again", by.d.App.Name, by.to), by.at())
+			return
+		}
+	}
+}
+
+// several tells whether a service has, or may have, more than one group of backends that drop each other's repeats.
+func several(s *config.Service, g logic.Group) bool {
+	if s.Source.Kind != config.Static {
+		return true
+	}
+	groups := map[string]bool{}
+	for _, e := range s.Source.Endpoints {
+		if g == logic.GroupZone {
+			groups[e.Zone] = true
+		} else {
+			groups[strconv.Itoa(e.Cell)] = true
+		}
+	}
+	return len(groups) > 1
+}
+
 // product is how often an outermost request may become an attempt at a node, and the calls that multiply it.
 type product struct {
 	x   float64
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -115,6 +115,8 @@
 	ClassDisagrees  ID = "CLASS-DISAGREES"
 	LimitGrows      ID = "LIMIT-GROWS"
 	WindowChain     ID = "WINDOW-CHAIN"
+	RepeatChain     ID = "REPEAT-CHAIN"
+	ScopeChain      ID = "SCOPE-CHAIN"
 	RetryFactor     ID = "RETRY-FACTOR"
 	ServiceCycle    ID = "SERVICE-CYCLE"
 	HostClash       ID = "HOST-CLASH"
@@ -196,6 +198,8 @@
 	{ClassDisagrees, groupFleet, Error, 0, "two parties that disagree about a class's repeat rule, scope, window or key", "one of them sends again what the other may run twice", "write what the owner of the service states"},
 	{LimitGrows, groupFleet, Error, 0, "a time limit that grows down the chain", "the inner call works on when its caller has long given up", "shorten the inner limit, or name the classes that cause the call in for"},
 	{WindowChain, groupFleet, Error, 0, "an outer tier that may send again after an inner window is over", "the inner backends no longer recall the key and run it again", "shorten the outer limits, widen the window, or name the classes that cause the call in for"},
+	{RepeatChain, groupFleet, Error, 0, "a safe class that may be sent again and causes an unsafe call", "each run of it makes the call anew: a charge would be posted twice", "make the outer class keyed or unsafe, write resend = \"never\" for it, or name the classes that cause the call in for"},
+	{ScopeChain, groupFleet, Error, 0, "a safe class that may be sent again and causes a keyed call whose repeats one of several pods drops", "each run of it calls anew, and the second call may go to another pod, which does not know the key", "make the outer class keyed, write resend = \"never\" for it, have the whole service drop repeats, or name the classes that cause the call in for"},
 	{RetryFactor, groupFleet, Error, 0, "retries that multiply over tiers past the stated factor", "when the last tier is slow every tier sends more, and it drowns", "lower retry_budget.share at the outer tiers"},
 	{ServiceCycle, groupFleet, Error, 0, "services that call each other in a circle", "one request goes round until every pool on its way is full", "break the circle; a class that never leads on is told by for"},
 	{HostClash, groupFleet, Error, 0, "listeners of two applications at one address of one host", "the second sidecar can't start", "give each its own port"},
