--- /dev/null
+++ b/internal/doc/doc_test.go
@@ -0,0 +1,99 @@
+package doc
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Brackets and dots in strings and comments are no nesting, whatever kind of string they stand in.
+func TestNestingIsToldFromStrings(t *testing.T) {
+	deep := strings.Repeat("[", 40)
+	for text, fine := range map[string]bool{
+		"a = " + deep + strings.Repeat("]", 40):                                                 false,
+		"a = '" + deep + "'":                                                                    true,
+		"a = \"" + deep + "\\\"" + deep + "\"":                                                  true,
+		"a = \"\"\"" + deep + "\"\n\\\"\"\"\"":                                                  true,
+		"a = '''" + deep + "'\n" + deep + "'''":                                                 true,
+		"a = 1 # " + deep:                                                                       true,
+		"a = ''\nb = " + deep + strings.Repeat("]", 40):                                         false,
+		"a = '''x''''\nb = " + deep + strings.Repeat("]", 40):                                   false,
+		"a = \"\\\\\"\nb = " + deep + strings.Repeat("]", 40):                                   false,
+		strings.Repeat("a.", 40) + "a = 1":                                                      false,
+		"a = \"" + strings.Repeat("a.", 40) + "\"":                                              true,
+		"[" + strings.Repeat("a.", 40) + "a]":                                                   false,
+		"a = [1.5,2.5,3.5,4.5,1.5,2.5,3.5,4.5,1.5,2.5,3.5,4.5,1.5,2.5,3.5,4.5,1.5,2.5,3.5,4.5]": true,
+	} {
+		if _, faults := Parse("f", []byte(text)); (len(faults) == 0) != fine {
+			t.Errorf("%q: %v", text, faults)
+		}
+	}
+}
+
+// The deepest text that the scanner lets through is far from what exhausts a stack.
+func TestFourMegabytesOfBrackets(t *testing.T) {
+	for _, text := range []string{strings.Repeat("[", MaxFile), "a=" + strings.Repeat("{a=", MaxFile/3-1), strings.Repeat("a.", MaxFile/2)} {
+		if v, faults := Parse("f", []byte(text)); v != nil || len(faults) != 1 || len(faults[0].Report()) > 500 {
+			t.Errorf("got %v, %.300v", v != nil, faults)
+		}
+	}
+}
+
+// The tree says what go-toml's own decoder says, and every value has a place in the text.
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{"a = 1\n[b.c]\nd = [1, { e = 'x' }]\n[[f]]\ng = 1.5\n[[f]]\ng.h = true", "a = \"\"\"\n\"\"\"", "\"a\\nb\" = 2026-12-01", "a = [[[]]]", "a={b={c={}}}", "'' = ''", "[a]\n[a.b]\n[[a.c]]\n[a.c.d]"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		v, faults := Parse("f", data)
+		var plain map[string]any
+		err := toml.Unmarshal(data, &plain)
+		if v == nil {
+			if len(faults) == 0 {
+				t.Fatal("nothing, and no fault")
+			}
+			for _, one := range faults {
+				if strings.ContainsAny(one.Report()+one.Error(), "\n\r") {
+					t.Fatalf("%q", one.Report())
+				}
+			}
+			return
+		}
+		if err != nil {
+			t.Fatalf("read, and go-toml says %v", err)
+		}
+		same(t, v, plain, len(data))
+		same(t, v.Clone(), plain, len(data))
+	})
+}
+
+func same(t *testing.T, v *Value, plain any, size int) {
+	t.Helper()
+	if v.Place.Line < 1 || v.Place.Col < 1 || v.Raw.From < 0 || v.Raw.To > size || v.Last.To > size {
+		t.Fatalf("place %+v, raw %+v", v.Place, v.Raw)
+	}
+	switch plain := plain.(type) {
+	case map[string]any:
+		if v.Kind != Table || len(v.Keys) != len(plain) {
+			t.Fatalf("%v with %d keys for %d", v.Kind, len(v.Keys), len(plain))
+		}
+		for k, x := range plain {
+			if v.Fields[k] == nil {
+				t.Fatalf("%q is missing", k)
+			}
+			same(t, v.Fields[k], x, size)
+		}
+	case []any:
+		if v.Kind != Array || len(v.Items) != len(plain) {
+			t.Fatalf("%v with %d items for %d", v.Kind, len(v.Items), len(plain))
+		}
+		for i, x := range plain {
+			same(t, v.Items[i], x, size)
+		}
+	case string:
+		if v.Kind != String || v.Text != plain {
+			t.Fatalf("%v %q for %q", v.Kind, v.Text, plain)
+		}
+	}
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,167 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"fernlanding/internal/config"
+)
+
+const file = `version = 2
+name = "gateway"
+
+[[listeners]]
+address = "127.0.0.1:8080"
+
+[[listeners]]
+name = "inside"
+address = "127.0.0.1:8081"
+
+[services.tariff]
+membership = "catalog"
+discovery = "127.0.0.1:8500"
+attempts = 2
+retry_after = "0s"
+answers = { failed = 500 }
+[services.tariff.classes.look]
+repeat = "safe"
+objective = "300ms"
+deadline = "1s"
+
+[services.billing]
+endpoints = [{ address = "127.0.0.1:9001", cell = 1 }, { address = "127.0.0.1:9002", cell = 2, status = "draining" }]
+[services.billing.classes.rate]
+repeat = "keyed"
+dedup_scope = "cell"
+dedup_window = "7.5s"
+key = "Record-Id"
+[services.billing.classes.post]
+repeat = "unsafe"
+worth = 5
+[services.billing.tenants.acme]
+quota = 10
+
+[services.next]
+membership = "catalog"
+discovery = "127.0.0.1:8501"
+[services.next.classes.rate]
+repeat = "keyed"
+dedup_scope = "cell"
+dedup_window = "7.5s"
+key = "Record-Id"
+
+[[routes]]
+name = "look"
+hosts = ["*.example.org"]
+prefix = "/v1/tariffs"
+service = "tariff"
+rewrite_prefix = "/t"
+timeout = "900ms"
+
+[[routes]]
+name = "rate"
+exact = "/rate"
+split = [
+  { service = "billing", class = "rate", weight = 3 },
+  { service = "next", class = "rate", weight = 1 },
+]
+
+[[routes]]
+name = "post"
+template = "/a/{id}/post"
+listeners = ["main"]
+service = "billing"
+class = "post"
+`
+
+// find returns what an answer says of one thing, and where from.
+func find(a Answer, what string) string {
+	for _, l := range a.Lines {
+		if l.What == what {
+			where := l.Where
+			if l.Default {
+				where = "default of " + where
+			}
+			return strings.TrimSpace(where + " " + l.Says)
+		}
+	}
+	return ""
+}
+
+func TestEachPartNamesItsLine(t *testing.T) {
+	d := config.Read("f", []byte(file))
+	if d.App == nil {
+		t.Fatal(d.Faults)
+	}
+	for _, c := range []struct {
+		listener, method, url string
+		fields                []string
+		status                int
+		want                  map[string]string
+	}{
+		{"", "GET", "http://x.example.org:80/v1/tariffs/7?a=b", nil, 0, map[string]string{
+			"listener": "f:4 main, 127.0.0.1:8080", "route": "f:47 look, number 1 of 3", "service": "f:51 tariff", "class": "f:17 look",
+			"path": "f:52 goes on as /t/7", "time limit": "f:53 900ms", "objective": "f:19 300ms", "attempts": "f:14 2 at most, one at a time",
+			"repeat rule": "f:18 safe", "sent again": "default of f:17 to any backend, after any failed attempt, within its time limit",
+			"pool": "f:13 as the discovery at 127.0.0.1:8500 says", "failed": "f:16 500 when it may have run and no answer came, 504 when its time is up"}},
+		{"", "GET", "/v1/tariffs/7", []string{"Host: y.example.org", "Request-Timeout-Ms: 20"}, 0, map[string]string{"time limit": "20ms, by its own Request-Timeout-Ms"}},
+		{"", "GET", "/v1/tariffs/7", nil, 404, nil},
+		{"", "GET", "/../x", nil, 400, nil},
+		{"", "GET", "/_health", nil, 200, nil},
+		{"", "POST", "/rate", nil, 400, map[string]string{"key": "f:29 Record-Id"}},
+		{"", "POST", "/rate", []string{"Record-Id: 7", "Early-Data: 1"}, 425, nil},
+		{"", "POST", "/rate", []string{"Record-Id: 7"}, 0, map[string]string{"repeat rule": "f:26 keyed", "until": "f:28 7.5s after its first send, and within its time limit",
+			"time limit": "default of f:25 2s"}},
+		{"inside", "POST", "/a/7/post", nil, 404, nil},
+		{"main", "POST", "/a/7/post", nil, 0, map[string]string{"pool": "f:23 2 endpoints in 2 pods, 1 serving", "tenants": "f:33 acme; a tenant beyond its quota is refused first",
+			"sent again": "default of f:30 after an attempt that is proven not to have run (found no room, no connection): to any backend that is not draining; never once it may have run"}},
+	} {
+		r, err := ParseRequest(c.method, c.url, c.fields)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a, err := Explain(d, c.listener, r)
+		if err != nil || a.Status != c.status {
+			t.Errorf("%s %s: %d, %v; want %d", c.method, c.url, a.Status, err, c.status)
+		}
+		for what, want := range c.want {
+			if got := find(a, what); got != want {
+				t.Errorf("%s %s: %s: got %q, want %q", c.method, c.url, what, got, want)
+			}
+		}
+	}
+	if _, err := Explain(d, "outside", Request{Path: "/"}); err == nil {
+		t.Error("a listener that is not there")
+	}
+	if _, err := Explain(config.Read("f", nil), "", Request{}); err == nil {
+		t.Error("a file that a sidecar refuses")
+	}
+}
+
+func TestRequestsThatMakeNoSense(t *testing.T) {
+	for _, c := range []struct{ method, url, field string }{{"G T", "/", ""}, {"GET", "x", ""}, {"GET", "ftp://x/", ""}, {"GET", "/%zz", ""}, {"GET", "/", "a b: c"}, {"GET", "/", "ab"}} {
+		var fields []string
+		if c.field != "" {
+			fields = []string{c.field}
+		}
+		if r, err := ParseRequest(c.method, c.url, fields); err == nil {
+			t.Errorf("%+v: got %+v", c, r)
+		}
+	}
+}
+
+func FuzzExplain(f *testing.F) {
+	d := config.Read("f", []byte(file))
+	f.Add("GET", "http://x.example.org/v1/tariffs/%2e%2e/7", "Record-Id: 7")
+	f.Add("POST", "/rate", "Early-Data: 1")
+	f.Add("POST", "/v1/tariffs//7", "Host: [::1]:8")
+	f.Fuzz(func(t *testing.T, method, url, field string) {
+		r, err := ParseRequest(method, url, []string{field})
+		if err != nil {
+			return
+		}
+		if a, err := Explain(d, "", r); err != nil || len(a.Lines) == 0 {
+			t.Fatalf("%v, %v", a, err)
+		}
+	})
+}
