--- a/internal/doc/doc_test.go
+++ b/internal/doc/doc_test.go
@@ -1,10 +1,13 @@
 package doc
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"fernlanding/internal/rules"
 )
 
 // Brackets and dots in strings and comments are no nesting, whatever kind of string they stand in.
@@ -40,6 +43,28 @@
 	}
 }
 
+// What may be defined again, and how numbers are written, is judged as go-toml's decoder does.
+func TestDefinedTwice(t *testing.T) {
+	for _, text := range []string{
+		"[a]\n[a]", "[a.b]\n[a]", "[a]\n[a.b]", "[a.b]\n[a]\n[a.b]", "a.b = 1\n[a]", "a.b = 1\na.c = 2", "a.b = 1\n[a.c]", "a = 1\na.b = 2", "a = {}\n[a.b]", "a = {}\na.b = 1",
+		"a = { b = 1, b = 2 }", "a = { b.c = 1, b.d = 2 }", "a = { b.c = 1, b = 2 }", "[[a]]\n[[a]]", "[a]\n[[a]]", "[[a]]\n[a]", "[[a]]\n[a.b]\n[a.b]", "[[a]]\n[a.b]\n[[a]]\n[a.b]", "a = []\n[[a]]",
+		"a = [{}]\n[a.b]", "[a.b.c]\n[a]\nb.c.d = 1", "[a.b.c]\n[a]\nb.d = 1", "[a.b]\nc.d = 1\n[a.b.c]", "[a.b]\nc.d = 1\n[a.b.c.e]", "[[a.b]]\n[a]\nb.c = 1", "[a]\nb = 1\n[a.b]", "[a]\n[[a.b]]\n[a.b]",
+		"[a.b.c]\n[a]\nb.d = 1\n[a.b]", "[a.b.c]\n[[a.b]]", "[[a.b.c]]\n[a.b]\n[a]",
+		"a = 01", "a = 0x1_f", "a = 0x_f", "a = 1_", "a = 1__0", "a = +0", "a = -0x1", "a = 0b2", "a = 9223372036854775807", "a = 9223372036854775808", "a = -9223372036854775808", "a = 0o7", "a = 0o8",
+		"a = 1.", "a = .1", "a = 1.0e1", "a = 1e+1", "a = 1e1.0", "a = 01.0", "a = 1_0.0_1", "a = 1._0", "a = inf", "a = +nan", "a = 1E5", "a = 0e0", "a = 1e0_1",
+	} {
+		var plain map[string]any
+		err := toml.Unmarshal([]byte(text), &plain)
+		v, faults := Parse("f", []byte(text))
+		if (v == nil) != (err != nil) {
+			t.Errorf("%q: %v; go-toml says %v", text, faults, err)
+		}
+		if v != nil {
+			same(t, v, plain, len(text))
+		}
+	}
+}
+
 // The tree says what go-toml's own decoder says, and every value has a place in the text.
 func FuzzParse(f *testing.F) {
 	for _, s := range []string{"a = 1\n[b.c]\nd = [1, { e = 'x' }]\n[[f]]\ng = 1.5\n[[f]]\ng.h = true", "a = \"\"\"\n\"\"\"", "\"a\\nb\" = 2026-12-01", "a = [[[]]]", "a={b={c={}}}", "'' = ''", "[a]\n[a.b]\n[[a.c]]\n[a.c.d]"} {
@@ -53,21 +78,38 @@
 			if len(faults) == 0 {
 				t.Fatal("nothing, and no fault")
 			}
+			syntax := true
 			for _, one := range faults {
 				if strings.ContainsAny(one.Report()+one.Error(), "\n\r") {
 					t.Fatalf("%q", one.Report())
 				}
+				syntax = syntax && (one.Rule == rules.Syntax || one.Rule == rules.DoubleField)
+			}
+			if syntax && err == nil {
+				t.Fatalf("refused, and go-toml reads it: %v", faults)
 			}
 			return
 		}
 		if err != nil {
-			t.Fatalf("read, and go-toml says %v", err)
+			if !dated(v) { // dates are not judged
+				t.Fatalf("read, and go-toml says %v", err)
+			}
+			return
 		}
 		same(t, v, plain, len(data))
 		same(t, v.Clone(), plain, len(data))
 	})
 }
 
+func dated(v *Value) bool {
+	for _, f := range v.Fields {
+		if dated(f) {
+			return true
+		}
+	}
+	return v.Kind == Other || slices.ContainsFunc(v.Items, dated)
+}
+
 func same(t *testing.T, v *Value, plain any, size int) {
 	t.Helper()
 	if v.Place.Line < 1 || v.Place.Col < 1 || v.Raw.From < 0 || v.Raw.To > size || v.Last.To > size {
--- a/internal/doc/read.go
+++ b/internal/doc/read.go
@@ -56,13 +56,13 @@
 // Take notes that a field is known, whatever it holds.
 func (s Scope) Take(fields ...string) {
 	for _, f := range fields {
-		s.V.taken[f] = true
+		s.V.take(f)
 	}
 }
 
 // Get returns a field of a kind, or nil; another kind is a fault.
 func (s Scope) Get(field string, want Kind) *Value {
-	s.V.taken[field] = true
+	s.V.take(field)
 	v := s.V.Fields[field]
 	if v == nil || v.Kind == want || want == Float && v.Kind == Integer {
 		return v
@@ -133,7 +133,7 @@
 // Span reads a time like "7.5s".
 func (s Scope) Span(field string, otherwise, least, most time.Duration) time.Duration {
 	v := s.V.Fields[field]
-	s.V.taken[field] = true
+	s.V.take(field)
 	if v == nil {
 		return otherwise
 	}
--- a/internal/doc/tree.go
+++ b/internal/doc/tree.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"strings"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
 
 	"fernlanding/internal/rules"
@@ -48,11 +47,12 @@
 	Last   Range // of a field: its key's last part
 	Raw    Range // of a scalar
 	taken  map[string]bool
+	def    definition
 }
 
 // NewTable returns an empty table.
 func NewTable(at Place) *Value {
-	return &Value{Kind: Table, Place: at, Fields: map[string]*Value{}, taken: map[string]bool{}}
+	return &Value{Kind: Table, Place: at, Fields: map[string]*Value{}}
 }
 
 // Set adds a field to a table, or puts another value in its place.
@@ -83,15 +83,18 @@
 	return v, true
 }
 
-// Clone returns a deep copy in which no field has been asked for.
+// Clone returns a deep copy in which no field has been asked for. Scalars, which do not change, are shared.
 func (v *Value) Clone() *Value {
+	if v.Kind != Table && v.Kind != Array {
+		return v
+	}
 	c := *v
 	c.Items, c.Keys, c.Fields, c.taken = nil, slices.Clone(v.Keys), nil, nil
 	for _, i := range v.Items {
 		c.Items = append(c.Items, i.Clone())
 	}
 	if v.Kind == Table {
-		c.Fields, c.taken = make(map[string]*Value, len(v.Fields)), map[string]bool{}
+		c.Fields = make(map[string]*Value, len(v.Fields))
 		for k, f := range v.Fields {
 			c.Fields[k] = f.Clone()
 		}
@@ -99,19 +102,25 @@
 	return &c
 }
 
+// take notes that a field was asked for.
+func (v *Value) take(field string) {
+	if v.taken == nil {
+		v.taken = make(map[string]bool, len(v.Fields))
+	}
+	v.taken[field] = true
+}
+
 // Parse reads a TOML document. It is nil when there are faults that leave nothing to read; others, which a version of a
-// format may tolerate, come beside it.
+// format may tolerate, come beside it. go-toml's parser reads the syntax; what its decoder would judge beyond that, and
+// takes a time for that grows with the square of the tables, is judged here: what is defined twice, and numbers. Dates
+// are not judged, since no format has any.
 func Parse(file string, data []byte) (*Value, Faults) {
 	faults, fatal := scan(file, data)
 	if fatal {
 		return nil, faults
 	}
-	// go-toml judges whether it is a document; the tree adds where each value stands, which its decoder does not tell.
-	var any map[string]any
-	if err := toml.Unmarshal(data, &any); err != nil {
-		return nil, append(faults, syntax(file, data, err))
-	}
-	b := builder{root: NewTable(Place{file, 1, 1}), file: file, lines: []int{0}}
+	b := builder{root: NewTable(Place{file, 1, 1}), file: file, data: data, lines: []int{0}}
+	b.root.def = byHeader
 	for i, c := range data {
 		if c == '\n' {
 			b.lines = append(b.lines, i+1)
@@ -119,7 +128,7 @@
 	}
 	b.p.Reset(data)
 	in := b.root
-	for b.p.NextExpression() {
+	for b.fault == nil && b.p.NextExpression() {
 		switch e := b.p.Expression(); e.Kind {
 		case unstable.Table:
 			in = b.descend(b.root, e.Key(), false)
@@ -129,31 +138,61 @@
 			b.keyValue(in, e, true)
 		}
 	}
-	if err := b.p.Error(); err != nil { // Unmarshal has judged
-		return nil, append(faults, syntax(file, data, err))
+	if b.fault == nil {
+		if err := b.p.Error(); err != nil {
+			f := b.syntax(err)
+			b.fault = &f
+		}
+	}
+	if b.fault != nil {
+		return nil, append(faults, *b.fault)
 	}
 	return b.root, faults
 }
 
-func syntax(file string, data []byte, err error) Fault {
-	f := Fault{Place: Place{File: file}, Rule: rules.Syntax, Expect: strings.TrimPrefix(err.Error(), "toml: ")}
-	f.Expect = strings.Join(strings.FieldsFunc(f.Expect, func(r rune) bool { return r < ' ' || r == 0x7f }), " ")
-	var de *toml.DecodeError
-	if errors.As(err, &de) {
-		f.Line, f.Col = de.Position()
-		f.Field = strings.Join(de.Key(), ".")
-	}
-	if strings.Contains(f.Expect, "already") { // a key or a table: of go-toml's messages these alone have the word
-		f.Rule = rules.DoubleField
+// syntax is what the parser objects to.
+func (b *builder) syntax(err error) Fault {
+	f := Fault{Place: Place{File: b.file}, Rule: rules.Syntax, Expect: strings.TrimPrefix(err.Error(), "toml: ")}
+	var pe *unstable.ParserError
+	if errors.As(err, &pe) {
+		f.Expect, f.Field = pe.Message, strings.Join(pe.Key, ".")
+		if r := b.p.Range(pe.Highlight); int(r.Offset) <= len(b.data) {
+			f.Place = b.at(r)
+		}
 	}
+	f.Expect = strings.Join(strings.FieldsFunc(f.Expect, func(r rune) bool { return r < ' ' || r == 0x7f }), " ")
 	return f
 }
 
+// definition is how a table came to be; it decides whether it may be defined or added to again (TOML 1.0, "Table").
+type definition int
+
+const (
+	byPath   definition = iota // on the way to a header's table: a header may still define it
+	byHeader                   // [table], or one of an array of them
+	byDots                     // on the way to a dotted key: other dotted keys and headers below may add to it
+	inline                     // whole as it stands
+	byArray                    // of an array: [[table]]; others are whole as they stand
+)
+
 type builder struct {
 	p     unstable.Parser
 	file  string
+	data  []byte
 	root  *Value
 	lines []int // offsets at which lines begin
+	fault *Fault
+}
+
+func (b *builder) bad(at Place, rule rules.ID, name, expect string) {
+	if b.fault == nil {
+		b.fault = &Fault{Place: at, Rule: rule, Field: name, Expect: expect}
+	}
+}
+
+// twice is the fault of what stands there already.
+func (b *builder) twice(at Place, name string, old *Value) {
+	b.bad(at, rules.DoubleField, name, "it stands in line "+strconv.Itoa(old.Place.Line)+" already")
 }
 
 func (b *builder) at(r unstable.Range) Place {
@@ -163,28 +202,40 @@
 
 func bytesOf(r unstable.Range) Range { return Range{int(r.Offset), int(r.Offset) + int(r.Length)} }
 
-// descend goes from a table along a dotted key, and makes what is not there. At its end stands a table, or with
-// array the new last table of an array.
+// descend goes from a table along a header's key, and makes what is not there. At its end stands a table that the header
+// defines, or with array the new last table of an array.
 func (b *builder) descend(in *Value, key unstable.Iterator, array bool) *Value {
 	for key.Next() {
 		n := key.Node()
 		at := b.at(n.Raw)
 		name, last := string(n.Data), key.IsLast()
 		next := in.Fields[name]
-		if next == nil {
+		switch {
+		case next == nil:
 			next = NewTable(at)
 			if array && last {
-				next = &Value{Kind: Array, Place: at}
+				next = &Value{Kind: Array, Place: at, def: byArray}
+			} else if last {
+				next.def = byHeader
 			}
 			in.Set(name, next)
+		case last && !array:
+			if next.Kind != Table || next.def != byPath {
+				b.twice(at, name, next)
+				return in
+			}
+			next.def, next.Place = byHeader, at // its own header, not that of a table in it
+		case last && next.def != byArray, next.Kind != Table && next.def != byArray, next.def == inline:
+			b.twice(at, name, next)
+			return in
 		}
 		if next.Kind == Array {
 			if array && last {
-				next.Items = append(next.Items, NewTable(at))
+				t := NewTable(at)
+				t.def = byHeader
+				next.Items = append(next.Items, t)
 			}
 			next = next.Items[len(next.Items)-1]
-		} else if last {
-			next.Place = at // its own header, not that of a table in it
 		}
 		in = next
 	}
@@ -203,13 +254,24 @@
 			whole.From = last.From
 		}
 		whole.To = last.To
-		if name = string(n.Data); key.IsLast() {
+		name = string(n.Data)
+		next := in.Fields[name]
+		if key.IsLast() {
+			if next != nil {
+				b.twice(at, name, next)
+				return
+			}
 			break
 		}
-		if in.Fields[name] == nil {
-			in.Set(name, NewTable(at))
+		if next == nil {
+			next = NewTable(at)
+			next.def = byDots
+			in.Set(name, next)
+		} else if next.Kind != Table || next.def != byDots {
+			b.twice(at, name, next)
+			return
 		}
-		in = in.Fields[name]
+		in = next
 	}
 	v := b.value(e.Value(), at)
 	if v.Last = last; line {
@@ -229,8 +291,14 @@
 		v.Kind = String
 	case unstable.Integer:
 		v.Kind = Integer
+		if why := notInteger(v.Text); why != "" {
+			b.bad(v.Place, rules.Syntax, "", why)
+		}
 	case unstable.Float:
 		v.Kind = Float
+		if !isFloat(v.Text) {
+			b.bad(v.Place, rules.Syntax, "", "not a float: "+Clip(v.Text))
+		}
 	case unstable.Bool:
 		v.Kind = Bool
 	case unstable.Array:
@@ -240,6 +308,7 @@
 		}
 	case unstable.InlineTable:
 		v = NewTable(v.Place)
+		v.def = inline
 		for it := n.Children(); it.Next(); {
 			b.keyValue(v, it.Node(), false)
 		}
@@ -267,3 +336,71 @@
 	}
 	return s
 }
+
+// notInteger says why a text is no integer of TOML 1.0, or nothing.
+func notInteger(s string) string {
+	digits := strings.TrimLeft(s, "+-")
+	base, signed := 10, len(digits) != len(s)
+	if len(digits) > 1 && digits[0] == '0' {
+		switch digits[1] {
+		case 'x':
+			base = 16
+		case 'o':
+			base = 8
+		case 'b':
+			base = 2
+		default:
+			return "an integer begins with no zero: " + Clip(s)
+		}
+		digits = digits[2:]
+	}
+	if len(s)-len(digits) > 1 && base == 10 || signed && base != 10 || !grouped(digits) {
+		return "not an integer: " + Clip(s)
+	}
+	text := strings.ReplaceAll(digits, "_", "")
+	if strings.HasPrefix(s, "-") {
+		text = "-" + text
+	}
+	if _, err := strconv.ParseInt(text, base, 64); err != nil {
+		if errors.Is(err, strconv.ErrRange) {
+			return "an integer beyond 64 bits: " + Clip(s)
+		}
+		return "not an integer: " + Clip(s)
+	}
+	return ""
+}
+
+// grouped tells whether underscores stand between two digits alone.
+func grouped(s string) bool {
+	return s != "" && s[0] != '_' && s[len(s)-1] != '_' && !strings.Contains(s, "__")
+}
+
+// isFloat tells whether a text is a float of TOML 1.0.
+func isFloat(s string) bool {
+	body := s
+	if strings.HasPrefix(s, "+") || strings.HasPrefix(s, "-") {
+		body = s[1:]
+	}
+	if body == "inf" || body == "nan" {
+		return true
+	}
+	mantissa, exponent, isExp := strings.Cut(strings.ToLower(body), "e")
+	whole, part, hasPart := strings.Cut(mantissa, ".")
+	if isExp {
+		if strings.HasPrefix(exponent, "+") || strings.HasPrefix(exponent, "-") {
+			exponent = exponent[1:]
+		}
+		if !decimal(exponent) {
+			return false
+		}
+	}
+	if !decimal(whole) || len(whole) > 1 && whole[0] == '0' || hasPart && !decimal(part) || !hasPart && !isExp {
+		return false
+	}
+	_, err := strconv.ParseFloat(strings.ReplaceAll(body, "_", ""), 64) // beyond 64 bits
+	return err == nil
+}
+
+func decimal(s string) bool {
+	return grouped(s) && strings.Trim(s, "0123456789_") == ""
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -150,7 +150,7 @@
 func (r *rule) checkPath() error {
 	plain := r.Path
 	if r.Kind == Template {
-		plain = strings.NewReplacer("{", "", "}", "").Replace(plain)
+		plain = strings.ReplaceAll(strings.ReplaceAll(plain, "{", ""), "}", "")
 		for s := range strings.SplitSeq(r.Path, "/") {
 			if !strings.ContainsAny(s, "{}") {
 				continue
