--- a/cmd/fernctl/commands.go
+++ b/cmd/fernctl/commands.go
@@ -245,7 +245,9 @@
 	if s.cat != nil {
 		envs := []string{c.String("env")}
 		if all := s.cat.Environments(); envs[0] == "" && len(all) > 0 {
-			envs = all
+			if envs = all; o.Deployed != nil && len(all) > 1 {
+				return fmt.Errorf("check: -deployed is of one environment: -env expected, one of %v", all)
+			}
 		}
 		for _, env := range envs {
 			_, _, more := check.Catalogue(s.cat, env, o)
--- a/internal/catalogue/model.go
+++ b/internal/catalogue/model.go
@@ -135,9 +135,9 @@
 	for _, f := range serviceTables {
 		s.Get(f, doc.Table)
 	}
-	switch s.Word("membership", "static", "static", "catalog") {
-	case "catalog":
-		s.Take("discovery")
+	switch s.Word("membership", "static", "static", "catalog", "file") {
+	case "catalog", "file":
+		s.Take("discovery", "path")
 		if s.Has("pods") {
 			s.Bad(rules.Exclusive, "pods", `stand in the catalogue where membership is "static"`)
 			s.Take("pods")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -129,6 +129,7 @@
 type Source struct {
 	Kind      SourceKind
 	Address   string // of Catalog: host:port
+	Path      string // of File
 	Endpoints []membership.Endpoint
 }
 
@@ -139,6 +140,7 @@
 const (
 	Static  SourceKind = iota // the list stands in the file
 	Catalog                   // the platform's discovery
+	File                      // a file that somebody keeps up to date
 )
 
 // Route is one rule and what it leads to.
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -34,7 +34,7 @@
 
 // later are the fields that version 1 lacks.
 var later = map[string]int{"team": 2, "host": 2, "serves": 2, "generated": 2, "owner": 2, "answers": 2, "cold_multiple": 2, "share": 2,
-	"key": 2, "resend": 2, "early_data": 2, "hedge": 2, "formerly": 2, "for": 2}
+	"path": 2, "key": 2, "resend": 2, "early_data": 2, "hedge": 2, "formerly": 2, "for": 2}
 
 // decoder reads one file.
 type decoder struct {
@@ -454,12 +454,32 @@
 
 func (x *decoder) source(s doc.Scope, v *Service) {
 	before := len(s.Faults)
-	kind := s.Word("membership", "static", "static", "catalog")
+	kinds := []string{"static", "catalog", "file"}
+	if x.version < 2 {
+		kinds = kinds[:2]
+	}
+	kind := s.Word("membership", "static", kinds...)
 	if len(s.Faults) > before { // what goes with it can't be told
-		s.Take("discovery", "endpoints", "subscribe")
+		s.Take("discovery", "endpoints", "subscribe", "path")
 		return
 	}
+	if s.Has("path") && kind != "file" && x.version >= 2 {
+		s.Bad(rules.Exclusive, "path", `goes with membership = "file"`)
+		s.Take("path")
+	}
 	switch kind {
+	case "file":
+		v.Source = Source{Kind: File, Path: s.Text("path", "")}
+		if v.Source.Path == "" {
+			s.Bad(rules.Missing, "path", "the file that has the list expected")
+		}
+		for _, f := range []string{"endpoints", "discovery"} {
+			if s.Has(f) {
+				s.Bad(rules.Exclusive, f, `does not go with membership = "file"`)
+			}
+		}
+		s.Take("endpoints", "discovery")
+		return
 	case "catalog":
 		v.Source = Source{Kind: Catalog, Address: address(s, "discovery", false)}
 		if s.Has("endpoints") {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -236,6 +236,10 @@
 		e.say("pool", append(in[:2:2], "discovery"), "as the discovery at %s says", s.Source.Address)
 		return
 	}
+	if s.Source.Kind == config.File {
+		e.say("pool", append(in[:2:2], "path"), "as the file %s says", s.Source.Path)
+		return
+	}
 	pods, serving := map[int]bool{}, 0
 	for _, p := range s.Source.Endpoints {
 		if pods[p.Cell] = true; p.Status == membership.Serving {
--- a/internal/membership/catalog/catalog.go
+++ b/internal/membership/catalog/catalog.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"fernlanding/internal/membership"
+	"fernlanding/internal/membership/heard"
 )
 
 const (
@@ -35,31 +36,43 @@
 	patience time.Duration
 	log      *slog.Logger
 	client   *http.Client
-	sink     membership.Sink
-	asked    <-chan struct{} // with a subscription: the module's word to open it
+	cfg      Config
+	heard    *heard.Heard
 }
 
-// New returns a client of the discovery at addr (host:port). With subscribe it is asked, and waits for a word on
-// asked before it begins a subscription; otherwise lists are pushed and the watch stands by itself.
-func New(addr string, subscribe bool, log *slog.Logger, sink membership.Sink, asked <-chan struct{}) *Client {
+// Config is what a Client is told.
+type Config struct {
+	Address   string          // of the discovery, host:port
+	Subscribe bool            // the list is asked for, at the module's word; otherwise it is pushed and the watch stands by itself
+	First     bool            // with Subscribe: the module's word is needed at the start too
+	Asked     <-chan struct{} // with Subscribe: the module's word
+	Log       *slog.Logger
+}
+
+// New returns a client of a discovery.
+func New(cfg Config) *Client {
 	hold, patience := pushHold, pushPatience
-	if subscribe {
+	if cfg.Subscribe {
 		hold, patience = askHold, askPatience
 	}
-	return &Client{addr: addr, hold: hold, patience: patience, log: log, sink: sink, asked: asked,
+	return &Client{addr: cfg.Address, hold: hold, patience: patience, log: cfg.Log, cfg: cfg, heard: heard.New(),
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true}}}
 }
 
-// Run watches until the context ends. The next watch follows its answer at once, lest changes in between
+// Health implements membership.Source.
+func (d *Client) Health() membership.Health { return d.heard.Health() }
+
+// Run implements membership.Source: it watches until the context ends. The next watch follows its answer at once, lest changes in between
 // count as told late. After a call that failed in a way that leaves the version in doubt, it begins with
-// the full list. With subscribe the module says when to ask, after a failure and, with first, at the start.
-func (d *Client) Run(ctx context.Context, subscribe, first bool) {
+// the full list. With Subscribe the module says when to ask, after a failure and, with First, at the start.
+func (d *Client) Run(ctx context.Context, sink membership.Sink) {
 	defer d.client.CloseIdleConnections()
+	subscribe, first := d.cfg.Subscribe, d.cfg.Subscribe && d.cfg.First
 	index, wait := int64(-1), retryFirst
 	for subscribed := !first; ctx.Err() == nil; {
 		if subscribe && !subscribed {
 			select {
-			case <-d.asked:
+			case <-d.cfg.Asked:
 			case <-ctx.Done():
 				return
 			}
@@ -73,12 +86,13 @@
 		}
 		if err != nil {
 			d.log.Warn("discovery", "error", err)
+			d.heard.Fell()
 			if !errors.Is(err, errBusy) {
 				index = -1
 			}
 			subscribed = false
 			if subscribe {
-				d.sink.Missed() // the module says when to ask again
+				sink.Missed() // the module says when to ask again
 				continue
 			}
 			select {
@@ -89,7 +103,8 @@
 			continue
 		}
 		index, wait, subscribed = list.Index, retryFirst, true
-		d.sink.Listed(list)
+		sink.Listed(list)
+		d.heard.Spoke(index, 0)
 	}
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -2,6 +2,8 @@
 // and changes, in order.
 package membership
 
+import "slices"
+
 // Status is what a list says of a backend.
 type Status int
 
@@ -30,6 +32,9 @@
 	Endpoints []Endpoint
 }
 
+// Same tells whether two whole lists name the same backends, whatever their version.
+func Same(a, b *List) bool { return a.Full == b.Full && slices.Equal(a.Endpoints, b.Endpoints) }
+
 // Sink takes what a source yields, in order, and one call at a time.
 type Sink interface {
 	// Listed takes a list. Nothing new goes to a backend that it drains or lacks once Listed has returned.
--- /dev/null
+++ b/internal/membership/news/news_test.go
@@ -0,0 +1,356 @@
+package news
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"fernlanding/internal/membership"
+)
+
+var start = time.Unix(1_000_000_000, 0)
+
+func book(restored time.Duration) *Book {
+	return New(Config{Prefix: "/app/", Service: "s", Restored: restored})
+}
+
+func entry(name, address, more string) Entry {
+	return Entry{"/app/s/" + name, fmt.Appendf(nil, `{"address":%q%s}`, address, more)}
+}
+
+func whole(revision int64, entries ...Entry) Snapshot {
+	return Snapshot{"c", revision, int64(len(entries)), entries}
+}
+
+func put(revision int64, e Entry) Event { return Event{e, revision, false} }
+func gone(revision int64, name string) Event {
+	return Event{Entry{Key: "/app/s/" + name}, revision, true}
+}
+
+// say is a list as one line.
+func say(l *membership.List) string {
+	if l == nil {
+		return "nothing"
+	}
+	words := []string{fmt.Sprintf("%d", l.Index)}
+	if l.Full {
+		words = append(words, "whole")
+	}
+	for _, e := range l.Endpoints {
+		words = append(words, e.Name+[...]string{"", "~", "-"}[e.Status])
+	}
+	return strings.Join(words, " ")
+}
+
+func expect(t *testing.T, what, want string, told Told, err error) {
+	t.Helper()
+	if got := say(told.List); got != want || err != nil {
+		t.Errorf("%s: got %q, %v; want %q", what, got, err, want)
+	}
+}
+
+// What is no news changes nothing: the last list stands, and what follows is told as if it had not come.
+func TestWhatIsNoNews(t *testing.T) {
+	a, b, c := entry("a", "h:1", ""), entry("b", "h:2", ""), entry("c", "h:3", "")
+	bk := book(0)
+	told, err := bk.Whole(start, whole(10, a, b))
+	expect(t, "first", "10 whole a b", told, err)
+	cut := whole(12, a)
+	cut.Count = 2
+	for _, x := range []struct {
+		what string
+		s    Snapshot
+		want error
+	}{
+		{"older", whole(9, c), ErrOlder}, {"cut short", cut, ErrCount}, {"another cluster", Snapshot{"d", 12, 1, []Entry{c}}, ErrCluster},
+		{"too many", Snapshot{"c", 12, -1, make([]Entry, MaxEntries+1)}, ErrTooMany},
+	} {
+		if told, err := bk.Whole(start, x.s); !errors.Is(err, x.want) || told.List != nil {
+			t.Errorf("%s: got %v, %v", x.what, say(told.List), err)
+		}
+	}
+	if _, err := bk.Changes(start, Batch{"d", 12, nil}); !errors.Is(err, ErrCluster) {
+		t.Errorf("got %v", err)
+	}
+	for _, events := range [][]Event{{put(14, c)}, {put(12, c), gone(11, "a")}} {
+		if _, err := bk.Changes(start, Batch{"c", 13, events}); !errors.Is(err, ErrNoOrder) {
+			t.Errorf("got %v", err)
+		}
+	}
+	told, err = bk.Changes(start, Batch{"c", 10, []Event{gone(10, "a")}})
+	expect(t, "known already", "nothing", told, err)
+	told, err = bk.Changes(start, Batch{"c", 8, []Event{gone(8, "a")}})
+	expect(t, "late", "nothing", told, err)
+	told, err = bk.Changes(start, Batch{"c", 12, []Event{put(11, c), gone(12, "a")}})
+	expect(t, "news", "12 a- c", told, err)
+	told, err = bk.Changes(start, Batch{"c", 20, nil})
+	expect(t, "progress", "nothing", told, err)
+	if bk.Revision() != 20 {
+		t.Errorf("at %d", bk.Revision())
+	}
+}
+
+// A registry that was restored from a backup is taken back at an operator's word, or when it has kept to its lower
+// revision for the stated time; not when it merely answers stale once in a while.
+func TestARestoredRegistry(t *testing.T) {
+	a, b := entry("a", "h:1", ""), entry("b", "h:2", "")
+	bk := book(0)
+	_, _ = bk.Whole(start, whole(100, a))
+	for i := range 100 {
+		if _, err := bk.Whole(start.Add(time.Duration(i)*time.Hour), whole(50, b)); !errors.Is(err, ErrOlder) {
+			t.Fatalf("got %v", err)
+		}
+	}
+	bk.Accept()
+	told, err := bk.Whole(start, whole(50, b))
+	expect(t, "at a word", "50 whole b", told, err)
+	if _, err := bk.Whole(start, whole(49, b)); !errors.Is(err, ErrOlder) {
+		t.Errorf("the word held twice: %v", err)
+	}
+	bk.Accept()
+	told, err = bk.Whole(start, Snapshot{"d", 3, 1, []Entry{a}})
+	expect(t, "another cluster at a word", "3 whole a", told, err)
+
+	bk = book(time.Minute)
+	_, _ = bk.Whole(start, whole(100, a))
+	at := func(s time.Duration, revision int64) error {
+		_, err := bk.Whole(start.Add(s*time.Second), whole(revision, b))
+		return err
+	}
+	for _, x := range []struct {
+		at       time.Duration
+		revision int64
+		taken    bool
+	}{{0, 50, false}, {59, 51, false}, {61, 40, false} /* falls again: anew */, {100, 41, false}, {-50, 42, false} /* the clock steps */, {9, 43, false}, {10, 44, true}} {
+		if err := at(x.at, x.revision); (err == nil) != x.taken {
+			t.Errorf("%d s, %d: %v", x.at, x.revision, err)
+		}
+	}
+	if err := at(30, 101); err != nil { // a stale member, then a good one
+		t.Error(err)
+	}
+	if err := at(31, 60); err == nil {
+		t.Error("a single old answer was taken")
+	}
+}
+
+// An entry that makes no sense is skipped and named once; the rest stands. One that made sense before stands as draining.
+func TestBadEntries(t *testing.T) {
+	for _, x := range []struct {
+		e    Entry
+		want string
+	}{
+		{Entry{"/app/s/x", []byte("{")}, "value"}, {Entry{"/app/s/x", nil}, "value"}, {entry("x", "h", ""), "address"}, {entry("x", ":1", ""), "address"}, {entry("x", "h:0", ""), "port"},
+		{entry("x", "h:1", `,"status":"up"`), "status"}, {entry("x", "h:1", `,"weight":-1`), "weight"}, {entry("x/y", "h:1", ""), "pattern"}, {Entry{"/app/t/x", []byte(`{"address":"h:1"}`)}, "pattern"},
+		{entry("x", "h:1", `,"zone":"`+strings.Repeat("z", 1<<20)+`"`), "bytes"}, {entry("x", "h:1", `,"name":"a"`), "another key"}, {entry("x", "h:1", `,"cell":"1"`), "value"},
+		{entry(strings.Repeat("x", 300), "h:1", ""), "pattern"},
+	} {
+		bk := book(0)
+		told, err := bk.Whole(start, whole(1, entry("a", "h:1", ""), x.e))
+		expect(t, x.want, "1 whole a", told, err)
+		if len(told.Skipped) != 1 || !strings.Contains(told.Skipped[0].Why.Error(), x.want) || len(told.Skipped[0].Why.Error()) > 500 || bk.Skipped() != 1 {
+			t.Errorf("%s: got %v", x.want, told.Skipped)
+		}
+		if told, _ := bk.Whole(start, whole(2, entry("a", "h:1", ""), x.e)); len(told.Skipped) != 0 {
+			t.Errorf("%s: named twice", x.want)
+		}
+		bk = book(0)
+		_, _ = bk.Whole(start, whole(1, entry("a", "h:1", ""), entry("x", "h:9", "")))
+		if x.e.Key != "/app/s/x" {
+			continue
+		}
+		told, err = bk.Changes(start, Batch{"c", 2, []Event{put(2, x.e)}})
+		expect(t, x.want, "2 x~", told, err)
+		if told.Lost != 1 || told.Before != 2 {
+			t.Errorf("lost %d of %d", told.Lost, told.Before)
+		}
+		told, err = bk.Whole(start, whole(3, entry("a", "h:1", ""), x.e))
+		expect(t, x.want, "3 whole a x~", told, err)
+		told, err = bk.Changes(start, Batch{"c", 4, []Event{put(4, entry("x", "h:9", ""))}})
+		expect(t, x.want, "4 x", told, err)
+	}
+}
+
+// A name that two keys claim is the first one's; when that goes, the other has it.
+func TestANameTwice(t *testing.T) {
+	bk := book(0)
+	told, err := bk.Whole(start, whole(1, entry("a", "h:1", `,"name":"n"`), entry("b", "h:2", `,"name":"n"`)))
+	expect(t, "both", "1 whole n", told, err)
+	told, err = bk.Changes(start, Batch{"c", 2, []Event{gone(2, "a")}})
+	expect(t, "the first goes", "2 n", told, err)
+	if told.List.Endpoints[0].Address != "h:2" || bk.Skipped() != 0 {
+		t.Errorf("got %+v", told.List.Endpoints)
+	}
+	told, err = bk.Changes(start, Batch{"c", 4, []Event{gone(3, "b"), put(4, entry("b", "h:3", `,"since":7`))}})
+	expect(t, "deleted and made again", "4 b n-", told, err)
+	if told.List.Endpoints[0].SinceMs != 7 {
+		t.Errorf("got %+v", told.List.Endpoints)
+	}
+}
+
+// How much a pool loses in one step is told, also when it loses all.
+func TestWhatAPoolLoses(t *testing.T) {
+	bk := book(0)
+	var all []Entry
+	for i := range 10 {
+		all = append(all, entry(fmt.Sprint(i), "h:1", ""))
+	}
+	_, _ = bk.Whole(start, whole(1, all...))
+	told, _ := bk.Changes(start, Batch{"c", 3, []Event{gone(2, "1"), put(3, entry("2", "h:1", `,"status":"draining"`))}})
+	if told.Lost != 2 || told.Before != 10 {
+		t.Errorf("lost %d of %d", told.Lost, told.Before)
+	}
+	told, err := bk.Whole(start, whole(4))
+	expect(t, "all", "4 whole", told, err)
+	if told.Lost != 8 || told.Before != 8 {
+		t.Errorf("lost %d of %d", told.Lost, told.Before)
+	}
+}
+
+// Whatever comes in whatever order, the list of a pool that applies what it is told is that of the entries: those of one
+// that has read the whole at the end.
+func TestTheListIsAlwaysThatOfTheEntries(t *testing.T) {
+	for seed := range uint64(1000) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		bk := book(0)
+		truth, revision, pool := map[string]Entry{}, int64(0), map[string]membership.Endpoint{}
+		var log []Event
+		apply := func(told Told) {
+			if told.List == nil {
+				return
+			}
+			if told.List.Full {
+				clear(pool)
+			}
+			for _, e := range told.List.Endpoints {
+				if pool[e.Name] = e; e.Status == membership.Deleted {
+					delete(pool, e.Name)
+				}
+			}
+		}
+		read := func() {
+			told, err := bk.Whole(start, Snapshot{"c", revision, int64(len(truth)), slices.Collect(maps.Values(truth))})
+			if err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+			apply(told)
+		}
+		read()
+		for range 60 {
+			for range 1 + rnd.IntN(3) {
+				revision++
+				key := fmt.Sprint(rnd.IntN(6))
+				if rnd.IntN(3) == 0 {
+					delete(truth, "/app/s/"+key)
+					log = append(log, gone(revision, key))
+					continue
+				}
+				e := entry(key, fmt.Sprintf("h:%d", 1+rnd.IntN(9)), []string{"", `,"status":"draining"`, `,"name":"n"`, fmt.Sprintf(`,"since":%d`, rnd.IntN(3))}[rnd.IntN(4)])
+				truth[e.Key] = e
+				log = append(log, put(revision, e))
+			}
+			switch rnd.IntN(4) {
+			case 0: // a whole reading, and the changes are lost
+				read()
+				log = nil
+			case 1: // duplicates
+				told, err := bk.Changes(start, Batch{"c", revision, log})
+				if err != nil {
+					t.Fatal(err)
+				}
+				apply(told)
+				told, err = bk.Changes(start, Batch{"c", revision, log})
+				if log = nil; err != nil || told.List != nil {
+					t.Fatalf("seed %d: a duplicate is news: %s, %v", seed, say(told.List), err)
+				}
+			case 2:
+				told, err := bk.Changes(start, Batch{"c", revision, log})
+				if err != nil {
+					t.Fatal(err)
+				}
+				apply(told)
+				log = nil
+			}
+		}
+		told, err := bk.Changes(start, Batch{"c", revision, log})
+		if err != nil {
+			t.Fatal(err)
+		}
+		apply(told)
+		up := 0
+		for _, e := range pool {
+			if e.Status == membership.Serving {
+				up++
+			}
+		}
+		if up != bk.up {
+			t.Fatalf("seed %d: %d serve, counted %d", seed, up, bk.up)
+		}
+		names := map[string]bool{}
+		for key := range truth {
+			names[strings.TrimPrefix(key, "/app/s/")] = true
+		}
+		for name, e := range pool {
+			if name == "n" {
+				continue // one of those that claim it
+			}
+			want, err := bk.parse(truth["/app/s/"+name])
+			if err != nil || want.Name == name && want != e {
+				t.Fatalf("seed %d: %s is %+v, want %+v, %v", seed, name, e, want, err)
+			}
+		}
+		for key, e := range truth {
+			want, _ := bk.parse(e)
+			if _, there := pool[want.Name]; !there {
+				t.Fatalf("seed %d: %s is missing", seed, key)
+			}
+		}
+	}
+}
+
+// BenchmarkChange is one change of one entry among many.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			bk := book(0)
+			var all []Entry
+			for i := range n {
+				all = append(all, entry(fmt.Sprint(i), "h:1", ""))
+			}
+			_, _ = bk.Whole(start, whole(1, all...))
+			revision := int64(1)
+			for b.Loop() {
+				revision++
+				told, err := bk.Changes(start, Batch{"c", revision, []Event{put(revision, entry(fmt.Sprint(revision%int64(n)), "h:2", ""))}})
+				if err != nil || len(told.List.Endpoints) != 1 {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func FuzzWhole(f *testing.F) {
+	f.Add("/app/s/a", []byte(`{"address":"h:1","weight":1e999}`), "/app/s/b", []byte(`{"address":"[::1]:80","name":"a","status":"draining"}`))
+	f.Add("/app/s/", []byte(`null`), "/app/s/b/c", []byte(`[]`))
+	f.Fuzz(func(t *testing.T, k1 string, v1 []byte, k2 string, v2 []byte) {
+		bk := book(0)
+		told, err := bk.Whole(start, whole(1, Entry{k1, v1}, Entry{k2, v2}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range told.List.Endpoints {
+			if e.Name == "" || e.Address == "" || !(e.Weight >= 0) {
+				t.Fatalf("%+v", e)
+			}
+		}
+		if _, err := bk.Changes(start, Batch{"c", 2, []Event{put(2, Entry{k1, v2}), {Entry{Key: k2}, 2, true}}}); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -13,6 +13,7 @@
 	"fernlanding/internal/core"
 	"fernlanding/internal/membership"
 	"fernlanding/internal/membership/catalog"
+	"fernlanding/internal/membership/file"
 	upstream "fernlanding/internal/upstream/http1"
 )
 
@@ -109,9 +110,14 @@
 		s.roster.Listed(&membership.List{Full: true, Endpoints: from.Endpoints})
 		return
 	}
-	subscribe := s.cfg.Logic.Subscribe
-	c := catalog.New(from.Address, subscribe, log.With("service", s.cfg.Name), s.roster, s.pool.Asked())
-	s.source.Go(func() { c.Run(ctx, subscribe, subscribe && first) })
+	log = log.With("service", s.cfg.Name)
+	var source membership.Source
+	if from.Kind == config.File {
+		source = file.New(from.Path, log)
+	} else {
+		source = catalog.New(catalog.Config{Address: from.Address, Subscribe: s.cfg.Logic.Subscribe, First: first, Asked: s.pool.Asked(), Log: log})
+	}
+	s.source.Go(func() { source.Run(ctx, s.roster) })
 }
 
 // end stops the service and waits until nothing of it is left. Requests that are open are aborted.
