--- a/internal/catalogue/generate.go
+++ b/internal/catalogue/generate.go
@@ -231,7 +231,7 @@
 	path := "services." + key(s.name)
 	e.line(s.v.Place, "")
 	e.line(s.v.Place, "[%s]", path)
-	e.fields(s.v, "membership", "discovery", "path")
+	e.fields(s.v, "membership", "discovery", "path", "registered_as", "token_file")
 	if s.team != "" {
 		e.line(s.v.Fields["team"].Place, "owner = %s", quote(s.team))
 	}
--- a/internal/catalogue/model.go
+++ b/internal/catalogue/model.go
@@ -135,9 +135,9 @@
 	for _, f := range serviceTables {
 		s.Get(f, doc.Table)
 	}
-	switch s.Word("membership", "static", "static", "catalog", "file") {
-	case "catalog", "file":
-		s.Take("discovery", "path")
+	switch s.Word("membership", "static", "static", "catalog", "file", "consul") {
+	case "catalog", "file", "consul":
+		s.Take("discovery", "path", "registered_as", "token_file")
 		if s.Has("pods") {
 			s.Bad(rules.Exclusive, "pods", `stand in the catalogue where membership is "static"`)
 			s.Take("pods")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -128,8 +128,10 @@
 // Source is where the list of a service's backends comes from.
 type Source struct {
 	Kind      SourceKind
-	Address   string // of Catalog: host:port
+	Address   string // of Catalog and Consul: host:port
 	Path      string // of File
+	As        string // of Consul: the service's name there
+	TokenFile string // of Consul: holds the token; may be empty
 	Endpoints []membership.Endpoint
 }
 
@@ -141,6 +143,7 @@
 	Static  SourceKind = iota // the list stands in the file
 	Catalog                   // the platform's discovery
 	File                      // a file that somebody keeps up to date
+	Consul                    // blocking reads of a health API
 )
 
 // Route is one rule and what it leads to.
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -34,7 +34,7 @@
 
 // later are the fields that version 1 lacks.
 var later = map[string]int{"team": 2, "host": 2, "serves": 2, "generated": 2, "owner": 2, "answers": 2, "cold_multiple": 2, "share": 2,
-	"path": 2, "key": 2, "resend": 2, "early_data": 2, "hedge": 2, "formerly": 2, "for": 2}
+	"path": 2, "registered_as": 2, "token_file": 2, "key": 2, "resend": 2, "early_data": 2, "hedge": 2, "formerly": 2, "for": 2}
 
 // decoder reads one file.
 type decoder struct {
@@ -454,18 +454,20 @@
 
 func (x *decoder) source(s doc.Scope, v *Service) {
 	before := len(s.Faults)
-	kinds := []string{"static", "catalog", "file"}
+	kinds := []string{"static", "catalog", "file", "consul"}
 	if x.version < 2 {
 		kinds = kinds[:2]
 	}
 	kind := s.Word("membership", "static", kinds...)
 	if len(s.Faults) > before { // what goes with it can't be told
-		s.Take("discovery", "endpoints", "subscribe", "path")
+		s.Take("discovery", "endpoints", "subscribe", "path", "registered_as", "token_file")
 		return
 	}
-	if s.Has("path") && kind != "file" && x.version >= 2 {
-		s.Bad(rules.Exclusive, "path", `goes with membership = "file"`)
-		s.Take("path")
+	for field, with := range map[string]string{"path": "file", "registered_as": "consul", "token_file": "consul"} {
+		if s.Has(field) && kind != with && x.version >= 2 {
+			s.Bad(rules.Exclusive, field, "goes with membership = %q", with)
+			s.Take(field)
+		}
 	}
 	switch kind {
 	case "file":
@@ -480,6 +482,16 @@
 		}
 		s.Take("endpoints", "discovery")
 		return
+	case "consul":
+		v.Source = Source{Kind: Consul, Address: address(s, "discovery", false), As: s.Text("registered_as", v.Name), TokenFile: s.Text("token_file", "")}
+		if v.Source.As == "" {
+			s.Bad(rules.Missing, "registered_as", "the service's name in the registry expected")
+		}
+		if s.Has("endpoints") {
+			s.Bad(rules.Exclusive, "endpoints", `does not go with membership = "consul"`)
+		}
+		s.Take("endpoints")
+		return
 	case "catalog":
 		v.Source = Source{Kind: Catalog, Address: address(s, "discovery", false)}
 		if s.Has("endpoints") {
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"maps"
+	"os"
 	"reflect"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"fernlanding/internal/config"
 	"fernlanding/internal/core"
 	"fernlanding/internal/membership"
+	"fernlanding/internal/membership/blocking"
 	"fernlanding/internal/membership/catalog"
 	"fernlanding/internal/membership/file"
 	upstream "fernlanding/internal/upstream/http1"
@@ -23,6 +27,7 @@
 	platformIn = 64 << 10 // bytes of an answer that count nowhere on the platform
 	countedIn  = 4 << 10  // and elsewhere
 	drainPoll  = 20 * time.Millisecond
+	mostToken  = 4 << 10 // bytes of a registry's token
 )
 
 // service is one pool with its upstream and the source of its list, from the configuration that names it until its
@@ -112,14 +117,34 @@
 	}
 	log = log.With("service", s.cfg.Name)
 	var source membership.Source
-	if from.Kind == config.File {
+	switch from.Kind {
+	case config.File:
 		source = file.New(from.Path, log)
-	} else {
+	case config.Consul:
+		source = blocking.New(blocking.Config{Address: from.Address, Service: from.As, Token: token(from.TokenFile, log), Log: log})
+	default:
 		source = catalog.New(catalog.Config{Address: from.Address, Subscribe: s.cfg.Logic.Subscribe, First: first, Asked: s.pool.Asked(), Log: log})
 	}
 	s.source.Go(func() { source.Run(ctx, s.roster) })
 }
 
+// token reads a registry's token. Without one the registry says what it thinks of that.
+func token(path string, log *slog.Logger) string {
+	if path == "" {
+		return ""
+	}
+	f, err := os.Open(path)
+	if err == nil {
+		defer f.Close()
+		var data []byte
+		if data, err = io.ReadAll(io.LimitReader(f, mostToken)); err == nil {
+			return strings.TrimSpace(string(data))
+		}
+	}
+	log.Warn("token of the registry", "error", err)
+	return ""
+}
+
 // end stops the service and waits until nothing of it is left. Requests that are open are aborted.
 func (s *service) end() {
 	s.mu.Lock()
