--- a/internal/upstream/http1/upstream.go
+++ b/internal/upstream/http1/upstream.go
@@ -102,9 +102,7 @@
 func (p *Upstream) Apply(full bool, entries []membership.Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
-		listed[e.Name] = true
 		b := p.byName[e.Name]
 		if b == nil {
 			b = &backend{name: e.Name}
@@ -118,8 +116,15 @@
 			delete(p.byName, e.Name)
 		}
 	}
+	if !full {
+		return
+	}
+	listed := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		listed[e.Name] = true
+	}
 	for name, b := range p.byName {
-		if full && !listed[name] {
+		if !listed[name] {
 			b.ready = false
 			p.turn(b)
 			delete(p.byName, name)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -208,14 +208,19 @@
 		return
 	}
 	if kind != Delta {
-		for _, s := range b.all {
+		for _, s := range b.byID {
 			s.State = Gone // unless listed below
 		}
 	}
 	for _, e := range entries {
 		b.enter(e)
 	}
-	b.relist()
+	if kind == Delta {
+		b.amend(entries)
+	} else {
+		b.relist()
+	}
+	b.rotate()
 	if b.s.Subscribe && !b.asked {
 		b.asked = true
 		h.Watch()
@@ -229,7 +234,6 @@
 	if s == nil {
 		s = &server{hash: hash(e.ID)}
 		b.byID[e.ID] = s
-		b.all = append(b.all, s)
 	}
 	if s.ID == "" || s.Launched != e.Launched {
 		s.forget(len(b.classes))
@@ -240,19 +244,38 @@
 // relist forgets gone servers and gathers the ready ones. Rule 3 holds with no grace used: a server is
 // out of the draw from the moment that the list says that it drains or is gone.
 func (b *Balancer) relist() {
-	b.all = slices.DeleteFunc(b.all, func(s *server) bool {
+	b.ring = b.ring[:0]
+	for id, s := range b.byID {
+		if s.State == Ready {
+			b.ring = append(b.ring, s)
+		} else if s.State == Gone {
+			delete(b.byID, id)
+		}
+	}
+	slices.SortFunc(b.ring, ringOrder)
+}
+
+// amend is relist where a few entries have changed.
+func (b *Balancer) amend(entries []Server) {
+	for _, e := range entries {
+		s := b.byID[e.ID]
+		if s == nil {
+			continue // listed twice, and gone
+		}
+		i, there := slices.BinarySearchFunc(b.ring, s, ringOrder)
+		if s.State == Ready && !there {
+			b.ring = slices.Insert(b.ring, i, s)
+		} else if s.State != Ready && there {
+			b.ring = slices.Delete(b.ring, i, i+1)
+		}
 		if s.State == Gone {
 			delete(b.byID, s.ID)
 		}
-		return s.State == Gone
-	})
-	b.ready = b.ready[:0]
-	for _, s := range b.all {
-		if s.State == Ready {
-			b.ready = append(b.ready, s)
-		}
 	}
-	b.rotate()
+}
+
+func ringOrder(x, y *server) int {
+	return cmp.Or(cmp.Compare(x.hash, y.hash), cmp.Compare(x.ID, y.ID))
 }
 
 // rotate orders the ready servers so that this copy's subset comes first: they stand on a ring in the order
@@ -260,12 +283,9 @@
 // hold a connection of every one, which costs it capacity and turns new ones away, and each copy would see
 // too few calls to a server to judge it.
 func (b *Balancer) rotate() {
-	slices.SortFunc(b.ready, func(x, y *server) int {
-		return cmp.Or(cmp.Compare(x.hash, y.hash), cmp.Compare(x.ID, y.ID))
-	})
 	_, start := math.Modf(float64(b.s.Ordinal) * golden)
-	first := int(start * float64(len(b.ready)))
-	b.ready = slices.Concat(b.ready[first:], b.ready[:first])
+	first := int(start * float64(len(b.ring)))
+	b.ready = append(append(b.ready[:0], b.ring[first:]...), b.ring[:first]...)
 }
 
 // subset is how many warm and healthy servers this copy's calls are spread over.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -565,11 +565,11 @@
 func TestPeersShowingTheSameAreNotBlamed(t *testing.T) {
 	b, _ := with(t, testSettings(), 4)
 	for range 100 {
-		for _, s := range b.all {
+		for _, s := range b.byID {
 			b.judge(s, 0, Error)
 		}
 	}
-	for _, s := range b.all {
+	for _, s := range b.byID {
 		if b.judge(s, 0, Error) {
 			t.Errorf("%s is blamed for what its peers show", s.ID)
 		}
@@ -848,7 +848,7 @@
 func TestARefusedConnectionIsAlwaysBlamed(t *testing.T) {
 	b, _ := with(t, testSettings(), 8)
 	for range 5 {
-		for _, s := range b.all {
+		for _, s := range b.byID {
 			if !b.judge(s, 0, ConnectFailed) {
 				t.Fatalf("%s is not blamed for a refused connection", s.ID)
 			}
@@ -961,10 +961,10 @@
 	for _, c := range b.classes {
 		waiting += len(c.waiting)
 	}
-	if len(b.reqs) > 0 || len(b.turns) > 0 || len(b.byID) > 20 || len(b.all) > 20 || len(b.taken) > 6000 ||
+	if len(b.reqs) > 0 || len(b.turns) > 0 || len(b.byID) > 20 || len(b.ring) > 20 || len(b.taken) > 6000 ||
 		len(b.further) > 6000 || waiting > 2000 {
 		t.Errorf("left: %d requests, %d turns, %d and %d servers, %d taken, %d further, %d waiting", len(b.reqs),
-			len(b.turns), len(b.byID), len(b.all), len(b.taken), len(b.further), waiting)
+			len(b.turns), len(b.byID), len(b.ring), len(b.taken), len(b.further), waiting)
 	}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -219,8 +219,8 @@
 	s         Settings
 	rnd       *rand.Rand
 	byID      map[string]*server
-	all       []*server // in order of first listing
-	ready     []*server // those that new calls may go to, this copy's subset first
+	ring      []*server // those that new calls may go to, by ringOrder
+	ready     []*server // the same, this copy's subset first
 	reqs      map[string]*request
 	turns     map[string]*turn
 	tier      threadRule
