--- a/cmd/fernlanding/main_test.go
+++ b/cmd/fernlanding/main_test.go
@@ -76,7 +76,9 @@
 	write(addr)
 	ctx, stop := context.WithCancel(t.Context())
 	said, ended := make(chan string, 10), make(chan error, 1)
-	go func() { ended <- backends(ctx, []string{name}, writerFunc(func(b []byte) { said <- string(b) }), io.Discard) }()
+	go func() {
+		ended <- backends(ctx, []string{name}, writerFunc(func(b []byte) { said <- string(b) }), io.Discard)
+	}()
 	if first := <-said; !strings.Contains(first, addr) {
 		t.Errorf("said %q", first)
 	}
