--- a/internal/membership/blocking/blocking_test.go
+++ b/internal/membership/blocking/blocking_test.go
@@ -17,14 +17,7 @@
 // registry is the stand-in in the hands of the contract's suite.
 type registry struct{ h *standin.Health }
 
-func (r registry) Put(all ...membership.Endpoint) {
-	var members []standin.Member
-	for _, e := range all {
-		members = append(members, standin.Member{Name: e.Name, Address: e.Address, Zone: e.Zone, Group: e.Cell, Weight: e.Weight, SinceMs: e.SinceMs,
-			Status: []string{"SERVING", "DRAINING"}[e.Status]})
-	}
-	r.h.Put(members...)
-}
+func (r registry) Put(all ...membership.Endpoint) { r.h.Put(standin.Members(all)...) }
 
 func (r registry) Delete(names ...string) { r.h.Delete(names...) }
 func (r registry) Mend()                  { r.h.Fail(standin.Fine) }
--- a/internal/membership/catalog/contract_test.go
+++ b/internal/membership/catalog/contract_test.go
@@ -12,14 +12,7 @@
 // registry is the platform's discovery in the hands of the contract's suite.
 type registry struct{ d *standin.Discovery }
 
-func (r registry) Put(all ...membership.Endpoint) {
-	var members []standin.Member
-	for _, e := range all {
-		members = append(members, standin.Member{Name: e.Name, Address: e.Address, Zone: e.Zone, Group: e.Cell, Weight: e.Weight, SinceMs: e.SinceMs,
-			Status: []string{"SERVING", "DRAINING"}[e.Status]})
-	}
-	r.d.Put(members...)
-}
+func (r registry) Put(all ...membership.Endpoint) { r.d.Put(standin.Members(all)...) }
 
 func (r registry) Delete(names ...string) { r.d.Delete(names...) }
 
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -26,10 +25,7 @@
 // Discovery is the platform's discovery on a loopback socket: the whole list, and watches that wait for changes. It
 // can be made to fall silent or to fail.
 type Discovery struct {
-	listener net.Listener
-	server   *http.Server
-	done     chan struct{}
-	over     sync.WaitGroup
+	served
 
 	mu      sync.Mutex
 	index   int64
@@ -42,27 +38,13 @@
 
 // NewDiscovery starts a discovery with no members. Close ends it.
 func NewDiscovery() (*Discovery, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	d := &Discovery{members: map[string]Member{}, changed: map[string]int64{}, news: make(chan struct{})}
+	if err := d.serve(d); err != nil {
 		return nil, err
 	}
-	d := &Discovery{listener: l, done: make(chan struct{}), members: map[string]Member{}, changed: map[string]int64{},
-		news: make(chan struct{})}
-	d.server = &http.Server{Handler: d, ReadHeaderTimeout: 10 * time.Second}
-	d.over.Go(func() { _ = d.server.Serve(l) })
 	return d, nil
 }
 
-// Addr is where the discovery listens.
-func (d *Discovery) Addr() string { return d.listener.Addr().String() }
-
-// Close ends the discovery and all watches.
-func (d *Discovery) Close() {
-	close(d.done)
-	_ = d.server.Close()
-	d.over.Wait()
-}
-
 // Put enters members or changes them, in one version.
 func (d *Discovery) Put(members ...Member) {
 	d.mu.Lock()
--- a/internal/standin/health.go
+++ b/internal/standin/health.go
@@ -14,10 +14,7 @@
 // Health is a health API with blocking reads on a loopback socket, as Consul publishes it, for one service of any name.
 // It can fail in the ways in which a registry does.
 type Health struct {
-	listener net.Listener
-	server   *http.Server
-	done     chan struct{}
-	over     sync.WaitGroup
+	served
 
 	mu      sync.Mutex
 	index   uint64
@@ -44,26 +41,13 @@
 
 // NewHealth starts an API with no members. Close ends it.
 func NewHealth() (*Health, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	h := &Health{index: 1, members: map[string]Member{}, news: make(chan struct{})}
+	if err := h.serve(h); err != nil {
 		return nil, err
 	}
-	h := &Health{listener: l, done: make(chan struct{}), index: 1, members: map[string]Member{}, news: make(chan struct{})}
-	h.server = &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
-	h.over.Go(func() { _ = h.server.Serve(l) })
 	return h, nil
 }
 
-// Addr is where the API listens.
-func (h *Health) Addr() string { return h.listener.Addr().String() }
-
-// Close ends the API and all reads.
-func (h *Health) Close() {
-	close(h.done)
-	_ = h.server.Close()
-	h.over.Wait()
-}
-
 // Put enters members or changes them, in one step of the index.
 func (h *Health) Put(members ...Member) {
 	h.mu.Lock()
