--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -33,13 +33,8 @@
 	Full     time.Duration       // where that has none left: when to come again
 	Mirror   func(*core.Request) // has a copy sent elsewhere, without a wait; may be nil
 	Header   []core.Field        // stands in for the client's fields of these names
-	Codes    Codes
 }
 
-// Codes are the codes of answers that the proxy gives itself; 0 is the usual one. Refused is for what has not run or may
-// be repeated, Failed for what may have run, Expired for that whose time is up.
-type Codes struct{ Refused, Failed, Expired int }
-
 // Memory is a part of the process's memory for bodies.
 type Memory interface {
 	// Take takes n bytes, or nothing and is false.
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -3,7 +3,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -140,7 +139,7 @@
 		}
 		ans := f.pass(r, came, &dest, body)
 		if ans.Verdict != core.NotTaken || tries == mostTries {
-			f.reply(w, ans, dest.Codes)
+			f.reply(w, ans)
 			return
 		}
 		// The pool has closed since it was named, and has seen nothing of the request.
@@ -185,25 +184,25 @@
 }
 
 // word puts a verdict that comes without a backend's reply into a status.
-func word(v core.Verdict, c front.Codes) int {
+func word(v core.Verdict) int {
 	switch v {
 	case core.Refused, core.NotTaken:
-		return cmp.Or(c.Refused, http.StatusServiceUnavailable)
+		return http.StatusServiceUnavailable
 	case core.Expired:
-		return cmp.Or(c.Expired, http.StatusGatewayTimeout)
+		return http.StatusGatewayTimeout
 	case core.Rejected:
 		return http.StatusBadRequest
 	}
-	return cmp.Or(c.Failed, http.StatusBadGateway)
+	return http.StatusBadGateway
 }
 
-func (f *Front) reply(w http.ResponseWriter, ans core.Answer, codes front.Codes) {
+func (f *Front) reply(w http.ResponseWriter, ans core.Answer) {
 	defer ans.Reply.Done()
 	if ans.Verdict == core.Aborted {
 		panic(http.ErrAbortHandler) // a return would answer 200
 	}
 	if ans.Reply == nil {
-		ans.Reply = &core.Reply{Code: word(ans.Verdict, codes)}
+		ans.Reply = &core.Reply{Code: word(ans.Verdict)}
 	}
 	f.write(w, ans.Reply, time.Duration(ans.After)*time.Microsecond, ans.Verdict == core.Rejected)
 }
--- a/internal/sidecar/world.go
+++ b/internal/sidecar/world.go
@@ -107,7 +107,6 @@
 	class   int
 	rule    logic.Class
 	owner   config.Rule // what the class's owner states about running it again
-	codes   front.Codes
 	maxBody int64
 	tenants map[string]int
 	memory  front.Memory
@@ -143,8 +142,12 @@
 	sideOf := func(t config.Target) side {
 		v := services[t.Service]
 		class := v.cfg.Class(t.Class)
-		return side{name: t.Service, pool: v.pool, class: class, rule: v.cfg.Logic.Classes[class], owner: v.cfg.Rules[class],
-			codes: front.Codes(v.cfg.Codes), maxBody: v.cfg.MaxBody,
+		var pool front.Pool = v.pool
+		if v.cfg.Codes != (config.Codes{}) {
+			pool = coded{v.pool, v.cfg.Codes}
+		}
+		return side{name: t.Service, pool: pool, class: class, rule: v.cfg.Logic.Classes[class], owner: v.cfg.Rules[class],
+			maxBody: v.cfg.MaxBody,
 			tenants: tenants[t.Service], memory: memory{with.memory, t.Service}}
 	}
 	paths := make([]*path, len(app.Routes))
@@ -247,7 +250,7 @@
 		wait = min(wait, time.Duration(min(ms, 1e9))*time.Millisecond)
 	}
 	dest.Wait = wait - min(answerMargin, wait/marginPart)
-	dest.Pool, dest.Class, dest.Memory, dest.MaxBody, dest.Codes = s.pool, s.class, s.memory, s.maxBody, s.codes
+	dest.Pool, dest.Class, dest.Memory, dest.MaxBody = s.pool, s.class, s.memory, s.maxBody
 	if name := field(r.Header, "Tenant"); name != "" {
 		if n, ok := s.tenants[name]; ok {
 			dest.Tenant = n
