--- a/internal/catalogue/generate.go
+++ b/internal/catalogue/generate.go
@@ -186,11 +186,6 @@
 
 // table writes a table of scalars, in the order of the fields' names.
 func (e *emitter) table(name string, v *doc.Value) {
-	if v.Kind != doc.Table {
-		e.line(v.Place, "")
-		e.line(v.Place, "[%s]", name)
-		return
-	}
 	e.line(v.Place, "")
 	e.line(v.Place, "[%s]", name)
 	e.fields(v, slices.Sorted(slices.Values(v.Keys))...)
--- a/internal/catalogue/model.go
+++ b/internal/catalogue/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/textproto"
 	"slices"
 	"strings"
@@ -55,6 +56,7 @@
 }
 
 type pod struct {
+	name      string
 	v         *doc.Value
 	endpoints []*doc.Value
 }
@@ -92,13 +94,7 @@
 	for i, v := range scopes {
 		m.services[names[i]] = m.service(v, names[i])
 	}
-	m.names = slices.Sorted(func(yield func(string) bool) {
-		for n := range m.services {
-			if !yield(n) {
-				return
-			}
-		}
-	})
+	m.names = keys(m.services)
 	names, scopes = s.Each("applications")
 	for i, v := range scopes {
 		m.apps = append(m.apps, m.application(v, names[i]))
@@ -193,7 +189,7 @@
 			}
 			cells[c.Text] = c
 		}
-		one := pod{v: p.V}
+		one := pod{name: names[i], v: p.V}
 		for _, e := range p.List("endpoints") {
 			e.Take("name", "address", "weight", "status")
 			e.Done()
@@ -211,15 +207,7 @@
 		p.Done()
 		v.pods = append(v.pods, one)
 	}
-	if len(v.pods) == len(names) { // in the order of their names
-		order := slices.Clone(names)
-		slices.Sort(order)
-		sorted := make([]pod, 0, len(names))
-		for _, n := range order {
-			sorted = append(sorted, v.pods[slices.Index(names, n)])
-		}
-		v.pods = sorted
-	}
+	slices.SortFunc(v.pods, func(a, b pod) int { return strings.Compare(a.name, b.name) })
 }
 
 func (m *model) application(s doc.Scope, name string) *application {
@@ -374,10 +362,5 @@
 }
 
 func keys[V any](m map[string]V) []string {
-	var out []string
-	for k := range m {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
+	return slices.Sorted(maps.Keys(m))
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,7 +4,9 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
+	"net/http"
 	"time"
 
 	"fernlanding/internal/doc"
@@ -125,6 +127,11 @@
 	Expired int // its time is up, and it may have run: 504, 502 or 500
 }
 
+// Usual fills in the codes that are not stated.
+func (c Codes) Usual() Codes {
+	return Codes{cmp.Or(c.Refused, http.StatusServiceUnavailable), cmp.Or(c.Failed, http.StatusBadGateway), cmp.Or(c.Expired, http.StatusGatewayTimeout)}
+}
+
 // Source is where the list of a service's backends comes from.
 type Source struct {
 	Kind      SourceKind
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -62,15 +62,17 @@
 		}
 	}
 	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(a.Old, b.Old) })
-	moved := map[string]string{} // new path to old value
-	for _, p := range oldPaths {
-		at := p
+	renamed := func(p string) string { // an old path as it would be now
 		for from, to := range renames {
 			if strings.HasPrefix(p, from) {
-				at = to + p[len(from):]
+				return to + p[len(from):]
 			}
 		}
-		moved[at] = oldValues[p]
+		return p
+	}
+	moved := map[string]string{} // new path to old value
+	for _, p := range oldPaths {
+		moved[renamed(p)] = oldValues[p]
 	}
 	for _, p := range paths {
 		was, known := moved[p]
@@ -85,13 +87,7 @@
 		}
 	}
 	for _, p := range oldPaths {
-		at := p
-		for from, to := range renames {
-			if strings.HasPrefix(p, from) {
-				at = to + p[len(from):]
-			}
-		}
-		if _, stays := values[at]; stays {
+		if _, stays := values[renamed(p)]; stays {
 			continue
 		}
 		if strings.HasPrefix(p, head) {
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -44,7 +44,7 @@
 // refused are the faults for which a sidecar refuses the file.
 func (d *Document) refused() (out Faults) {
 	for _, f := range d.Faults {
-		if r := rules.Get(f.Rule); r.Severity == rules.Error && (r.Since == 0 || r.Since <= d.Version || d.Version == 0 && f.Rule != rules.FileCRLF) {
+		if r := rules.Get(f.Rule); r.Severity == rules.Error && (r.Since <= d.Version || d.Version == 0 && f.Rule != rules.FileCRLF) {
 			out = append(out, f)
 		}
 	}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -294,22 +294,13 @@
 }
 
 func (e *explainer) refusals(s *config.Service, in, class []string, k logic.Class) {
-	code, failed, expired := s.Codes.Refused, s.Codes.Failed, s.Codes.Expired
-	if code == 0 {
-		code = http.StatusServiceUnavailable
-	}
-	if failed == 0 {
-		failed = http.StatusBadGateway
-	}
-	if expired == 0 {
-		expired = http.StatusGatewayTimeout
-	}
+	codes := s.Codes.Usual()
 	hint := "without a time to come back"
 	if l := s.Logic.MaxRetryAfter; l > 0 {
 		hint = fmt.Sprintf("with a Retry-After of %v at most", time.Duration(l)*time.Microsecond)
 	}
-	e.say("refused", append(in[:2:2], "retry_after"), "%d %s, at once: when the pool is empty or full, its worth (%g) is below what is served, or its body finds no room", code, hint, k.Worth)
-	e.say("failed", append(in[:2:2], "answers"), "%d when it may have run and no answer came, %d when its time is up", failed, expired)
+	e.say("refused", append(in[:2:2], "retry_after"), "%d %s, at once: when the pool is empty or full, its worth (%g) is below what is served, or its body finds no room", codes.Refused, hint, k.Worth)
+	e.say("failed", append(in[:2:2], "answers"), "%d when it may have run and no answer came, %d when its time is up", codes.Failed, codes.Expired)
 	if len(s.Tenants) > 0 {
 		e.say("tenants", append(in[:2:2], "tenants"), "%s; a tenant beyond its quota is refused first", strings.Join(s.Tenants, ", "))
 	}
--- a/internal/sidecar/codes.go
+++ b/internal/sidecar/codes.go
@@ -1,9 +1,6 @@
 package sidecar
 
 import (
-	"cmp"
-	"net/http"
-
 	"fernlanding/internal/config"
 	"fernlanding/internal/core"
 	"fernlanding/internal/front"
@@ -12,7 +9,7 @@
 // coded is a pool whose own answers have the codes that its service states.
 type coded struct {
 	front.Pool
-	codes config.Codes
+	codes config.Codes // all of them
 }
 
 // Do implements front.Pool.
@@ -23,12 +20,12 @@
 	}
 	switch ans.Verdict {
 	case core.Refused:
-		ans.Reply = &core.Reply{Code: cmp.Or(c.codes.Refused, http.StatusServiceUnavailable)}
+		ans.Reply = &core.Reply{Code: c.codes.Refused}
 	case core.Expired:
-		ans.Reply = &core.Reply{Code: cmp.Or(c.codes.Expired, http.StatusGatewayTimeout)}
+		ans.Reply = &core.Reply{Code: c.codes.Expired}
 	case core.Rejected, core.Aborted, core.NotTaken: // the client's fault, nobody's to answer, or another pool's
 	default:
-		ans.Reply = &core.Reply{Code: cmp.Or(c.codes.Failed, http.StatusBadGateway)}
+		ans.Reply = &core.Reply{Code: c.codes.Failed}
 	}
 	return ans
 }
--- a/internal/sidecar/world.go
+++ b/internal/sidecar/world.go
@@ -144,7 +144,7 @@
 		class := v.cfg.Class(t.Class)
 		var pool front.Pool = v.pool
 		if v.cfg.Codes != (config.Codes{}) {
-			pool = coded{v.pool, v.cfg.Codes}
+			pool = coded{v.pool, v.cfg.Codes.Usual()}
 		}
 		return side{name: t.Service, pool: pool, class: class, rule: v.cfg.Logic.Classes[class], owner: v.cfg.Rules[class],
 			maxBody: v.cfg.MaxBody,
