--- a/internal/sidecar/sources_test.go
+++ b/internal/sidecar/sources_test.go
@@ -101,9 +101,11 @@
 			var clients sync.WaitGroup
 			var sent, wrong int
 			for range 4 {
+				c := connect(t, p) // one each: a connection for each request would take all descriptors
 				clients.Go(func() {
 					for ctx.Err() == nil {
-						resp, _ := ask(t, p, "GET", "/a")
+						c.send(t, words("GET", "/a"))
+						resp, _ := c.answer(t)
 						mu.Lock()
 						if sent++; resp.StatusCode != 200 {
 							wrong++
