--- a/internal/membership/blocking/blocking.go
+++ b/internal/membership/blocking/blocking.go
@@ -49,19 +49,17 @@
 type Source struct {
 	cfg    Config
 	client *http.Client
-	heard  *heard.Heard
-	book   *news.Book
-	reads  int64 // lists that were taken: the version that a pool is told
+	teller *heard.Teller
 }
 
 // New returns a source.
 func New(cfg Config) *Source {
-	return &Source{cfg: cfg, heard: heard.New(), book: news.New(news.Config{}),
+	return &Source{cfg: cfg, teller: heard.NewTeller("health reads", cfg.Log),
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true}}}
 }
 
 // Health implements membership.Source.
-func (s *Source) Health() membership.Health { return s.heard.Health() }
+func (s *Source) Health() membership.Health { return s.teller.Health() }
 
 // Run implements membership.Source. An index that falls is no news: the next read begins anew, and what it says holds.
 // Many sources that lose one registry come back at times of their own.
@@ -75,7 +73,7 @@
 		}
 		if err == nil && next < index {
 			s.cfg.Log.Warn("health reads: the index fell, reading anew", "from", index, "to", next)
-			s.heard.Fell()
+			s.teller.Fell()
 			index = 0
 			if !pause(ctx, rand.N(idle)) {
 				return
@@ -84,10 +82,10 @@
 		}
 		var fresh bool
 		if err == nil {
-			fresh, err = s.take(sink, entries)
+			fresh, err = s.teller.Whole(sink, entries)
 		}
 		if err != nil {
-			s.heard.Fell()
+			s.teller.Fell()
 			if s.cfg.Log.Warn("health reads: the last list stands", "error", err); !missed {
 				missed = true
 				sink.Missed()
@@ -98,7 +96,6 @@
 			wait = min(2*wait, retryMost)
 			continue
 		}
-		s.heard.Spoke(s.reads, s.book.Skipped())
 		index, wait, missed = next, retryFirst, false
 		if !fresh && !pause(ctx, idle) {
 			return
@@ -118,27 +115,6 @@
 	}
 }
 
-// take tells the pool what is new in a list, if anything is.
-func (s *Source) take(sink membership.Sink, entries []news.Entry) (bool, error) {
-	before := s.book.List()
-	told, err := s.book.Whole(time.Now(), news.Snapshot{Revision: s.reads + 1, Count: -1, Entries: entries})
-	if err != nil {
-		return false, err
-	}
-	for _, k := range told.Skipped {
-		s.cfg.Log.Warn("health reads: an entry makes no sense", "entry", k.Key, "error", k.Why)
-	}
-	s.reads++
-	if before != nil && membership.Same(before, told.List) {
-		return false, nil
-	}
-	if told.Lost*2 > told.Before {
-		s.cfg.Log.Warn("health reads: more than half of the servers went in one step", "lost", told.Lost, "of", told.Before)
-	}
-	sink.Listed(told.List)
-	return true, nil
-}
-
 // read makes one read. Index 0 does not wait.
 func (s *Source) read(ctx context.Context, index uint64) (next uint64, entries []news.Entry, err error) {
 	u := "http://" + s.cfg.Address + "/v1/health/service/" + url.PathEscape(s.cfg.Service)
--- a/internal/membership/file/file.go
+++ b/internal/membership/file/file.go
@@ -28,24 +28,23 @@
 
 // Source is a source.
 type Source struct {
-	path  string
-	log   *slog.Logger
-	heard *heard.Heard
-	book  *news.Book
-	index int64
-	last  os.FileInfo
-	read  time.Time
-	said  string // the fault that was logged last
+	path   string
+	log    *slog.Logger
+	teller *heard.Teller
+	last   os.FileInfo
+	read   time.Time
+	said   string // the fault that was logged last
 }
 
 // New returns a source that follows a file: {"endpoints": [{"name", "address", "zone", "cell", "status", "weight",
 // "since"}]}. An entry that makes no sense is skipped and named once; a file that is none changes nothing.
 func New(path string, log *slog.Logger) *Source {
-	return &Source{path: path, log: log, heard: heard.New(), book: news.New(news.Config{})}
+	log = log.With("file", path)
+	return &Source{path: path, log: log, teller: heard.NewTeller("list in a file", log)}
 }
 
 // Health implements membership.Source.
-func (s *Source) Health() membership.Health { return s.heard.Health() }
+func (s *Source) Health() membership.Health { return s.teller.Health() }
 
 // Run implements membership.Source.
 func (s *Source) Run(ctx context.Context, sink membership.Sink) {
@@ -67,67 +66,47 @@
 	if err == nil && s.last != nil && os.SameFile(info, s.last) && info.Size() == s.last.Size() && info.ModTime().Equal(s.last.ModTime()) &&
 		s.read.Sub(info.ModTime()) > racy {
 		if s.said == "" {
-			s.heard.Spoke(s.index, s.book.Skipped())
+			s.teller.Still()
 		}
 		return
 	}
-	var told news.Told
 	if err == nil {
 		s.last, s.read = info, time.Now()
-		told, err = s.take()
+		err = s.take(sink)
 	}
 	if err != nil {
 		s.last = nil
-		s.heard.Fell()
+		s.teller.Fell()
 		if err.Error() != s.said {
 			s.said = err.Error()
-			s.log.Warn("list in a file: the last one stands", "file", s.path, "error", err)
+			s.log.Warn("list in a file: the last one stands", "error", err)
 			sink.Missed()
 		}
 		return
 	}
 	s.said = ""
-	for _, k := range told.Skipped {
-		s.log.Warn("list in a file: an entry makes no sense", "file", s.path, "entry", k.Key, "error", k.Why)
-	}
-	if told.List != nil {
-		if told.Lost*2 > told.Before {
-			s.log.Warn("list in a file: more than half of the servers went in one step", "file", s.path, "lost", told.Lost, "of", told.Before)
-		}
-		sink.Listed(told.List)
-	}
-	s.heard.Spoke(s.index, s.book.Skipped())
 }
 
-// take reads the file and returns what is new in it.
-func (s *Source) take() (news.Told, error) {
+// take reads the file and tells what is new in it.
+func (s *Source) take(sink membership.Sink) error {
 	f, err := os.Open(s.path)
 	if err != nil {
-		return news.Told{}, err
+		return err
 	}
 	defer f.Close()
 	data, err := io.ReadAll(io.LimitReader(f, maxFile+1))
 	if err != nil {
-		return news.Told{}, err
+		return err
 	}
 	if len(data) > maxFile {
-		return news.Told{}, fmt.Errorf("over %d bytes", maxFile)
+		return fmt.Errorf("over %d bytes", maxFile)
 	}
 	entries, err := parse(data)
 	if err != nil {
-		return news.Told{}, err
-	}
-	before := s.book.List()
-	s.index++
-	told, err := s.book.Whole(time.Now(), news.Snapshot{Revision: s.index, Count: int64(len(entries)), Entries: entries})
-	if err != nil {
-		s.index--
-		return told, err
-	}
-	if before != nil && membership.Same(before, told.List) {
-		told.List = nil // the same words written again are no news
+		return err
 	}
-	return told, nil
+	_, err = s.teller.Whole(sink, entries)
+	return err
 }
 
 // parse takes a file apart. Its entries are judged one by one.
