--- a/internal/check/chain.go
+++ b/internal/check/chain.go
@@ -294,6 +294,17 @@
 	}
 }
 
+// groupOf names the group of backends that drop each other's repeats which an endpoint is in.
+func groupOf(cell int, zone string, g logic.Group) string {
+	switch g {
+	case logic.GroupZone:
+		return zone
+	case logic.GroupCell:
+		return strconv.Itoa(cell)
+	}
+	return ""
+}
+
 // several tells whether a service has, or may have, more than one group of backends that drop each other's repeats.
 func several(s *config.Service, g logic.Group) bool {
 	if s.Source.Kind != config.Static {
@@ -301,11 +312,7 @@
 	}
 	groups := map[string]bool{}
 	for _, e := range s.Source.Endpoints {
-		if g == logic.GroupZone {
-			groups[e.Zone] = true
-		} else {
-			groups[strconv.Itoa(e.Cell)] = true
-		}
+		groups[groupOf(e.Cell, e.Zone, g)] = true
 	}
 	return len(groups) > 1
 }
--- a/internal/check/fleet.go
+++ b/internal/check/fleet.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"fernlanding/internal/catalogue"
 	"fernlanding/internal/config"
@@ -251,27 +252,21 @@
 	}
 	for _, d := range f.docs {
 		for _, s := range d.App.Services {
-			var longest config.Rule
-			for _, r := range s.Rules {
-				if r.Repeat == logic.Keyed && r.Group != logic.GroupAll && r.Window >= longest.Window {
-					longest = r
-				}
-			}
-			if longest.Repeat != logic.Keyed {
-				continue
-			}
 			for n, e := range s.Source.Endpoints {
 				for _, id := range []string{e.Name, e.Address} {
 					old, known := was[s.Name+"\x00"+id]
-					if !known || e.Status != membership.Serving || old.cell == e.Cell && (longest.Group == logic.GroupCell || old.zone == e.Zone) {
-						continue
+					recalled := time.Duration(0) // the longest window of the classes whose group it leaves
+					for _, r := range s.Rules {
+						if r.Repeat == logic.Keyed && groupOf(old.cell, old.zone, r.Group) != groupOf(e.Cell, e.Zone, r.Group) {
+							recalled = max(recalled, r.Window)
+						}
 					}
-					if longest.Group == logic.GroupZone && old.zone == e.Zone {
+					if !known || e.Status != membership.Serving || recalled == 0 {
 						continue
 					}
 					see, _ := old.d.Place("services", s.Name, "endpoints", strconv.Itoa(old.n+1))
 					f.bad(d, rules.PodMoves, path("services", s.Name, "endpoints", strconv.Itoa(n+1)), e.Name+" in "+pod(e.Cell, e.Zone),
-						fmt.Sprintf("it serves in %s now, where keys are recalled for %v", pod(old.cell, old.zone), longest.Window), see)
+						fmt.Sprintf("it serves in %s now, where keys are recalled for %v", pod(old.cell, old.zone), recalled), see)
 					break
 				}
 			}
