--- a/internal/catalogue/model.go
+++ b/internal/catalogue/model.go
@@ -112,14 +112,8 @@
 // DefaultRetryFactor is how often attempts may multiply over all tiers where a fleet does not say.
 const DefaultRetryFactor = 1.2
 
-func (m *model) name(s doc.Scope, name string) {
-	if !config.IsName(name) {
-		s.Fault(s.V, rules.Name, s.Path, fmt.Sprintf("%q", doc.Clip(name)), "a name of 1 to 64 letters, digits and signs expected")
-	}
-}
-
 func (m *model) service(s doc.Scope, name string) *service {
-	m.name(s, name)
+	config.Named(s, "", name)
 	v := &service{name: name, v: s.V, classes: map[string]*class{}, tenants: map[string]*doc.Value{}}
 	if v.team = s.Text("team", ""); v.team == "" {
 		s.Bad(rules.Missing, "team", "the team that owns the service expected")
@@ -149,11 +143,7 @@
 	for i, c := range scopes {
 		k := &class{v: c.V}
 		c.Take(classFields...)
-		for _, r := range c.List("routes") {
-			r.Take(matchFields...)
-			r.Done()
-			k.routes = append(k.routes, r.V)
-		}
+		k.routes = matches(c)
 		c.Done()
 		v.classes[names[i]] = k
 	}
@@ -171,6 +161,16 @@
 	return v
 }
 
+// matches reads the routes of a class.
+func matches(s doc.Scope) (out []*doc.Value) {
+	for _, r := range s.List("routes") {
+		r.Take(matchFields...)
+		r.Done()
+		out = append(out, r.V)
+	}
+	return out
+}
+
 // pods reads where a service's backends are. The members of a pod share one record of keys.
 func (m *model) pods(s doc.Scope, v *service) {
 	names, scopes := s.Each("pods")
@@ -179,7 +179,7 @@
 	}
 	cells, addresses := map[string]*doc.Value{}, map[string]*doc.Value{}
 	for i, p := range scopes {
-		m.name(p, names[i])
+		config.Named(p, "", names[i])
 		p.Take("zone")
 		if !p.Has("cell") {
 			p.Bad(rules.Missing, "cell", "the number of the pod expected: its members drop each other's repeats")
@@ -211,7 +211,7 @@
 }
 
 func (m *model) application(s doc.Scope, name string) *application {
-	m.name(s, name)
+	config.Named(s, "", name)
 	a := &application{name: name, v: s.V, serves: s.Texts("serves"), instances: int(s.Whole("instances", 1, 1, 100_000))}
 	s.Take("team", "host", "zone")
 	s.Get("process", doc.Table)
@@ -237,11 +237,7 @@
 func (m *model) find(s doc.Scope, field, name string) *service {
 	v := m.services[name]
 	if v == nil {
-		expect := "one of the services of the catalogue expected"
-		if near := doc.Nearest(name, m.names); near != "" {
-			expect += ": " + near + " meant?"
-		}
-		s.Bad(rules.UnknownService, field, "%s, found %q", expect, doc.Clip(name))
+		s.Bad(rules.UnknownService, field, "%s, found %q", doc.Guess("one of the services of the catalogue expected", name, m.names), doc.Clip(name))
 	}
 	return v
 }
@@ -258,10 +254,7 @@
 		k.Take(calledFields...)
 		k.Take(stated...)
 		k.Take("time_limit", "for", "mirror")
-		for _, r := range k.List("routes") {
-			r.Take(matchFields...)
-			r.Done()
-		}
+		matches(k)
 		k.Done()
 		if v == nil {
 			continue
@@ -286,11 +279,7 @@
 	slices.SortFunc(c.classes, func(a, b *called) int { return strings.Compare(a.name, b.name) })
 	for _, t := range c.tenants {
 		if v.tenants[t] == nil {
-			expect := "no tenant of " + name + " is named so"
-			if near := doc.Nearest(t, keys(v.tenants)); near != "" {
-				expect += ": " + near + " meant?"
-			}
-			s.Bad(rules.UnknownTenant, "tenants", "%s, found %q", expect, doc.Clip(t))
+			s.Bad(rules.UnknownTenant, "tenants", "%s, found %q", doc.Guess("no tenant of "+name+" is named so", t, keys(v.tenants)), doc.Clip(t))
 		}
 	}
 	m.within(s, v)
@@ -318,11 +307,7 @@
 			}
 		}
 	}
-	expect := "one of the classes of " + v.name + " expected"
-	if near := doc.Nearest(name, v.names); near != "" {
-		expect += ": " + near + " meant?"
-	}
-	s.Fault(s.V, rules.UnknownClass, s.Path, "", expect)
+	s.Fault(s.V, rules.UnknownClass, s.Path, "", doc.Guess("one of the classes of "+v.name+" expected", name, v.names))
 }
 
 // agree compares what a caller states of a class with what its owner states.
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -90,12 +90,12 @@
 		if !s.Has("name") {
 			s.Bad(rules.Missing, "name", "the application's name expected")
 		} else {
-			named(s, "name", app.Name)
+			Named(s, "name", app.Name)
 		}
 		app.Team, app.Host = s.Text("team", ""), s.Text("host", "")
 		for _, f := range []string{"team", "host"} {
 			if s.Has(f) {
-				named(s, f, s.Text(f, ""))
+				Named(s, f, s.Text(f, ""))
 			}
 		}
 		app.Serves = s.Texts("serves")
@@ -103,7 +103,7 @@
 			s.Bad(rules.TooMany, "serves", "%d services, %d expected at most", len(app.Serves), maxServes)
 		}
 		for _, name := range app.Serves {
-			named(s, "serves", name)
+			Named(s, "serves", name)
 		}
 		x.head(s)
 	}
@@ -164,8 +164,8 @@
 // IsName tells whether a name can be one: a token of RFC 9110 of 1 to 64 bytes.
 func IsName(name string) bool { return len(name) <= maxNames && route.IsToken(name) }
 
-// named faults a name that is none; without a field, that of the table itself.
-func named(s doc.Scope, field, name string) {
+// Named faults a name that is none; without a field, that of the table itself.
+func Named(s doc.Scope, field, name string) {
 	if IsName(name) {
 		return
 	}
@@ -194,7 +194,7 @@
 	seen := map[string]bool{}
 	for _, l := range s.List("listeners") {
 		one := Listener{Name: l.Text("name", "main"), Address: address(l, "address", true)}
-		named(l, "name", one.Name)
+		Named(l, "name", one.Name)
 		l.Done()
 		if seen[one.Name] {
 			l.Bad(rules.DoubleName, "name", "another listener has this name")
@@ -229,7 +229,7 @@
 }
 
 func (x *decoder) service(s doc.Scope, name string) *Service {
-	named(s, "", name)
+	Named(s, "", name)
 	v := &Service{Name: name, PassAll: true, Trusted: s.Flag("trusted"),
 		Connections: s.Whole("connections", 0, 1, 1<<20),
 		MaxBody:     s.Whole("max_body", 64<<10, 0, MaxBody),
@@ -274,7 +274,7 @@
 	names, scopes := s.Each("tenants")
 	portions := 0.0
 	for i, t := range scopes {
-		named(t, "", names[i])
+		Named(t, "", names[i])
 		v.Tenants = append(v.Tenants, names[i])
 		before := len(s.Faults)
 		l.Tenants = append(l.Tenants, logic.Tenant{Portion: t.Number("portion", 1, 0, 1), Quota: t.Number("quota", 0, 0, 1e9)})
@@ -294,7 +294,7 @@
 // service2 reads what version 2 adds to a service.
 func (x *decoder) service2(s doc.Scope, v *Service) {
 	if v.Owner = s.Text("owner", ""); s.Has("owner") {
-		named(s, "owner", v.Owner)
+		Named(s, "owner", v.Owner)
 	}
 	v.Share = s.Number("share", 0, 0, 1)
 	if v.ColdMultiple = s.Number("cold_multiple", defaultCold, 0, 100); v.ColdMultiple < 1 {
@@ -332,7 +332,7 @@
 	names, scopes := s.Each("classes")
 	former := map[string]string{}
 	for i, c := range scopes {
-		named(c, "", names[i])
+		Named(c, "", names[i])
 		k := logic.Class{Aim: micros(c.Span("objective", 500*time.Millisecond, minTime, MaxDeadline)),
 			Deadline:  micros(c.Span("deadline", 2*time.Second, minTime, MaxDeadline)),
 			Worth:     c.Number("worth", 1, 0, 1e9),
@@ -417,7 +417,7 @@
 	x.allowances(c, &r)
 	r.Formerly = c.Texts("formerly")
 	for _, f := range r.Formerly {
-		named(c, "formerly", f)
+		Named(c, "formerly", f)
 	}
 	return r
 }
@@ -607,7 +607,7 @@
 func (x *decoder) route(s doc.Scope) Route {
 	r := Route{Name: s.Text("name", ""), Listeners: s.Texts("listeners"), Rewrite: s.Text("rewrite_prefix", ""),
 		Timeout: s.Span("timeout", 0, minTime, maxRouteTime)}
-	named(s, "name", r.Name)
+	Named(s, "name", r.Name)
 	for _, l := range r.Listeners {
 		if !slices.ContainsFunc(x.app.Listeners, func(o Listener) bool { return o.Name == l }) {
 			s.Bad(rules.UnknownListener, "listeners", "no listener is named %q", doc.Clip(l))
@@ -782,8 +782,8 @@
 
 // oneOf words a list of names, and the near one where there is one.
 func oneOf(what, word string, names []string) string {
-	if near := doc.Nearest(word, names); near != "" && word != "" {
-		return what + ": " + near + " meant?"
+	if guess := doc.Guess(what, word, names); guess != what && word != "" {
+		return guess
 	}
 	if len(names) > 8 {
 		names = append(slices.Clone(names[:8]), fmt.Sprintf("and %d more", len(names)-8))
--- a/internal/doc/read.go
+++ b/internal/doc/read.go
@@ -240,6 +240,14 @@
 	return near
 }
 
+// Guess is a text, with the near one of some known words behind it where there is one.
+func Guess(text, word string, known []string) string {
+	if near := Nearest(word, known); near != "" {
+		return text + ": " + near + " meant?"
+	}
+	return text
+}
+
 // distance is the Levenshtein distance of two words, of which long ones count as far apart.
 func distance(a, b string) int {
 	if len(a) > 40 || len(b) > 40 {
