--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,6 +33,7 @@
 
 	lateBar    = 0.8 // of the aim: slower finishes count against the tier and the class
 	slowBar    = 0.6 // of the aim: slower finishes press the shares, in time to mend what is late next
+	jamBar     = 2.2
 	crowdBar   = 1.6 // of the time under little load: slower finishes press the shares too
 	crowdLeast = 0.1 // of the aim: what is quicker than this is no crowd
 	crowdLow   = 0.8 // but not below this multiple, since load is then not what makes them slow
@@ -77,7 +78,8 @@
 	golden      = 0.618034 // steps of this part of a ring spread any number of starts evenly
 
 	meanGain   = 0.05        // of the running means of time and of errors
-	baseGain   = 0.001       // of the time under little load, upwards; it follows at once downwards
+	baseSpan   = 60 * second // of the time under little load, upwards; it follows at once downwards
+	baseFirst  = 20.0        // finishes that make up its first guess
 	firstMean  = 0.25        // of the aim: a fresh copy's guess at the mean time
 	hangMeans  = 12.0        // an attempt is given up after this many mean times
 	hangLeast  = 0.2         // but not before this part of the aim: any hiccup is many times a millisecond
@@ -402,7 +404,8 @@
 	if s == nil {
 		return false
 	}
-	a := &attempt{srv: s, sent: now, zone: s.Zone, cell: s.Cell, mayRun: true, out: true}
+	a := &attempt{srv: s, sent: now, zone: s.Zone, cell: s.Cell, mayRun: true, out: true,
+		light: (b.tier.threads+1)*b.s.Siblings <= len(b.ready)}
 	q.attempts = append(q.attempts, a)
 	if b.s.Stage == 0 {
 		b.classes[q.Class].waiting = append(b.classes[q.Class].waiting, a)
@@ -582,13 +585,14 @@
 	if o.Status == Cancelled || o.Status == Moot {
 		return
 	}
-	c, k, failed := &b.classes[q.Class], b.s.Classes[q.Class], o.Status != OK
+	c, failed := &b.classes[q.Class], o.Status != OK
 	blame := b.judge(a.srv, q.Class, o.Status)
 	if !failed {
 		b.reward(c, a.srv, float64(o.Took))
+		c.rebase(now, a.light)
 	}
 	spent := float64(now - a.sent)
-	late := failed && !blame || !failed && spent > lateBar*float64(k.Aim)
+	late := failed && !blame || !failed && spent > b.lateBar(q.Class)
 	slow := late || !failed && spent > b.slowBar(q.Class)
 	b.tier.learn(&b.tier.ev, now, a.sent, late, b.light(q.Class))
 	c.rule.learn(&c.rule.ev, now, a.sent, late, b.light(q.Class))
@@ -597,6 +601,15 @@
 	}
 }
 
+// lateBar is the time at which a call counts as late.
+func (b *Balancer) lateBar(class int) float64 {
+	bar := lateBar * float64(b.s.Classes[class].Aim)
+	if b.s.Stage > 0 {
+		return bar
+	}
+	return min(bar, max(jamBar*b.classes[class].base, crowdLeast*float64(b.s.Classes[class].Aim)))
+}
+
 // slowBar is the time at which a call counts as slow: well before its aim, and also when it takes clearly
 // longer than calls do when little waits, since servers that hold too many turn slower for long.
 func (b *Balancer) slowBar(class int) float64 {
@@ -699,5 +712,17 @@
 	s.slowness += (ratio - s.slowness) * slowGain
 	c.seen++
 	c.mean += (took - c.mean) * gainAfter(c.seen, meanGain)
-	c.base = min(c.mean, c.base+(c.mean-c.base)*gainAfter(c.seen, baseGain))
+}
+
+// rebase moves what is held to be a class's time when little waits: down at once, up as fast as the mean moves
+// where a call met little, and else by the clock, so that a crowd that lasts is not taken for the usual.
+func (c *classState) rebase(now int64, light bool) {
+	gain := min(1, float64(now-c.based)/float64(baseSpan))
+	if c.based = now; light {
+		gain = max(gain, meanGain)
+	}
+	if c.seen < baseFirst {
+		gain = gainAfter(c.seen, gain)
+	}
+	c.base = min(c.mean, c.base+(c.mean-c.base)*gain)
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -95,6 +95,7 @@
 	yield   round      // evidence of classes that are worth clearly more
 	mean    float64    // of successes
 	base    float64    // the mean when little waits
+	based   int64      // when base last moved
 	seen    float64    // successes
 	errs    float64    // running part of failed calls over all servers
 	waiting []*attempt // at the front: in order of sending, those not yet slow
@@ -136,6 +137,7 @@
 	zone   int // as listed at the time of sending
 	cell   int
 	slow   bool // counted as slow before its end
+	light  bool // when it was sent there were fewer calls out than servers, if all copies have as many
 	mayRun bool // outstanding, or ended without proof that it never ran
 	out    bool
 }
