Judge crowding by a light time that a jam cannot move, and failures apart from lateness

Ruled out: lateness bars alone (2.0 to 4.0 times the old light time change nothing), the module's clock, the list. Calls count as late from 1.8 times it (new), crowded from 1.6 (as before).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,7 +33,7 @@
 
 	lateBar    = 0.8 // of the aim: slower finishes count against the tier and the class
 	slowBar    = 0.6 // of the aim: slower finishes press the shares, in time to mend what is late next
-	jamBar     = 2.2
+	jamBar     = 1.8 // of the time under little load: slower finishes count against the tier and the class too
 	crowdBar   = 1.6 // of the time under little load: slower finishes press the shares too
 	crowdLeast = 0.1 // of the aim: what is quicker than this is no crowd
 	crowdLow   = 0.8 // but not below this multiple, since load is then not what makes them slow
@@ -133,11 +133,18 @@
 		r.count = min(r.count+min(riseStep, risePart*r.count), max(used, quick))
 		r.cut = r.cut && r.count < used
 	} else {
-		r.count, r.cut = max(r.least, min(r.count, float64(r.peak))*f), true
+		r.shrink(f)
 	}
 	r.peak = r.threads
 }
 
+// shrink cuts a count after a bad round, which is one whose factor is neither 0 nor 1.
+func (r *threadRule) shrink(f float64) {
+	if f > 0 && f < 1 {
+		r.count, r.cut = max(r.least, min(r.count, float64(r.peak))*f), true
+	}
+}
+
 // canPass stretches the one-second window of a small count, so that fractional counts work. A fresh copy's
 // window is no longer than its life, or it would let a long window's worth through at once. Room for chance
 // guards sparse copies, where single calls fill a tenant's count.
@@ -188,12 +195,14 @@
 	for i, c := range s.Classes {
 		first := firstMean * float64(c.Aim)
 		span := roundSpan * c.Aim
-		rule := threadRule{count: startCount, least: least, ev: round{allowed: allowed, span: span}}
+		ev := round{allowed: allowed, span: span}
+		rule := threadRule{count: startCount, least: least, ev: ev, fails: ev}
 		b.shareEv.span = max(b.shareEv.span, span)
 		b.classes[i] = classState{rule: rule, mean: first, base: first}
 		b.classes[i].yield = round{allowed: slowMuch, span: span}
 	}
-	b.tier = threadRule{count: startCount, least: least, ev: round{allowed: allowed, span: b.shareEv.span}}
+	ev := round{allowed: allowed, span: b.shareEv.span}
+	b.tier = threadRule{count: startCount, least: least, ev: ev, fails: ev}
 	b.shareEv.allowed = slowMuch
 	b.spillEv = b.shareEv
 	return b, nil
@@ -592,16 +601,20 @@
 		c.rebase(now, a.light)
 	}
 	spent := float64(now - a.sent)
-	late := failed && !blame || !failed && spent > b.lateBar(q.Class)
-	slow := late || !failed && spent > b.slowBar(q.Class)
-	b.tier.learn(&b.tier.ev, now, a.sent, late, b.light(q.Class))
-	c.rule.learn(&c.rule.ev, now, a.sent, late, b.light(q.Class))
+	// A failure that came quickly tells nothing of load: it counts with its like, and neither for the shares nor for home.
+	late := (o.Status == FullUp || o.Status == TimedOut) && !blame || !failed && spent > b.lateBar(q.Class)
+	slow := late || spent > b.slowBar(q.Class)
+	for _, r := range []*threadRule{&b.tier, &c.rule} {
+		r.learn(&r.ev, now, a.sent, late, b.light(q.Class))
+		r.shrink(r.fails.add(now, a.sent, failed && !blame))
+	}
 	if !a.slow {
-		b.press(now, q.Class, a, slow, slow || failed)
+		b.press(now, q.Class, a, slow, slow || o.Status == ConnectFailed)
 	}
 }
 
-// lateBar is the time at which a call counts as late.
+// lateBar is the time at which a call counts as late: shortly before its aim, and also when it takes so much longer
+// than calls do when little waits that servers must hold too many. Where the aim is far off, they would choke first.
 func (b *Balancer) lateBar(class int) float64 {
 	bar := lateBar * float64(b.s.Classes[class].Aim)
 	if b.s.Stage > 0 {
@@ -724,5 +737,8 @@
 	if c.seen < baseFirst {
 		gain = gainAfter(c.seen, gain)
 	}
-	c.base = min(c.mean, c.base+(c.mean-c.base)*gain)
+	if c.mean < c.base {
+		gain = max(gain, meanGain)
+	}
+	c.base += (c.mean - c.base) * gain
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -206,8 +206,9 @@
 	node
 	count float64
 	least float64
-	cut   bool // by a bad round, and not yet back at what is used
-	ev    round
+	cut   bool  // by a bad round, and not yet back at what is used
+	ev    round // of late finishes
+	fails round // of failures: the two are not added up
 }
 
 // originRule limits the calls passed per second for one tenant.
