--- a/cmd/fernctl/main.go
+++ b/cmd/fernctl/main.go
@@ -6,6 +6,7 @@
 //	fernctl explain FILE METHOD URL                   what a sidecar would do with a request
 //	fernctl migrate FILE                              an older file in the newest format
 //	fernctl rules                                     every rule with its reason
+//	fernctl pcap info|requests FILE                   what a packet capture holds
 //
 // It ends with 0, with 1 when there are faults or changes, and with 2 when it could not run.
 package main
@@ -46,10 +47,10 @@
 		Writer: out, ErrWriter: log,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // the code is decided below
 		OnUsageError:   usage,
-		Commands:       []*cli.Command{initCommand(), generateCommand(), checkCommand(), explainCommand(), migrateCommand(), rulesCommand()},
+		Commands:       []*cli.Command{initCommand(), generateCommand(), checkCommand(), explainCommand(), migrateCommand(), rulesCommand(), pcapCommand()},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.Args().Len() > 0 {
-				return fmt.Errorf("unknown command %q; one of init, generate, check, explain, migrate and rules expected", c.Args().First())
+				return fmt.Errorf("unknown command %q; one of init, generate, check, explain, migrate, rules and pcap expected", c.Args().First())
 			}
 			return cli.ShowRootCommandHelp(c)
 		},
--- /dev/null
+++ b/internal/pcap/pcap.go
@@ -0,0 +1,123 @@
+// Package pcap reads the HTTP/1.1 traffic of a capture file: packets to segments, segments to flows, flows to requests
+// and their answers. Each step counts what it takes and what became of it, so that nothing is dropped in silence.
+package pcap
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"fernlanding/internal/pcap/capture"
+	"fernlanding/internal/pcap/flow"
+	"fernlanding/internal/pcap/http"
+	"fernlanding/internal/pcap/packet"
+)
+
+// Options bound and direct a reading. The zero value is fine.
+type Options struct {
+	Flow   flow.Limits
+	HTTP   http.Limits
+	Bodies http.Store          // of bodies too large for memory; nil: all stay there
+	Bad    func(*packet.Fault) // takes packets of no sense; may be nil
+}
+
+// Summary counts what was read.
+type Summary struct {
+	Format    string       `json:"format"`
+	Packets   int64        `json:"packets"`
+	Segments  int64        `json:"segments"`  // of TCP
+	Others    int64        `json:"others"`    // packets of other protocols
+	Fragments int64        `json:"fragments"` // that waited for others
+	GivenUp   int64        `json:"fragments_given_up"`
+	Bad       int64        `json:"bad"` // packets of no sense, or cut within a header
+	Backwards int64        `json:"time_went_back"`
+	First     time.Time    `json:"first"`
+	Last      time.Time    `json:"last"`
+	Payload   flow.Account `json:"payload"`
+	Stream    http.Account `json:"stream"`
+	Broken    *string      `json:"broken,omitempty"` // why the file could not be read to its end
+	fault     *capture.Fault
+}
+
+// Whole tells whether the file was read to its end.
+func (s *Summary) Whole() bool { return s.fault == nil }
+
+// Check tells whether every byte is accounted for. An error is a fault of this program.
+func (s *Summary) Check() error {
+	var wrong []string
+	if sum := s.Segments + s.Others + s.Fragments + s.Bad; sum != s.Packets {
+		wrong = append(wrong, fmt.Sprintf("%d packets, %d accounted for", s.Packets, sum))
+	}
+	if sum := s.Payload.Sum(); sum != s.Payload.Payload {
+		wrong = append(wrong, fmt.Sprintf("%d bytes of payload, %d accounted for", s.Payload.Payload, sum))
+	}
+	if s.Payload.Delivered != s.Stream.Bytes {
+		wrong = append(wrong, fmt.Sprintf("%d bytes handed on, %d taken", s.Payload.Delivered, s.Stream.Bytes))
+	}
+	if sum := s.Stream.Sum(); sum != s.Stream.Bytes {
+		wrong = append(wrong, fmt.Sprintf("%d bytes of streams, %d accounted for", s.Stream.Bytes, sum))
+	}
+	if wrong != nil {
+		return errors.New("pcap: " + strings.Join(wrong, "; "))
+	}
+	return nil
+}
+
+// lookEvery is how many packets pass between two looks at the context.
+const lookEvery = 4096
+
+// Read reads a whole capture and tells sink what it holds. A file that breaks off is read as far as it goes, and the
+// Summary says so; an error means that nothing could be read, or that the context ended.
+func Read(ctx context.Context, r io.Reader, opts Options, sink http.Sink) (*Summary, error) {
+	file, err := capture.Open(r)
+	if err != nil {
+		return nil, err
+	}
+	reader := http.NewReader(opts.HTTP, opts.Bodies, sink)
+	flows := flow.New(opts.Flow, reader)
+	decoder := packet.New()
+	sum := &Summary{Format: file.Format()}
+	var segment flow.Segment
+	for {
+		p, err := file.Next()
+		if err != nil {
+			errors.As(err, &sum.fault)
+			break
+		}
+		if sum.Packets%lookEvery == 0 && ctx.Err() != nil {
+			return nil, fmt.Errorf("pcap: at packet %d: %w", p.Number, ctx.Err())
+		}
+		if sum.Packets++; sum.Packets == 1 {
+			sum.First, sum.Last = p.Time, p.Time
+		} else if p.Time.Before(sum.Last) {
+			sum.Backwards++
+		} else {
+			sum.Last = p.Time
+		}
+		kind, err := decoder.Decode(&p, &segment)
+		switch kind {
+		case packet.Segment:
+			sum.Segments++
+			flows.Add(&segment)
+		case packet.Other:
+			sum.Others++
+		case packet.Fragment:
+			sum.Fragments++
+		case packet.Bad:
+			if sum.Bad++; opts.Bad != nil {
+				opts.Bad(&packet.Fault{Packet: p.Number, Err: err})
+			}
+		}
+	}
+	flows.Close()
+	sum.GivenUp = decoder.GivenUp()
+	sum.Payload, sum.Stream = flows.Account(), reader.Account()
+	if sum.fault != nil {
+		why := sum.fault.Error()
+		sum.Broken = &why
+	}
+	return sum, nil
+}
