Replay captured requests to a sidecar, set outcomes side by side, write what went over

Need: a bad night's capture is to be sent again. internal/pcap/replay plans it (pure: times, connections, new ids, keys, redaction, what is left out) and carries it out; nothing is sent twice, and what must not run twice only when asked for, to loopback or an allowed address. internal/pcap/write makes a pcapng of it with the ids as comments of packets.

--- a/cmd/fernctl/main.go
+++ b/cmd/fernctl/main.go
@@ -6,7 +6,7 @@
 //	fernctl explain FILE METHOD URL                   what a sidecar would do with a request
 //	fernctl migrate FILE                              an older file in the newest format
 //	fernctl rules                                     every rule with its reason
-//	fernctl pcap info|requests FILE                   what a packet capture holds
+//	fernctl pcap info|requests|replay FILE            a packet capture as traffic
 //
 // It ends with 0, with 1 when there are faults or changes, and with 2 when it could not run.
 package main
--- a/cmd/fernctl/pcap.go
+++ b/cmd/fernctl/pcap.go
@@ -28,6 +28,7 @@
 			&cli.IntFlag{Name: "faults", Value: 50, Usage: "print at most `N` faults; all are counted"}), Action: pcapInfo},
 		{Name: "requests", Usage: "the requests of a capture, a line each, with their answers", ArgsUsage: "FILE",
 			Flags: pcapFlags(), Action: pcapRequests},
+		replayCommand(),
 	}}
 	for _, sub := range c.Commands {
 		sub.OnUsageError = usage
@@ -125,31 +126,35 @@
 // Done implements http.Sink.
 func (c *collector) Done(_ *flow.Flow, why flow.End) { c.ends[why]++ }
 
-// readPcap reads the file that a command names.
-func readPcap(ctx context.Context, c *cli.Command, to *collector) (*pcap.Summary, error) {
+// openPcap opens the file that a command names, and a store for its large bodies.
+func openPcap(c *cli.Command) (*os.File, *bodies.Dir, error) {
 	if c.Args().Len() != 1 {
-		return nil, fmt.Errorf("pcap %s: found %d arguments, expected one FILE", c.Name, c.Args().Len())
+		return nil, nil, fmt.Errorf("pcap %s: found %d arguments, expected one FILE", c.Name, c.Args().Len())
 	}
 	for _, name := range []string{"flows", "body-mb", "disk-mb"} {
 		if n := c.Int(name); n < 1 || n > 1<<20 {
-			return nil, fmt.Errorf("pcap %s: -%s: found %d, expected 1 to %d", c.Name, name, n, 1<<20)
+			return nil, nil, fmt.Errorf("pcap %s: -%s: found %d, expected 1 to %d", c.Name, name, n, 1<<20)
 		}
 	}
 	in, err := os.Open(c.Args().First())
 	if err != nil {
-		return nil, fmt.Errorf("pcap %s: %w", c.Name, err)
+		return nil, nil, fmt.Errorf("pcap %s: %w", c.Name, err)
 	}
-	defer in.Close()
 	store, err := bodies.New("", int64(c.Int("disk-mb"))<<20)
 	if err != nil {
-		return nil, fmt.Errorf("pcap %s: %w", c.Name, err)
+		return nil, nil, errors.Join(fmt.Errorf("pcap %s: %w", c.Name, err), in.Close())
 	}
+	return in, store, nil
+}
+
+// readFrom reads a capture; sink is to, or stands around it.
+func readFrom(ctx context.Context, c *cli.Command, in io.Reader, store *bodies.Dir, sink http.Sink, to *collector) (*pcap.Summary, error) {
 	opts := pcap.Options{Flow: flow.Limits{Flows: c.Int("flows")}, HTTP: http.Limits{Body: int64(c.Int("body-mb")) << 20},
 		Bodies: store, Bad: func(f *packet.Fault) {
 			to.tell(nil, 0, faultLine{Kind: "bad-packet", Why: f.Err.Error(), Packet: f.Packet})
 		}}
-	sum, err := pcap.Read(ctx, in, opts, to)
-	if err = errors.Join(err, to.err, store.Close()); err != nil {
+	sum, err := pcap.Read(ctx, in, opts, sink)
+	if err = errors.Join(err, to.err); err != nil {
 		return nil, fmt.Errorf("pcap %s: %s: %w", c.Name, c.Args().First(), err)
 	}
 	if !sum.Whole() {
@@ -161,6 +166,16 @@
 	return sum, sum.Check()
 }
 
+// readPcap reads the file that a command names.
+func readPcap(ctx context.Context, c *cli.Command, to *collector) (sum *pcap.Summary, err error) {
+	in, store, err := openPcap(c)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, in.Close(), store.Close()) }()
+	return readFrom(ctx, c, in, store, to, to)
+}
+
 // infoReport is what pcap info -json prints.
 type infoReport struct {
 	File     string             `json:"file"`
--- a/cmd/fernctl/pcap_test.go
+++ b/cmd/fernctl/pcap_test.go
@@ -2,20 +2,25 @@
 
 import (
 	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/gopacket/gopacket"
 	"github.com/gopacket/gopacket/pcapgo"
 
-	"fernlanding/internal/pcap/gen"
+	"fernlanding/internal/pcap/synth"
 )
 
 // capture writes a capture of connections to a file and returns its name.
-func capture(t *testing.T, conns ...*gen.Conn) string {
+func capture(t *testing.T, conns ...*synth.Conn) string {
 	t.Helper()
 	name := filepath.Join(t.TempDir(), "night.pcap")
 	f, err := os.Create(name)
@@ -45,8 +50,8 @@
 	return name
 }
 
-func conn(port uint16, ask, tell string) *gen.Conn {
-	c := gen.NewConn(netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port), netip.MustParseAddrPort("10.0.0.2:80"), gen.Ethernet, [2]uint32{1, 1})
+func conn(port uint16, ask, tell string) *synth.Conn {
+	c := synth.NewConn(netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port), netip.MustParseAddrPort("10.0.0.2:80"), synth.Ethernet, [2]uint32{1, 1})
 	c.Open()
 	c.Send(0, []byte(ask), 1000)
 	c.Send(1, []byte(tell), 1000)
@@ -92,3 +97,47 @@
 	expect(t, 2, "expected a pcap or pcapng file", "pcap", "info", filepath.Join("main.go"))
 	expect(t, 2, "-flows: found 0, expected 1 to", "pcap", "info", "-flows", "0", sound)
 }
+
+// From a capture through a running sidecar's place to a server and back: the table sets both outcomes side by side, what
+// is unsafe is left out, and what was written reads as the same requests.
+func TestPcapReplay(t *testing.T) {
+	var seen atomic.Int32
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen.Add(1)
+		_, _ = io.WriteString(w, "ok")
+	}))
+	defer web.Close()
+	to := web.Listener.Addr().String()
+	charge := "POST /charge-post/1 HTTP/1.1\r\nRequest-Id: c1\r\nRequest-Class: charge-post\r\nContent-Length: 1\r\n\r\nx"
+	keyed := strings.Replace(asked, "Request-Id", "Idempotency-Key: k\r\nRequest-Id", 1)
+	file, written, ids := capture(t, conn(1000, keyed+charge, told+told)), filepath.Join(t.TempDir(), "out.pcapng"), filepath.Join(t.TempDir(), "ids")
+	expect(t, 0, "(unsafe): left out: unsafe: its effect would happen again", "pcap", "replay", "-dry-run", file)
+	if seen.Load() != 0 {
+		t.Error("a dry run has sent something")
+	}
+	expect(t, 0, "left out: 1: unsafe", "pcap", "replay", "-to", to, "-speed", "-1", "-id", "Request-Id", "-write", written, "-ids", ids, file)
+	if n := seen.Load(); n != 1 {
+		t.Errorf("%d requests were sent, of one", n)
+	}
+	expect(t, 0, "1 requests, 1 answers, 1 pairs", "pcap", "info", written)
+	if table, err := os.ReadFile(ids); err != nil || !strings.HasPrefix(string(table), "r1\t") {
+		t.Errorf("the table of ids: %q, %v", table, err)
+	}
+	var report replayReport
+	if err := json.Unmarshal([]byte(expect(t, 0, "", "pcap", "replay", "-to", to, "-unsafe", "-json", file)), &report); err != nil || len(report.Classes) != 2 || report.Classes[0].Sent != 1 {
+		t.Errorf("%+v, %v", report, err)
+	}
+	for word, args := range map[string][]string{
+		"is neither loopback nor allowed": {"-to", "192.0.2.1:80"},
+		"-to: found \"\", expected":       nil,
+		"-set: found \"x\", expected":     {"-to", to, "-set", "x"},
+		"-redact: found \"x\", expected":  {"-to", to, "-redact", "x"},
+		"it cannot be set":                {"-to", to, "-set", "Content-Length=1"},
+		"-conns: found 0, expected 1 to":  {"-to", to, "-conns", "0"},
+		"speed: found 1e-09, expected":    {"-to", to, "-speed", "1e-9"},
+	} {
+		expect(t, 2, word, append(append([]string{"pcap", "replay"}, args...), file)...)
+	}
+	web.Close()
+	expect(t, 1, "not sent: dial tcp", "pcap", "replay", "-to", to, file)
+}
--- a/internal/pcap/pcap_test.go
+++ b/internal/pcap/pcap_test.go
@@ -19,8 +19,8 @@
 
 	"fernlanding/internal/pcap/capture"
 	"fernlanding/internal/pcap/flow"
-	"fernlanding/internal/pcap/gen"
 	"fernlanding/internal/pcap/http"
+	"fernlanding/internal/pcap/synth"
 )
 
 // found keeps what a reading tells.
@@ -64,7 +64,7 @@
 
 // talk is one made connection.
 type talk struct {
-	conn   *gen.Conn
+	conn   *synth.Conn
 	asked  []message
 	told   []message
 	broken bool // some of its messages make no sense
@@ -96,18 +96,18 @@
 	if rnd.IntN(4) == 0 {
 		isn[0] = ^uint32(0) - uint32(rnd.IntN(2000)) // wraps
 	}
-	t := &talk{conn: gen.NewConn(client, server, gen.Link(rnd.IntN(int(gen.Links))), isn)}
+	t := &talk{conn: synth.NewConn(client, server, synth.Link(rnd.IntN(int(synth.Links))), isn)}
 	t.conn.Open()
 	var at [2]int
 	size := 100 + rnd.IntN(1400)
 	for burst := range 1 + rnd.IntN(3) {
 		var ask, tell string
 		for n := range 1 + rnd.IntN(3) {
-			body := string(gen.Bytes(rnd, rnd.IntN(6000)))
+			body := string(synth.Bytes(rnd, rnd.IntN(6000)))
 			text := framed(rnd, fmt.Sprintf("POST /usage-rate/%d.%d.%d HTTP/1.1\r\nHost: b\r\nRequest-Id: %d-%d-%d\r\n", i, burst, n, i, burst, n), body)
 			t.asked = append(t.asked, message{text, body, at[0] + len(ask), at[0] + len(ask) + len(text)})
 			ask += text
-			body = string(gen.Bytes(rnd, rnd.IntN(3000)))
+			body = string(synth.Bytes(rnd, rnd.IntN(3000)))
 			text = framed(rnd, "HTTP/1.1 200 OK\r\n", body)
 			if rnd.IntN(5) == 0 {
 				text = "HTTP/1.1 100 Continue\r\n\r\n" + text
@@ -127,7 +127,7 @@
 
 // spoil spoils a connection's segments, and tells whether the reading has to report it. What can be made good again
 // (order, repeats) need not be reported.
-func spoil(rnd *rand.Rand, c *gen.Conn) (reported bool) {
+func spoil(rnd *rand.Rand, c *synth.Conn) (reported bool) {
 	var with []int // parts with data
 	for i, p := range c.Parts {
 		if len(p.Data) > 2 && !p.Spoilt {
@@ -170,7 +170,7 @@
 	case 5: // a keep-alive probe
 		i := pick()
 		p := c.Parts[i]
-		probe := gen.Part{Dir: p.Dir, Seq: p.Seq + uint32(len(p.Data)) - 1, Data: []byte{0}}
+		probe := synth.Part{Dir: p.Dir, Seq: p.Seq + uint32(len(p.Data)) - 1, Data: []byte{0}}
 		c.Parts = slices.Insert(c.Parts, i+1, probe)
 	case 6: // overlapping its neighbour with the same bytes
 		for range 8 {
@@ -190,7 +190,7 @@
 }
 
 // trusted is how far a half's bytes reach without a hole, in the packets that are there.
-func trusted(c *gen.Conn, dir int, isn uint32) int {
+func trusted(c *synth.Conn, dir int, isn uint32) int {
 	type span struct{ from, to int }
 	var spans []span
 	for _, p := range c.Parts {
@@ -210,7 +210,7 @@
 }
 
 // file writes packets as a file of the kind.
-func file(t *testing.T, kind int, link gen.Link, packets []gen.Packet) []byte {
+func file(t *testing.T, kind int, link synth.Link, packets []synth.Packet) []byte {
 	t.Helper()
 	var buf bytes.Buffer
 	check := func(err error) {
@@ -219,7 +219,7 @@
 			t.Fatal(err)
 		}
 	}
-	info := func(p gen.Packet) gopacket.CaptureInfo {
+	info := func(p synth.Packet) gopacket.CaptureInfo {
 		return gopacket.CaptureInfo{Timestamp: p.Time, CaptureLength: len(p.Data), Length: p.Whole}
 	}
 	switch kind {
@@ -254,13 +254,13 @@
 var noon = time.Date(2026, 12, 24, 12, 0, 0, 0, time.UTC)
 
 // interleave frames all parts of all connections, each in its order, mixed.
-func interleave(t *testing.T, rnd *rand.Rand, talks []*talk) []gen.Packet {
+func interleave(t *testing.T, rnd *rand.Rand, talks []*talk) []synth.Packet {
 	t.Helper()
-	left := make([][]gen.Part, len(talks))
+	left := make([][]synth.Part, len(talks))
 	for i, x := range talks {
 		left[i] = x.conn.Parts
 	}
-	var out []gen.Packet
+	var out []synth.Packet
 	for now := noon; ; now = now.Add(time.Duration(rnd.IntN(2000)) * time.Microsecond) {
 		var open []int
 		for i, l := range left {
@@ -301,7 +301,7 @@
 func TestWhatWasWholeComesOutByteForByte(t *testing.T) {
 	for seed := range uint64(500) {
 		rnd := rand.New(rand.NewPCG(seed, 15))
-		link := gen.Link(rnd.IntN(int(gen.Links)))
+		link := synth.Link(rnd.IntN(int(synth.Links)))
 		var talks []*talk
 		must := map[netip.AddrPort]bool{}
 		isn := map[*talk][2]uint32{}
@@ -363,10 +363,10 @@
 func TestATruncatedFileIsReadAsFarAsItGoes(t *testing.T) {
 	rnd := rand.New(rand.NewPCG(1, 1))
 	x := makeTalk(rnd, 1)
-	x.conn.Link = gen.Ethernet
+	x.conn.Link = synth.Ethernet
 	packets := interleave(t, rnd, []*talk{x})
 	for kind := range 4 {
-		data := file(t, kind, gen.Ethernet, packets)
+		data := file(t, kind, synth.Ethernet, packets)
 		last := int64(-1)
 		for n := len(data) / 7; n < len(data); n += 1 + len(data)/97 {
 			f := newFound()
@@ -410,7 +410,7 @@
 	for kind := range 4 {
 		x := makeTalk(rnd, 1)
 		x.conn.Parts = x.conn.Parts[:min(12, len(x.conn.Parts))]
-		var packets []gen.Packet
+		var packets []synth.Packet
 		for _, p := range x.conn.Parts {
 			one, err := x.conn.Packets(p, noon)
 			if err != nil {
--- /dev/null
+++ b/internal/pcap/replay/plan.go
@@ -0,0 +1,290 @@
+// Package replay sends the requests of a capture again. What is sent, when, and what is left out is decided by a Plan,
+// which does no I/O and reads no clock; Run carries it out. Nothing is ever sent twice.
+package replay
+
+import (
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"fernlanding/internal/pcap/http"
+)
+
+// Repeat says what may happen when a request runs once more than in the capture.
+type Repeat int
+
+// The kinds of request.
+const (
+	Safe   Repeat = iota // GET, HEAD, OPTIONS, TRACE (RFC 9110, section 9.2.1)
+	Keyed                // it carries an Idempotency-Key
+	Unsafe               // anything else: a replay runs its effect again
+)
+
+// String names the kind.
+func (r Repeat) String() string { return [...]string{"safe", "keyed", "unsafe"}[r] }
+
+// Options direct a plan. The zero value sends what is not unsafe, as captured.
+type Options struct {
+	Speed   float64           // 1 and 0: as captured; 2: twice as fast; negative: at once
+	Single  bool              // a connection for each request, not as captured
+	Unsafe  bool              // send unsafe requests too
+	Class   string            // the field that names a request's class in reports (Request-Class)
+	ID      string            // the field whose value is made new (Request-Id); empty: none is
+	NewKeys bool              // Idempotency-Key is made new, alike for alike
+	Set     map[string]string // fields that are set, whatever the capture has; an empty value takes the field out
+	Copy    map[string]string // fields that are set from others of the capture: new name to old name
+	Redact  []Redaction
+	Most    int // requests (default 1,000,000)
+}
+
+// Redaction replaces what matches in the value of a field, or in bodies of up to 1 MiB if Field is empty. A longer body
+// that is to be redacted is left out of the replay: it might show what it must not.
+type Redaction struct {
+	Field   string
+	Pattern *regexp.Regexp
+	With    string
+}
+
+const (
+	defaultMost  = 1_000_000
+	mostRedacted = 1 << 20
+	keyField     = "Idempotency-Key"
+	speedLeast   = 1e-3
+	speedMost    = 1e6
+)
+
+// Step is one request of a plan.
+type Step struct {
+	Conn     int // connection of the replay, from 0
+	At       time.Duration
+	Repeat   Repeat
+	Class    string
+	OldID    string
+	NewID    string
+	Head     []byte // with the empty line
+	Body     http.Body
+	Bytes    []byte // stands in for Body if redacted
+	Redacted bool
+	Method   string
+	Target   string
+	Captured Outcome
+	Answer   http.Body // the captured one's
+	Skip     string    // why it is not sent; empty if it is
+}
+
+// Outcome is what became of a request: captured, or in the replay.
+type Outcome struct {
+	Code int // 0: no whole answer
+	Took time.Duration
+}
+
+// Plan is what a replay sends.
+type Plan struct {
+	opts  Options
+	rnd   *rand.Rand
+	Steps []*Step
+	conns map[int64]int
+	next  int
+	first time.Time
+	keys  map[string]string
+}
+
+// New returns an empty plan, whose new ids come from the seed.
+func New(opts Options, seed uint64) (*Plan, error) {
+	if opts.Speed == 0 {
+		opts.Speed = 1
+	}
+	if opts.Speed > 0 && (opts.Speed < speedLeast || opts.Speed > speedMost) {
+		return nil, fmt.Errorf("replay: speed: found %g, expected %g to %g", opts.Speed, speedLeast, speedMost)
+	}
+	if opts.Most == 0 {
+		opts.Most = defaultMost
+	}
+	if opts.Class == "" {
+		opts.Class = "Request-Class"
+	}
+	for _, names := range []map[string]string{opts.Set, opts.Copy} {
+		for name, value := range names {
+			if strings.ContainsAny(name+value, "\r\n\x00") || name == "" || strings.ContainsAny(name, " :") || framing(name) {
+				return nil, fmt.Errorf("replay: field %.40q: it cannot be set", name)
+			}
+		}
+	}
+	return &Plan{opts: opts, rnd: rand.New(rand.NewPCG(seed, 11)), conns: map[int64]int{}, keys: map[string]string{}}, nil
+}
+
+// framing tells whether a field frames a message: these are the plan's own.
+func framing(name string) bool {
+	return slices.ContainsFunc([]string{"Content-Length", "Transfer-Encoding", "Connection", "Expect", "Trailer", "Upgrade", "TE", "Keep-Alive", "Proxy-Connection"},
+		func(f string) bool { return strings.EqualFold(f, name) })
+}
+
+// ErrMost says that a capture has more requests than a plan takes.
+var ErrMost = errors.New("more requests than a replay takes")
+
+// Add takes the next request of a capture.
+func (p *Plan) Add(e *http.Exchange) error {
+	q := e.Request
+	if len(p.Steps) >= p.opts.Most {
+		return fmt.Errorf("replay: %w: %d", ErrMost, p.opts.Most)
+	}
+	if len(p.Steps) == 0 {
+		p.first = q.Began
+	}
+	s := &Step{Method: q.Method, Target: q.Target, Body: q.Body, Class: q.Get(p.opts.Class), OldID: q.Get(p.opts.ID), Repeat: repeat(q)}
+	if p.opts.Speed > 0 {
+		s.At = max(0, time.Duration(float64(q.Began.Sub(p.first))/p.opts.Speed))
+	}
+	if n, ok := p.conns[e.Flow.ID]; ok && !p.opts.Single {
+		s.Conn = n
+	} else {
+		s.Conn = p.next
+		p.conns[e.Flow.ID] = p.next
+		p.next++
+	}
+	if a := e.Answer; a != nil {
+		s.Captured, s.Answer = Outcome{a.Code, a.Ended.Sub(q.Ended)}, a.Body
+	}
+	switch {
+	case s.Repeat == Unsafe && !p.opts.Unsafe:
+		s.Skip = "unsafe: its effect would happen again"
+	case q.Method == "CONNECT" || q.Get("Upgrade") != "":
+		s.Skip = "a tunnel"
+	}
+	p.Steps = append(p.Steps, s)
+	if s.Skip == "" {
+		return p.word(s, q)
+	}
+	return nil
+}
+
+// repeat is what may happen when a request runs again.
+func repeat(q *http.Message) Repeat {
+	switch {
+	case q.Method == "GET" || q.Method == "HEAD" || q.Method == "OPTIONS" || q.Method == "TRACE":
+		return Safe
+	case q.Get(keyField) != "":
+		return Keyed
+	}
+	return Unsafe
+}
+
+// word writes the head of a step as it goes out.
+func (p *Plan) word(s *Step, q *http.Message) error {
+	size := q.Body.Size
+	if slices.ContainsFunc(p.opts.Redact, func(r Redaction) bool { return r.Field == "" }) && size > 0 {
+		if size > mostRedacted {
+			s.Skip = fmt.Sprintf("a body of %d bytes cannot be redacted, of at most %d", size, mostRedacted)
+			return nil
+		}
+		body, err := q.Body.Bytes()
+		if err != nil {
+			return err
+		}
+		for _, r := range p.opts.Redact {
+			if r.Field == "" {
+				body = r.Pattern.ReplaceAll(body, []byte(r.With))
+			}
+		}
+		s.Bytes, s.Redacted, size = body, true, int64(len(body))
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\n", q.Method, q.Target)
+	said := map[string]bool{}
+	put := func(name, value string) {
+		value = p.clean(name, value)
+		fmt.Fprintf(&b, "%s: %s\r\n", name, value)
+		said[strings.ToLower(name)] = true
+	}
+	own := func(name string) bool {
+		for _, names := range []map[string]string{p.opts.Set, p.opts.Copy} {
+			for n := range names {
+				if strings.EqualFold(n, name) {
+					return true
+				}
+			}
+		}
+		return framing(name)
+	}
+	for _, f := range q.Header {
+		switch {
+		case own(f.Name):
+		case p.opts.ID != "" && strings.EqualFold(f.Name, p.opts.ID):
+			if s.NewID == "" {
+				s.NewID = p.fresh()
+				put(f.Name, s.NewID)
+			}
+		case p.opts.NewKeys && strings.EqualFold(f.Name, keyField):
+			if p.keys[f.Value] == "" { // a repeat in the capture stays one
+				p.keys[f.Value] = p.fresh()
+			}
+			put(f.Name, p.keys[f.Value])
+		default:
+			put(f.Name, f.Value)
+		}
+	}
+	if p.opts.ID != "" && s.NewID == "" {
+		s.NewID = p.fresh()
+		put(p.opts.ID, s.NewID)
+	}
+	for _, name := range sorted(p.opts.Copy) {
+		if v := q.Get(p.opts.Copy[name]); v != "" {
+			put(name, v)
+		}
+	}
+	for _, name := range sorted(p.opts.Set) {
+		if v := p.opts.Set[name]; v != "" {
+			put(name, v)
+		}
+	}
+	if !said["host"] {
+		b.WriteString("Host: replay\r\n")
+	}
+	if size > 0 || s.Repeat != Safe {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", size)
+	}
+	s.Head = []byte(b.String() + "\r\n")
+	return nil
+}
+
+// clean is a field's value after redaction.
+func (p *Plan) clean(name, value string) string {
+	for _, r := range p.opts.Redact {
+		if r.Field != "" && strings.EqualFold(r.Field, name) {
+			value = strings.NewReplacer("\r", " ", "\n", " ").Replace(r.Pattern.ReplaceAllString(value, r.With))
+		}
+	}
+	return value
+}
+
+// fresh is a new id.
+func (p *Plan) fresh() string {
+	var b [16]byte
+	for i := range b {
+		b[i] = byte(p.rnd.Uint32())
+	}
+	return hex.EncodeToString(b[:])
+}
+
+func sorted(m map[string]string) []string {
+	names := make([]string, 0, len(m))
+	for n := range m {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// May tells whether a replay may go to an address: to loopback always, to another only if it is in the list.
+func May(to netip.AddrPort, allowed []netip.AddrPort) error {
+	if to.Addr().Unmap().IsLoopback() || slices.Contains(allowed, to) {
+		return nil
+	}
+	return fmt.Errorf("replay: %v is neither loopback nor allowed", to)
+}
--- a/internal/pcap/gen/gen.go
+++ b/internal/pcap/synth/synth.go
@@ -1,6 +1,6 @@
-// Package gen makes captures with known faults, seeded, for tests and benchmarks: what went over the connections is
-// known byte for byte, and so is what the capture spoils.
-package gen
+// Package synth makes the packets of TCP connections: for captures that are written, and for those with known faults
+// that tests and benchmarks read.
+package synth
 
 import (
 	"fmt"
