--- /dev/null
+++ b/internal/pcap/replay/sidecar_test.go
@@ -0,0 +1,164 @@
+package replay
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"os/exec"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fernlanding/internal/config"
+	"fernlanding/internal/pcap/synth"
+	"fernlanding/internal/pcap/write"
+	"fernlanding/internal/sidecar"
+	"fernlanding/internal/standin"
+)
+
+// sidecarBefore starts a sidecar of three classes before two stand-ins, and returns its address, and what reached them.
+func sidecarBefore(t *testing.T) (netip.AddrPort, func(id string) []string) {
+	t.Helper()
+	var mu sync.Mutex
+	came := map[string][]string{}
+	var endpoints strings.Builder
+	for i := range 2 {
+		b, err := standin.NewBackend(func(c *standin.Call) bool {
+			mu.Lock()
+			id := c.Header.Get("Captured-Id")
+			came[id] = append(came[id], string(c.Content))
+			mu.Unlock()
+			return standin.Echo(c)
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(b.Close)
+		fmt.Fprintf(&endpoints, "{ name = \"b%d\", address = %q, cell = 1 },", i, b.Addr())
+	}
+	app, err := config.Decode("replay", []byte(fmt.Sprintf(`version = 1
+listeners = [{ address = "127.0.0.1:0" }]
+[services.s]
+membership = "static"
+trusted = true
+endpoints = [%s]
+[services.s.classes]
+tariff = { repeat = "safe", objective = "2s", deadline = "20s" }
+usage = { repeat = "keyed", objective = "2s", deadline = "20s", dedup_scope = "cell", dedup_window = "60s" }
+charge = { repeat = "unsafe", objective = "2s", deadline = "20s" }
+[[routes]]
+name = "tariff"
+prefix = "/tariff"
+service = "s"
+class = "tariff"
+[[routes]]
+name = "usage"
+prefix = "/usage"
+service = "s"
+class = "usage"
+[[routes]]
+name = "charge"
+prefix = "/charge"
+service = "s"
+class = "charge"
+`, endpoints.String())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := sidecar.New(app, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	if err := s.WaitReady(ctx, 20*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	return netip.MustParseAddrPort(s.Addr()), func(id string) []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return came[id]
+	}
+}
+
+// A capture goes through a running sidecar to stand-ins, and what is written of it is read again: the same requests, all
+// bodies equal byte for byte, each at the stand-ins once, charges included where they were asked for.
+func TestACaptureThroughARunningSidecar(t *testing.T) {
+	addr, came := sidecarBefore(t)
+	rnd := rand.New(rand.NewPCG(15, 1))
+	bodies := map[string]string{}
+	var talks [][2]string
+	for i := range 30 {
+		var ask, tell string
+		for j := range 1 + rnd.IntN(3) {
+			id, body := fmt.Sprintf("r%d-%d", i, j), string(synth.Bytes(rnd, rnd.IntN(20_000)))
+			head := []string{"POST /usage HTTP/1.1\r\nIdempotency-Key: k" + id + "\r\n", "POST /charge HTTP/1.1\r\n", "GET /tariff/7 HTTP/1.1\r\n"}[rnd.IntN(3)]
+			if strings.HasPrefix(head, "GET") {
+				body = ""
+			}
+			bodies[id] = body
+			ask += fmt.Sprintf("%sHost: b\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", head, id, len(body), body)
+			tell += ok
+		}
+		talks = append(talks, [2]string{ask, tell})
+	}
+	from := captured(t, talks...)
+	var buf bytes.Buffer
+	f, err := write.New(&buf, 0, "client")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := plan(t, Options{Speed: -1, Unsafe: true, ID: "Request-Id", Copy: map[string]string{"Captured-Id": "Request-Id"}}, from)
+	for _, r := range p.Run(context.Background(), Target{Addr: addr, Conns: 8, Write: f}) {
+		if r.Err != nil || r.Got.Code != 200 {
+			t.Errorf("%s: %+v, %v", r.Step.OldID, r.Got, r.Err)
+		}
+	}
+	for id, body := range bodies {
+		if got := came(id); len(got) != 1 || got[0] != body {
+			t.Errorf("%s came %d times, or changed", id, len(got))
+		}
+	}
+	if err := f.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	file := bytes.Clone(buf.Bytes())
+	again := reread(t, f, &buf)
+	if len(again) != len(bodies) {
+		t.Errorf("%d requests were written, of %d", len(again), len(bodies))
+	}
+	for _, e := range again {
+		id := e.Request.Get("Captured-Id")
+		if body, err := e.Request.Body.Bytes(); err != nil || string(body) != bodies[id] {
+			t.Errorf("%s was written changed: %v", id, err)
+		}
+	}
+	independent(t, file)
+}
+
+// independent reads a file with another program, where the machine has one.
+func independent(t *testing.T, file []byte) {
+	t.Helper()
+	name, err := exec.LookPath("tcpdump")
+	if err != nil {
+		t.Log("left out: no tcpdump here to read what was written")
+		return
+	}
+	c := exec.Command(name, "-r", "-", "-nn", "-v")
+	c.Stdin = bytes.NewReader(file)
+	out, err := c.Output()
+	if err != nil || strings.Contains(string(out), "incorrect") || !strings.Contains(string(out), "/usage") && !strings.Contains(string(out), "127.0.0.1") {
+		t.Errorf("tcpdump: %v\n%.2000s", err, out)
+	}
+}
