Send what may not be repeated over fresh connections once kept ones have broken

Ruled out: the check before reuse (it sees every close that has arrived). The first deployment's classes are mostly sent again, so it hardly showed. Lines: Carry and reuse in upstream/http1. Once a kept connection has broken under a request before any answer, requests that may not be sent again get a new connection for 30 s, which is closed after its answer.

--- a/internal/pcap/replay/replay_test.go
+++ b/internal/pcap/replay/replay_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	nethttp "net/http"
 	"net/http/httptest"
@@ -162,6 +163,13 @@
 	body map[string]string
 }
 
+// counts is how often each request has come.
+func (s *server) counts() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.seen)
+}
+
 func serve(t *testing.T, h func(s *server, w nethttp.ResponseWriter, r *nethttp.Request)) (*server, netip.AddrPort) {
 	t.Helper()
 	s := &server{seen: map[string]int{}, body: map[string]string{}}
@@ -211,11 +219,13 @@
 				t.Errorf("pipeline %v: %s: %+v, captured %+v, %v", pipeline, r.Step.Target, r.Got, r.Step.Captured, r.Err)
 			}
 		}
+		s.mu.Lock()
 		for i := range 20 {
 			if s.seen[fmt.Sprint("a", i)] != 1 || s.seen[fmt.Sprint("b", i)] != 1 || s.body[fmt.Sprint("a", i)] != big {
 				t.Errorf("request %d: seen %d and %d times", i, s.seen[fmt.Sprint("a", i)], s.seen[fmt.Sprint("b", i)])
 			}
 		}
+		s.mu.Unlock()
 		again := reread(t, f, &buf)
 		if len(again) != 40 {
 			t.Fatalf("pipeline %v: what was written holds %d exchanges", pipeline, len(again))
@@ -243,7 +253,7 @@
 		if results[0].Err == nil || !results[0].Sent {
 			t.Errorf("the request that broke: %+v", results[0])
 		}
-		for id, n := range s.seen {
+		for id, n := range s.counts() {
 			if n > 1 {
 				t.Errorf("%s was sent %d times", id, n)
 			}
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -19,6 +19,7 @@
 	"fernlanding/internal/membership/catalog"
 	"fernlanding/internal/membership/file"
 	upstream "fernlanding/internal/upstream/http1"
+	"fernlanding/logic"
 )
 
 const (
@@ -60,7 +61,8 @@
 func newService(cfg *config.Service, seed uint64, with parted) (*service, error) {
 	s := &service{cfg: cfg}
 	uc := upstream.Config{DialTimeout: cfg.DialTimeout, IdleClose: cfg.IdleClose, Rest: upstream.RestSpoilt,
-		Quota: descriptors{with.sockets, cfg.Name}, MaxAnswer: cfg.MaxAnswer, PassAll: cfg.PassAll}
+		Quota: descriptors{with.sockets, cfg.Name}, MaxAnswer: cfg.MaxAnswer, PassAll: cfg.PassAll,
+		Once: func(class int) bool { return cfg.Logic.Classes[class].Repeat == logic.Unsafe }}
 	if cfg.Trusted {
 		uc.Rest = 0
 	}
--- a/internal/upstream/http1/exchange.go
+++ b/internal/upstream/http1/exchange.go
@@ -114,9 +114,11 @@
 
 // read takes the whole answer: one that breaks off has not been given.
 func (w *way) read(a *core.Attempt, c *conn) (res core.Result, keep bool, err error) {
+	c.begun = false
 	if _, err := c.r.Peek(1); err != nil {
 		return res, false, fmt.Errorf("read answer: %w", err)
 	}
+	c.begun = true
 	var h head
 	for early := 0; h.code < 200; early++ {
 		if early > mostEarly {
--- a/internal/upstream/http1/upstream.go
+++ b/internal/upstream/http1/upstream.go
@@ -23,6 +23,10 @@
 	// next request's answer.
 	RestSpoilt = 20 * time.Millisecond
 
+	// freshFor is how long after a break under a kept connection what may not be sent again gets a fresh one. One such
+	// request is lost in that time at most, for a handshake each.
+	freshFor = 30 * time.Second
+
 	reserveTries = 4 // at a connection for which others have to make room
 )
 
@@ -49,13 +53,15 @@
 // itself sends a GET or a keyed request again when a kept connection turns out to be dead: an attempt that
 // the module would not know of.
 type Upstream struct {
-	cfg     Config
-	dialer  func(ctx context.Context, network, addr string) (net.Conn, error)
-	idleFor time.Duration // connections idle for longer are closed, well before the backend does it
+	cfg      Config
+	dialer   func(ctx context.Context, network, addr string) (net.Conn, error)
+	freshFor time.Duration // see fresh
+	idleFor  time.Duration // connections idle for longer are closed, well before the backend does it
 
 	mu     sync.Mutex
 	byName map[string]*backend
 	open   int
+	broke  time.Time // when a kept connection last broke under a request; zero if none has
 }
 
 // backend is one backend as the list now has it.
@@ -76,6 +82,7 @@
 	of    *backend
 	epoch int // of the backend when it was opened
 	since time.Time
+	begun bool // an answer to the present request
 }
 
 // Config is what an Upstream is made of.
@@ -88,13 +95,15 @@
 	MaxAnswer   int64 // bytes of an answer's body; a longer one is an error
 	Free        int64 // bytes of a body that is not counted in Memory
 	Hold        bool  // Memory is given back by the reply's Release, not once the body has been read
-	PassAll     bool  // replies of all kinds go on with their header; otherwise those with 200 and Content-Type alone
+	// Once tells whether a request of a class may not be sent again once it may have run; nil: none is such.
+	Once    func(class int) bool
+	PassAll bool // replies of all kinds go on with their header; otherwise those with 200 and Content-Type alone
 }
 
 // New returns an Upstream that knows no backend.
 func New(cfg Config) *Upstream {
 	d := net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: -1}
-	return &Upstream{cfg: cfg, dialer: d.DialContext, idleFor: cfg.IdleClose * 3 / 4, byName: map[string]*backend{}}
+	return &Upstream{cfg: cfg, dialer: d.DialContext, idleFor: cfg.IdleClose * 3 / 4, freshFor: freshFor, byName: map[string]*backend{}}
 }
 
 // Apply implements core.Upstream. Connections that stand idle to a backend which has restarted, moved,
@@ -189,6 +198,26 @@
 	return nil
 }
 
+// fresh tells whether a request is to have a connection of its own. Kept ones may have been closed by their other end, or by
+// something between, with no word of it: that shows only under the next request, which may have run (RFC 9112, section
+// 9.3.1). Where that has happened lately, what may not be sent again goes over a new connection, which costs a
+// handshake and not the request.
+func (p *Upstream) fresh(class int) bool {
+	if p.cfg.Once == nil || !p.cfg.Once(class) {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.broke.IsZero() && time.Since(p.broke) < p.freshFor
+}
+
+// brokeKept takes the news that a kept connection broke under a request, before any answer.
+func (p *Upstream) brokeKept() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.broke = time.Now()
+}
+
 var errNoSockets = errors.New("no socket left")
 
 // dial opens a connection within the dial time-out and the context's time.
@@ -300,8 +329,13 @@
 
 // Carry implements core.Way.
 func (w *way) Carry(a *core.Attempt) core.Result {
-	c := w.pool.reuse(w.backend, w.epoch)
-	if c == nil {
+	var c *conn
+	fresh := w.pool.fresh(a.Class)
+	if !fresh {
+		c = w.pool.reuse(w.backend, w.epoch)
+	}
+	kept := c != nil
+	if !kept {
 		var err error
 		if c, err = w.dial(a); err != nil {
 			if a.Stopped() || errors.Is(err, errNoSockets) {
@@ -316,7 +350,10 @@
 		return core.Result{Status: logic.Moot}
 	}
 	res, keep := w.exchange(a, c)
-	if keep {
+	if kept && res.Status == logic.Reset && !c.begun {
+		w.pool.brokeKept()
+	}
+	if keep && !fresh { // its like will not use it either
 		w.pool.keep(c)
 	} else {
 		w.pool.drop(c)
--- a/internal/upstream/http1/upstream_test.go
+++ b/internal/upstream/http1/upstream_test.go
@@ -395,6 +395,51 @@
 	}
 }
 
+// Where connections are cut while they rest, and only the next request shows it, each one lost a request that may not be
+// sent again: every fifth of them on such a day.
+func TestWhatMayNotBeRepeatedAvoidsConnectionsThatBreak(t *testing.T) {
+	var mu sync.Mutex
+	seen := map[io.Writer]int{}
+	reply := func(w io.Writer, _ *http.Request, _ int) bool {
+		mu.Lock()
+		seen[w]++
+		first := seen[w] == 1
+		mu.Unlock()
+		if first {
+			_, _ = io.WriteString(w, served)
+		}
+		return first // the second request on a connection finds it cut
+	}
+	b := startBackend(t, reply)
+	p := poolWith(4, b.addr)
+	p.cfg.Once = func(class int) bool { return class == 1 }
+	run := func(class int) logic.Status {
+		rested(p)
+		a := newAttempt(p, "a", patience)
+		a.Class = class
+		return a.run().Status
+	}
+	lost := 0
+	for range 20 {
+		if run(1) != logic.OK {
+			lost++
+		}
+	}
+	if lost != 1 {
+		t.Errorf("%d of 20 requests that may not be sent again were lost", lost)
+	}
+	if s := p.Stats(); s.Open != 0 {
+		t.Errorf("%d connections are kept that nobody will use", s.Open)
+	}
+	if first, second := run(0), run(0); first != logic.OK || second != logic.Reset {
+		t.Errorf("what may be sent again does not keep its connection: %v, %v", first, second)
+	}
+	p.freshFor = 0 // the time is over: kept connections are tried again
+	if first, second := run(1), run(1); first != logic.OK || second != logic.Reset {
+		t.Errorf("later: %v, %v", first, second)
+	}
+}
+
 func TestTheMostRecentConnectionIsUsedFirstAndOldOnesAreClosed(t *testing.T) {
 	b := startBackend(t, says(served, true))
 	p := poolWith(4, b.addr)
