--- a/internal/pcap/flow/flow_test.go
+++ b/internal/pcap/flow/flow_test.go
@@ -87,6 +87,7 @@
 		"after its FIN":       {words: []string{"S100", "101:abc", "F104", "105:xx"}, data: "abc", lines: []string{"after-close 0 at 4: 2"}},
 		"stray":               {words: []string{"S100", "101:abc", "1500000000:zz"}, data: "abc", lines: []string{"stray 0 at 1499999899: 2"}},
 		"too much waits":      {words: []string{"S100", "111:0123456789", "121:x", "101:abc"}, data: "", lines: []string{"gap 0 at 0: 10"}, limits: Limits{Pending: 10}},
+		"filled too late":     {words: []string{"S100", "101:abc", "111:0123456789", "104:defghij", "111:kl"}, data: "abc", lines: []string{"gap 0 at 3: 7", "broken 0 at 3: gap"}, limits: Limits{Pending: 5}},
 		"no longer held":      {words: []string{"S100", "101:abcdef", "101:abcdef"}, data: "abcdef", lines: []string{"unheld 0 at 0: 4"}, limits: Limits{Tail: 2}},
 	} {
 		l := &log{}
--- a/internal/pcap/packet/packet.go
+++ b/internal/pcap/packet/packet.go
@@ -175,7 +175,7 @@
 var errFragment = errors.New("a fragment that makes no sense")
 
 // wait counts a fragment in, and gives up old ones, and all where there are too many.
-func (d *Decoder) wait(k datagram, now time.Time) {
+func (d *Decoder) wait(k datagram, now time.Time) (Kind, error) {
 	w := d.waiting[k]
 	if w == nil {
 		w = &pieces{}
@@ -198,6 +198,7 @@
 	if d.count > mostFragments {
 		d.reset()
 	}
+	return Fragment, nil
 }
 
 // gather forgets the fragments of a datagram.
@@ -223,15 +224,10 @@
 	}
 	k := datagram{addr(ip.SrcIP), addr(ip.DstIP), uint32(ip.Id)}
 	if out == nil {
-		d.wait(k, s.Time)
-		return Fragment, nil
-	}
-	d.gather(k)
-	if out.Protocol != layers.IPProtocolTCP {
-		return Other, nil
+		return d.wait(k, s.Time)
 	}
 	d.ip4 = *out
-	return d.joined(layers.LayerTypeIPv4, out.Payload, s)
+	return d.joined(k, layers.LayerTypeIPv4, out.Protocol, out.Payload, s)
 }
 
 func (d *Decoder) join6(s *flow.Segment) (Kind, error) {
@@ -241,19 +237,18 @@
 	out := d.frag6.DefragIPv6(&ip, &fragment)
 	k := datagram{addr(ip.SrcIP), addr(ip.DstIP), fragment.Identification}
 	if out == nil {
-		d.wait(k, s.Time)
-		return Fragment, nil
-	}
-	d.gather(k)
-	if out.NextHeader != layers.IPProtocolTCP {
-		return Other, nil
+		return d.wait(k, s.Time)
 	}
 	d.ip6 = *out
-	return d.joined(layers.LayerTypeIPv6, out.Payload, s)
+	return d.joined(k, layers.LayerTypeIPv6, out.NextHeader, out.Payload, s)
 }
 
 // joined decodes what was put together.
-func (d *Decoder) joined(ip gopacket.LayerType, data []byte, s *flow.Segment) (Kind, error) {
+func (d *Decoder) joined(k datagram, ip gopacket.LayerType, protocol layers.IPProtocol, data []byte, s *flow.Segment) (Kind, error) {
+	d.gather(k)
+	if protocol != layers.IPProtocolTCP {
+		return Other, nil
+	}
 	if err := d.parsers[layers.LayerTypeTCP].DecodeLayers(data, &d.decoded); err != nil || len(d.decoded) == 0 {
 		return Bad, fmt.Errorf("cannot be decoded when put together: %w", err)
 	}
