--- a/internal/pcap/bench_test.go
+++ b/internal/pcap/bench_test.go
@@ -167,7 +167,7 @@
 	return d
 }
 func (d *discard) Accept(_ *layers.TCP, _ gopacket.CaptureInfo, _ reassembly.TCPFlowDirection, _ reassembly.Sequence, start *bool, _ reassembly.AssemblerContext) bool {
-	*start = true
+	*start = *start || d.bytes == 0 // the first of all may have no SYN
 	return true
 }
 func (d *discard) ReassembledSG(sg reassembly.ScatterGather, _ reassembly.AssemblerContext) {
--- a/internal/pcap/http/http_test.go
+++ b/internal/pcap/http/http_test.go
@@ -175,6 +175,7 @@
 	f.Add(get+post, ok[1:], uint8(3))
 	f.Add("POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "HTTP/1.1 100 C\r\n\r\nHTTP/1.1 101 S\r\n\r\nxx", uint8(200))
 	f.Fuzz(func(t *testing.T, ask, tell string, size uint8) {
+		ask = strings.TrimLeft(ask, "<") // which stands for the server in talk
 		h := &heard{}
 		got := talk(h, Limits{Head: 256, Memory: 64, Body: 1024, Unpaired: 4}, int(size)+1, "", ask, "<"+tell)
 		if got.Sum() != got.Bytes || got.Bytes != int64(len(ask)+len(tell)) {
