--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,7 +33,7 @@
 
 	lateBar    = 0.8 // of the aim: slower finishes count against the tier and the class
 	slowBar    = 0.6 // of the aim: slower finishes press the shares, in time to mend what is late next
-	jamBar     = 1.8 // of the time under little load: slower finishes count against the tier and the class too
+	jamBar     = 1.8 // of the time under little load: slower finishes count against tier and class too
 	crowdBar   = 1.6 // of the time under little load: slower finishes press the shares too
 	crowdLeast = 0.1 // of the aim: what is quicker than this is no crowd
 	crowdLow   = 0.8 // but not below this multiple, since load is then not what makes them slow
@@ -78,7 +78,7 @@
 	golden      = 0.618034 // steps of this part of a ring spread any number of starts evenly
 
 	meanGain   = 0.05        // of the running means of time and of errors
-	baseSpan   = 60 * second // of the time under little load, upwards; it follows at once downwards
+	baseSpan   = 60 * second // of the time under little load, upwards, where calls meet others
 	baseFirst  = 20.0        // finishes that make up its first guess
 	firstMean  = 0.25        // of the aim: a fresh copy's guess at the mean time
 	hangMeans  = 12.0        // an attempt is given up after this many mean times
@@ -601,7 +601,7 @@
 		c.rebase(now, a.light)
 	}
 	spent := float64(now - a.sent)
-	// A failure that came quickly tells nothing of load: it counts with its like, and neither for the shares nor for home.
+	// A quick failure tells nothing of load: it counts with its like, not for the shares nor for home.
 	late := (o.Status == FullUp || o.Status == TimedOut) && !blame || !failed && spent > b.lateBar(q.Class)
 	slow := late || spent > b.slowBar(q.Class)
 	for _, r := range []*threadRule{&b.tier, &c.rule} {
@@ -613,8 +613,8 @@
 	}
 }
 
-// lateBar is the time at which a call counts as late: shortly before its aim, and also when it takes so much longer
-// than calls do when little waits that servers must hold too many. Where the aim is far off, they would choke first.
+// lateBar is the time at which a call counts as late: shortly before its aim, and also when it takes so much
+// longer than calls do when little waits that servers must hold too many and may choke, however far the aim.
 func (b *Balancer) lateBar(class int) float64 {
 	bar := lateBar * float64(b.s.Classes[class].Aim)
 	if b.s.Stage > 0 {
@@ -727,8 +727,8 @@
 	c.mean += (took - c.mean) * gainAfter(c.seen, meanGain)
 }
 
-// rebase moves what is held to be a class's time when little waits: down at once, up as fast as the mean moves
-// where a call met little, and else by the clock, so that a crowd that lasts is not taken for the usual.
+// rebase moves what is held to be a class's time when little waits: as fast as the mean, where that falls or
+// a call met little, and else by the clock, so that a crowd that lasts is not taken for the usual.
 func (c *classState) rebase(now int64, light bool) {
 	gain := min(1, float64(now-c.based)/float64(baseSpan))
 	if c.based = now; light {
