Word the bars of crowding once, and drop what a replay does not use

Found in reading the change again: lateBar and slowBar had one expression twice; run.go kept a constant and a type that nothing needed, the tests two imports for nothing.

--- a/internal/pcap/pcap_test.go
+++ b/internal/pcap/pcap_test.go
@@ -14,10 +14,8 @@
 	"time"
 
 	"github.com/gopacket/gopacket"
-	"github.com/gopacket/gopacket/layers"
 	"github.com/gopacket/gopacket/pcapgo"
 
-	"fernlanding/internal/pcap/capture"
 	"fernlanding/internal/pcap/flow"
 	"fernlanding/internal/pcap/http"
 	"fernlanding/internal/pcap/synth"
@@ -440,8 +438,3 @@
 		}
 	})
 }
-
-var (
-	_ = layers.LinkTypeEthernet
-	_ = capture.MostPacket
-)
--- a/internal/pcap/replay/run.go
+++ b/internal/pcap/replay/run.go
@@ -30,8 +30,7 @@
 	defaultConns = 256
 	defaultWait  = 30 * time.Second
 	mostAnswer   = 64 << 20 // bytes of an answer
-	mostHead     = 64 << 10
-	waiting      = 64 // requests on a connection without an answer
+	waiting      = 64       // requests on a connection without an answer
 )
 
 // Result is what became of a step.
@@ -45,9 +44,6 @@
 	Late  time.Duration // after its time
 }
 
-// lane is the steps of one connection.
-type lane struct{ steps []*Step }
-
 // Run carries a plan out and returns a result for each step that is not skipped, in their order. A request that may have
 // been sent is never sent again: where a connection breaks, what it carried has no answer, and what was still to come goes
 // over a new one.
@@ -58,29 +54,27 @@
 	if to.Wait <= 0 {
 		to.Wait = defaultWait
 	}
-	lanes := map[int]*lane{}
-	var order []*lane
+	lanes := map[int][]*Step{} // by connection
+	var order []int
 	results := map[*Step]*Result{}
 	var out []*Result
 	for _, s := range p.Steps {
 		if s.Skip != "" {
 			continue
 		}
-		l := lanes[s.Conn]
-		if l == nil {
-			l = &lane{}
-			lanes[s.Conn] = l
-			order = append(order, l)
+		if lanes[s.Conn] == nil {
+			order = append(order, s.Conn)
 		}
-		l.steps = append(l.steps, s)
+		lanes[s.Conn] = append(lanes[s.Conn], s)
 		results[s] = &Result{Step: s}
 		out = append(out, results[s])
 	}
 	start := time.Now()
 	room := make(chan struct{}, to.Conns)
 	var all sync.WaitGroup
-	for _, l := range order { // by the times of their first steps
-		if !until(ctx, start.Add(l.steps[0].At)) {
+	for _, n := range order { // by the times of their first steps
+		left := lanes[n]
+		if !until(ctx, start.Add(left[0].At)) {
 			break
 		}
 		select {
@@ -92,7 +86,7 @@
 		}
 		all.Go(func() {
 			defer func() { <-room }()
-			for left := l.steps; len(left) > 0 && ctx.Err() == nil; {
+			for len(left) > 0 && ctx.Err() == nil {
 				left = to.carry(ctx, start, left, results)
 			}
 		})
--- a/internal/pcap/write/write.go
+++ b/internal/pcap/write/write.go
@@ -4,6 +4,7 @@
 package write
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/netip"
@@ -36,7 +37,7 @@
 }
 
 // ErrFull says that a file has the size that it may have.
-var ErrFull = fmt.Errorf("the capture has its full size")
+var ErrFull = errors.New("the capture has its full size")
 
 // New begins a file with an interface for each of the sides; most bounds the bytes of packets in it, 0 does not.
 func New(to io.Writer, most int64, sides ...string) (*File, error) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -620,7 +620,7 @@
 	if b.s.Stage > 0 {
 		return bar
 	}
-	return min(bar, max(jamBar*b.classes[class].base, crowdLeast*float64(b.s.Classes[class].Aim)))
+	return min(bar, b.crowd(class, jamBar))
 }
 
 // slowBar is the time at which a call counts as slow: well before its aim, and also when it takes clearly
@@ -630,7 +630,12 @@
 	if b.s.Stage > 0 || b.share <= crowdLow {
 		return bar
 	}
-	return min(bar, max(crowdBar*b.classes[class].base, crowdLeast*float64(b.s.Classes[class].Aim)))
+	return min(bar, b.crowd(class, crowdBar))
+}
+
+// crowd is so many times the time under little load; what is quicker than a part of its aim meets none.
+func (b *Balancer) crowd(class int, times float64) float64 {
+	return max(times*b.classes[class].base, crowdLeast*float64(b.s.Classes[class].Aim))
 }
 
 // light is the mean time of a class's calls, as a part of its aim.
