Lead a cut count back at the double after rounds without a bad finish

A count now remembers what it was cut from, and good rounds of the kind of evidence that cut it double it; such a round needs twice the count of finishes, three at least, none bad.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -24,12 +24,14 @@
 	spareCalls = 2.0  // unused count guards from no burst; and this many more, for chance at sparse copies
 	lightPart  = 0.05 // but calls that take no more than this part of their aim, were their time to grow with
 	// their number, are no burst: a round of microseconds is over before its peak says much
-	cutDepth  = 0.6 // a bad round cuts a count or a share by this times its bad part
-	roundSize = 12  // finishes in a round of evidence: fewer are chance, more are late
-	roundSpan = 2   // aims: a round with fewer finishes has lasted long enough
-	badPart   = 0.4 // a larger part of late or failed finishes makes a round bad for the counts
-	hopeless  = 0.7 // the same in a late tier
-	slowMuch  = 0.3 // a larger part of slow finishes makes a round bad for the shares and for home
+	cutDepth   = 0.6 // a bad round cuts a count or a share by this times its bad part
+	roundSize  = 12  // finishes in a round of evidence: fewer are chance, more are late
+	roundSpan  = 2   // aims: a round with fewer finishes has lasted long enough
+	cleanLeast = 3.0 // finishes without a bad one that double a cut count, or twice the count if that is more
+	lateBack   = 0.8 // a cut for lateness is made good at the double up to this part of what was out
+	badPart    = 0.4 // a larger part of late or failed finishes makes a round bad for the counts
+	hopeless   = 0.7 // the same in a late tier
+	slowMuch   = 0.3 // a larger part of slow finishes makes a round bad for the shares and for home
 
 	lateBar    = 0.8 // of the aim: slower finishes count against the tier and the class
 	slowBar    = 0.6 // of the aim: slower finishes press the shares, in time to mend what is late next
@@ -106,7 +108,8 @@
 	}
 	part := float64(r.bad) / float64(max(r.n, roundSize/2))
 	short := now-r.since < r.span || float64(r.bad) > r.allowed*float64(r.n)
-	if float64(r.bad) <= r.allowed*roundSize && r.n < roundSize && short {
+	clean := r.clean > 0 && r.bad == 0 && float64(r.n) >= r.clean
+	if float64(r.bad) <= r.allowed*roundSize && r.n < roundSize && short && !clean {
 		return 0
 	}
 	r.of = [2]int{r.n, r.bad}
@@ -128,7 +131,7 @@
 
 // learn takes one finish; light is the time of usual calls, as a part of the aim.
 func (r *threadRule) learn(ev *round, now, sent int64, bad bool, light float64) {
-	f := ev.add(now, sent, bad)
+	f := r.judge(ev, now, sent, bad)
 	if f == 0 {
 		return
 	} else if f == 1 {
@@ -144,11 +147,28 @@
 	r.peak = r.threads
 }
 
+// judge takes one finish to a round of evidence. A count that such evidence has cut is doubled by each good round until
+// it is back, and while that lasts few finishes make one if none is bad: with a call or two out, a full round would
+// take longer than most troubles do.
+func (r *threadRule) judge(ev *round, now, sent int64, bad bool) (factor float64) {
+	back := r.last.By == ev.by && r.goal > r.count
+	if ev.clean = 0; back {
+		ev.clean = max(cleanLeast, min(2*r.count, roundSize))
+	}
+	if factor = ev.add(now, sent, bad); factor == 1 && back {
+		r.count = min(r.goal, 2*r.count)
+	}
+	return factor
+}
+
 // shrink cuts a count after a bad round, which is one whose factor is neither 0 nor 1.
 func (r *threadRule) shrink(f float64, ev *round) {
 	if f > 0 && f < 1 {
 		from := min(r.count, float64(r.peak))
 		r.count, r.cut = max(r.least, from*f), true
+		if r.goal = max(r.goal, from); ev.by != Failures { // what was out was too much
+			r.goal = lateBack * from
+		}
 		r.last = Cut{At: ev.since, By: ev.by, Of: ev.of[0], Bad: ev.of[1], From: from, To: r.count}
 	}
 }
@@ -630,7 +650,7 @@
 	slow := late || spent > b.slowBar(q.Class)
 	for _, r := range []*threadRule{&b.tier, &c.rule} {
 		r.learn(&r.ev, now, a.sent, late, b.light(q.Class))
-		r.shrink(r.fails.add(now, a.sent, failed && !blame), &r.fails)
+		r.shrink(r.judge(&r.fails, now, a.sent, failed && !blame), &r.fails)
 	}
 	if !a.slow {
 		b.press(now, q.Class, a, slow, slow || o.Status == ConnectFailed)
--- a/logic/state.go
+++ b/logic/state.go
@@ -198,7 +198,8 @@
 	since   int64
 	n, bad  int
 	by      Evidence
-	of      [2]int // n and bad of the last one
+	clean   float64 // so many finishes without a bad one make a round good; 0: they do not
+	of      [2]int  // n and bad of the last one
 	allowed float64
 	span    int64 // after this long a few finishes make a round
 }
@@ -212,6 +213,7 @@
 	ev    round // of late finishes
 	fails round // of failures: the two are not added up
 	last  Cut
+	goal  float64 // what a cut count is led back to at the double
 }
 
 // originRule limits the calls passed per second for one tenant.
