--- a/logic/logic.go
+++ b/logic/logic.go
@@ -59,6 +59,8 @@
 	healthCut   = 0.3  // health kept after a failure that peers do not show
 	healthRise  = 0.25 // part of the lost health that a success restores
 	blameRatio  = 2.0  // a server is to blame when it fails this many times as often as all
+	peersLeast  = 2    // peers that measure a server, at least; otherwise all calls do
+	peersMost   = 32   // and at most
 	coldMargin  = 0.6  // part of its least capacity that a cold server is given
 
 	hintPart = 0.5 // of the aim: the longest hint
@@ -747,16 +749,33 @@
 	if status == ConnectFailed {
 		blame = s.whole.judge(x, 0)
 	} else if status != Error {
-		blame = s.whole.judge(x, blameRatio*b.errs)
+		blame = s.whole.judge(x, blameRatio*b.usual(s, b.errs, func(s *server) *health { return &s.whole }))
 	}
 	if status == Error || status == OK {
-		blame = s.classes[class].judge(x, blameRatio*c.errs)
+		blame = s.classes[class].judge(x, blameRatio*b.usual(s, c.errs, func(s *server) *health { return &s.classes[class] }))
 	}
 	return blame
 }
 
+// usual is the part of failed calls that a server's peers show: their median, so that a server that fails at once, and
+// draws calls by it, is not its own measure. It is never more than the part over all calls.
+func (b *Balancer) usual(s *server, all float64, of func(*server) *health) float64 {
+	b.weights = b.weights[:0]
+	for _, p := range b.ready[:min(len(b.ready), peersMost)] {
+		if h := of(p); p != s && h.judged > 0 {
+			b.weights = append(b.weights, h.errs)
+		}
+	}
+	if len(b.weights) < peersLeast {
+		return all
+	}
+	slices.Sort(b.weights)
+	return min(all, b.weights[len(b.weights)/2])
+}
+
 // judge blames a failure where failures are more than a usual part.
 func (h *health) judge(x, usual float64) (blame bool) {
+	h.judged++
 	h.errs += (x - h.errs) * healthRise
 	if x == 0 {
 		h.left += (1 - h.left) * healthRise
--- a/logic/state.go
+++ b/logic/state.go
@@ -111,7 +111,10 @@
 }
 
 // health is what is left of a server's weight, and its running part of failed calls.
-type health struct{ left, errs float64 }
+type health struct {
+	left, errs float64
+	judged     int // calls
+}
 
 // forget drops what was learned of a server.
 func (s *server) forget(classes int) {
