--- a/internal/fleet/tmp_test.go
+++ b/internal/fleet/tmp_test.go
@@ -1,5 +1,5 @@
 package fleet
-import ("testing";"os";"fmt";"time";"path/filepath";"sync";"runtime";"sync/atomic";"strconv")
+import ("cmp";"testing";"os";"fmt";"time";"path/filepath";"sync";"runtime";"sync/atomic";"strconv")
 func spread(n int, f func(int)) {
 	var next atomic.Int64
 	var all sync.WaitGroup
@@ -9,8 +9,8 @@
 	all.Wait()
 }
 func TestTmp(t *testing.T){
- base,_:=os.ReadFile("testdata/base.toml")
- names,_:=filepath.Glob("testdata/hard/*.toml")
+ base,_:=os.ReadFile(cmp.Or(os.Getenv("BASE"),"testdata/base.toml"))
+ names,_:=filepath.Glob(cmp.Or(os.Getenv("GLOB"),"testdata/hard/*.toml"))
  var days []*Day
  for _,n:=range names {
   data,_:=os.ReadFile(n)
@@ -29,7 +29,7 @@
  fmt.Println(time.Since(s))
 }
 func TestOne(t *testing.T){
- base,_:=os.ReadFile("testdata/base.toml")
+ base,_:=os.ReadFile(cmp.Or(os.Getenv("BASE"),"testdata/base.toml"))
  files:=[]File{{"base.toml",base}}
  if n:=os.Getenv("DAY");n!="" { data,_:=os.ReadFile("testdata/hard/"+n+".toml"); files=append(files,File{n,data}) }
  d,err:=Read(files...); if err!=nil{t.Fatal(err)}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,6 +29,7 @@
 	roundSpan  = 2   // aims: a round with fewer finishes has lasted long enough
 	cleanLeast = 3.0 // finishes without a bad one that double a cut count, or twice the count if that is more
 	lateBack   = 0.8 // a cut for lateness is made good at the double up to this part of what was out
+	yieldBack  = 0.8 // a cut for a worthier class is made good at the double up to this part of what was out
 	badPart    = 0.4 // a larger part of late or failed finishes makes a round bad for the counts
 	hopeless   = 0.7 // the same in a late tier
 	slowMuch   = 0.3 // a larger part of slow finishes makes a round bad for the shares and for home
@@ -168,8 +169,11 @@
 	if f > 0 && f < 1 {
 		from := min(r.count, float64(r.peak))
 		r.count, r.cut = max(r.least, from*f), true
-		if r.goal = max(r.goal, from); ev.by != Failures { // what was out was too much
-			r.goal = lateBack * from
+		switch r.goal = max(r.goal, from); ev.by {
+		case Late: // what was out was too much: back it goes by steps alone
+			r.goal = 0
+		case Yielding:
+			r.goal = yieldBack * from
 		}
 		r.last = Cut{At: ev.since, By: ev.by, Of: ev.of[0], Bad: ev.of[1], From: from, To: r.count}
 	}
