Let failing backends have trials alone, and leave blamed failures out of what is known of load

Failing ones now come after all others but for one call in sixteen, tried ones last; a blamed failure moves no count, and a quick one is no evidence of load.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -55,8 +55,9 @@
 	firstWorth  = 4.0  // finishes that a fresh copy's first guess at a mean is worth
 	slowMost    = 5.0  // times the mean: a single finish says no more than this
 	heldPower   = 8.0  // how sharply a weight falls with the calls of this copy that its server holds
-	triedPart   = 1e-6 // weight left to a server that the request has tried, for when there is no other
 	healthFloor = 0.05 // health left to a failing server, for trials
+	failing     = 0.25 // a server with less health than this gets trials only, while there are others
+	trialEvery  = 16   // calls from one trial to the next
 	healthCut   = 0.3  // health kept after a failure that peers do not show
 	healthRise  = 0.25 // part of the lost health that a success restores
 	blameRatio  = 2.0  // a server is to blame when it fails this many times as often as all
@@ -480,27 +481,51 @@
 	return max(left, 1)
 }
 
-// draw picks a ready server of this copy's subset at random by weight; those tried before come last. The
-// subset grows where it has too few warm and healthy servers, or none that the request may go to.
+// draw picks a ready server of this copy's subset at random by weight. Failing ones come after all others, and those
+// that the request has tried come last, however empty they are. The subset grows where it has too few warm and healthy
+// servers, or none that the request may go to.
 func (b *Balancer) draw(now int64, q *request) *server {
 	b.weights = b.weights[:0]
-	total, room := 0.0, b.subset(now)
+	total, best, room := 0.0, 0, b.subset(now)
 	for _, s := range b.ready {
 		if room <= 0 && total > 0 {
 			break
 		}
 		room -= s.healthFor(q.Class) * b.warmth(now, s)
-		w := 0.0
-		if b.mayGo(now, q, s) {
+		w, rank := 0.0, b.rank(q, s)
+		if rank >= best && b.mayGo(now, q, s) {
 			w = b.weigh(now, s, q.Class)
 		}
-		if q.tried(s) {
-			w *= triedPart
+		if w > 0 && rank > best { // all before this one come after it
+			clear(b.weights)
+			total, best = 0, rank
 		}
 		total += w
 		b.weights = append(b.weights, w)
 	}
-	return b.pick(b.rnd.Float64() * total)
+	s := b.pick(b.rnd.Float64() * total)
+	if b.untried++; s != nil && s.healthFor(q.Class) < failing {
+		b.untried = 0
+	}
+	return s
+}
+
+// rank is the order in which servers come into question for a request; the highest goes first.
+func (b *Balancer) rank(q *request, s *server) int {
+	switch {
+	case q.tried(s):
+		return 0
+	case s.healthFor(q.Class) < failing && !b.tryOut(q, s):
+		return 1
+	}
+	return 2
+}
+
+// tryOut tells whether a failing server may have this call, to show whether it still fails. One that fails at once is
+// always empty, and would draw most calls by that; so one call in so many goes out for a trial, and none that may not
+// be repeated.
+func (b *Balancer) tryOut(q *request, s *server) bool {
+	return b.untried >= trialEvery && s.inflight == 0 && len(q.attempts) == 0 && b.s.Classes[q.Class].Repeat != Unsafe
 }
 
 // pick returns the ready server at which the sum of weights passes x, or nil if none has weight.
@@ -652,13 +677,18 @@
 	}
 	spent := float64(now - a.sent)
 	// A quick failure tells nothing of load: it counts with its like, not for the shares nor for home.
-	late := (o.Status == FullUp || o.Status == TimedOut) && !blame || !failed && spent > b.lateBar(q.Class)
+	late := o.Status == FullUp || o.Status == TimedOut || !failed && spent > b.lateBar(q.Class)
 	slow := late || spent > b.slowBar(q.Class)
+	if blame { // it tells of one server, and would pass for a call that met no crowd
+		return
+	}
 	for _, r := range []*threadRule{&b.tier, &c.rule} {
-		r.learn(&r.ev, now, a.sent, late, b.light(q.Class))
-		r.shrink(r.judge(&r.fails, now, a.sent, failed && !blame), &r.fails)
+		if late || !failed {
+			r.learn(&r.ev, now, a.sent, late, b.light(q.Class))
+		}
+		r.shrink(r.judge(&r.fails, now, a.sent, failed), &r.fails)
 	}
-	if !a.slow {
+	if !a.slow && (slow || !failed) {
 		b.press(now, q.Class, a, slow, slow || o.Status == ConnectFailed)
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -253,6 +253,7 @@
 	asked     bool     // a subscription was asked for
 	weights   []float64
 	reported  int64 // when the last log line was written
+	untried   int   // calls since the last one that went to a failing server
 	cause     Cause // of the refusal that is being made
 }
 
