--- a/internal/fleet/clients.go
+++ b/internal/fleet/clients.go
@@ -169,7 +169,8 @@
 	f.figures.answer(f, o, a.status)
 }
 
-// Rate is the mean rate of first tries, before any trouble.
+// RatePerSecond is the mean rate of first tries, before any trouble.
 func (d *Day) RatePerSecond() float64 { return d.rate() }
 
-func (s Span) seconds() float64 { return time.Duration(s).Seconds() }
+// Seconds is the span in seconds.
+func (s Span) Seconds() float64 { return time.Duration(s).Seconds() }
--- a/internal/fleet/measure.go
+++ b/internal/fleet/measure.go
@@ -22,6 +22,7 @@
 	Refusals                             int     // by any copy, of any try
 	Shadow                               int     // by the first tier, while capacity stood free in all tiers
 	ShadowWorth                          float64 // what these tries were worth
+	GateWorth                            float64 // the same without those that a tenant's share refused
 	Causes                               [logic.Causes]int
 	ShadowCauses                         [logic.Causes]int
 	overTime, lookTime                   int
@@ -90,6 +91,9 @@
 	if shadow {
 		g.Shadow++
 		g.ShadowWorth += q.op.worth
+		if cause != logic.ByTenant {
+			g.GateWorth += q.op.worth
+		}
 		g.ShadowCauses[cause]++
 	}
 	if f.trace != nil {
@@ -120,6 +124,9 @@
 // ShadowPart is the worth of tries refused in the gate's shadow, of that asked for.
 func (r *Result) ShadowPart() float64 { return part(r.ShadowWorth, r.Worth) }
 
+// GatePart is the same without tries that a tenant's share refused, which is meant to hold back what is worth little.
+func (r *Result) GatePart() float64 { return part(r.GateWorth, r.Worth) }
+
 // Overdriven is the part of all backends' time in which they were slowed by crowds.
 func (r *Result) Overdriven() float64 { return part(float64(r.overTime), float64(r.lookTime)) }
 
--- a/internal/fleet/sweep.go
+++ b/internal/fleet/sweep.go
@@ -12,6 +12,7 @@
 	Service    float64   `json:"service"`
 	Calm       float64   `json:"calm"` // service of the same day without its troubles
 	Shadow     float64   `json:"shadow"`
+	Gate       float64   `json:"gate_shadow"` // of it, by other rules than the tenants' shares
 	Overdriven float64   `json:"overdriven"`
 	Recovery   []float64 `json:"recovery_s"` // of each trouble whose end the day shows
 	Broken     []string  `json:"broken,omitempty"`
@@ -20,7 +21,7 @@
 // Judge plays a day and its calm twin.
 func Judge(d *Day) Outcome {
 	r := Play(d, Options{})
-	o := Outcome{Day: d.Name, Seed: d.Seed, Service: r.Service(), Calm: r.Service(), Shadow: r.ShadowPart(),
+	o := Outcome{Day: d.Name, Seed: d.Seed, Service: r.Service(), Calm: r.Service(), Shadow: r.ShadowPart(), Gate: r.GatePart(),
 		Overdriven: r.Overdriven(), Broken: r.Broken}
 	if len(d.Trouble) == 0 {
 		return o
@@ -66,6 +67,7 @@
 	Recovery50 float64 `json:"recovery_p50_s"`
 	Recovery90 float64 `json:"recovery_p90_s"`
 	Shadow     float64 `json:"shadow_mean"`
+	Gate       float64 `json:"gate_shadow_mean"`
 	Overdriven float64 `json:"overdriven_mean"`
 	Broken     int     `json:"days_with_a_broken_rule"`
 }
@@ -77,6 +79,7 @@
 	for _, o := range all {
 		service, calm, recovery = append(service, o.Service), append(calm, o.Calm), append(recovery, o.Recovery...)
 		s.Shadow += o.Shadow / float64(len(all))
+		s.Gate += o.Gate / float64(len(all))
 		s.Overdriven += o.Overdriven / float64(len(all))
 		if len(o.Broken) > 0 {
 			s.Broken++
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -688,7 +688,7 @@
 		}
 		r.shrink(r.judge(&r.fails, now, a.sent, failed), &r.fails)
 	}
-	if !a.slow && (slow || !failed) {
+	if !a.slow {
 		b.press(now, q.Class, a, slow, slow || o.Status == ConnectFailed)
 	}
 }
