--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -22,12 +22,15 @@
 	"os/signal"
 	"strings"
 	"syscall"
+	"time"
 
 	"fernlanding/internal/config"
 	"fernlanding/internal/sidecar"
 )
 
 const (
+	traceFor = time.Minute // what SIGUSR1 has logged
+
 	exitFailed = 1
 	exitUsage  = 2 // arguments or a configuration that make no sense
 )
@@ -44,6 +47,9 @@
 	hups := make(chan os.Signal, 1) // one more than the one being handled: the file is read after the last
 	signal.Notify(hups, syscall.SIGHUP)
 	defer signal.Stop(hups)
+	traces := make(chan os.Signal, 1)
+	signal.Notify(traces, syscall.SIGUSR1)
+	defer signal.Stop(traces)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	var err error
@@ -59,7 +65,7 @@
 	case "version":
 		fmt.Fprintf(out, "fernlanding %s, reads versions 1 to %d of an application's file\n", config.Program, config.Version)
 	default:
-		err = serve(ctx, args, env, hups, log)
+		err = serve(ctx, args, env, hups, traces, log)
 	}
 	var usage usageError
 	switch {
@@ -74,7 +80,7 @@
 }
 
 // serve is the sidecar's life.
-func serve(ctx context.Context, args []string, env func(string) string, hups <-chan os.Signal, out io.Writer) error {
+func serve(ctx context.Context, args []string, env func(string) string, hups, traces <-chan os.Signal, out io.Writer) error {
 	flags := flag.NewFlagSet("fernlanding", flag.ContinueOnError)
 	flags.SetOutput(out)
 	path := flags.String("config", "", "an application's `FILE`; without it the platform's that LB_CONFIG names")
@@ -102,6 +108,8 @@
 			select {
 			case <-hups:
 				reload(read, s.Reload, log)
+			case <-traces:
+				s.Trace(traceFor)
 			case <-ended:
 				return
 			}
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -46,6 +46,8 @@
 	cutoff  int64      // after SIGTERM: nothing waits beyond this; else 0
 	closed  bool       // takes no more requests
 	callers sync.WaitGroup
+	tracer  tracer
+	traced  chan struct{} // a trace is to begin
 }
 
 // Config is what a pool is made of.
@@ -65,7 +67,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	return &Pool{clock: cfg.Clock, upstream: cfg.Upstream, zones: newZones(cfg.Zones), log: cfg.Log,
-		asked: make(chan struct{}, 1), listed: make(chan struct{}), bal: bal, reqs: map[string]*Request{},
+		asked: make(chan struct{}, 1), listed: make(chan struct{}), traced: make(chan struct{}, 1), bal: bal, reqs: map[string]*Request{},
 		alarm: time.NewTimer(farAway)}, nil
 }
 
@@ -75,8 +77,17 @@
 	defer p.alarm.Stop()
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
+	look := time.NewTicker(traceEvery)
+	defer look.Stop()
+	look.Stop()
 	for {
 		select {
+		case <-p.traced:
+			look.Reset(traceEvery)
+		case now := <-look.C:
+			if !p.trace(now) {
+				look.Stop()
+			}
 		case <-p.alarm.C:
 			p.play(func() { p.alarmAt = 0 })
 		case now := <-sweep.C:
@@ -378,6 +389,7 @@
 // Refuse implements logic.Host.
 func (h *host) Refuse(id string, after int64) {
 	if r := h.reqs[id]; r != nil {
+		h.tracer.causes[h.bal.Cause()]++
 		(*Pool)(h).end(r, Answer{Verdict: Refused, After: after})
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -259,6 +259,15 @@
 	return nil
 }
 
+// Trace has every service log its module's figures for some time.
+func (s *Sidecar) Trace(span time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.services {
+		v.pool.Trace(span)
+	}
+}
+
 // Run serves until the context ends, then finishes what it has taken.
 func (s *Sidecar) Run(ctx context.Context) error {
 	s.mu.Lock()
