--- a/internal/fleet/clients.go
+++ b/internal/fleet/clients.go
@@ -133,7 +133,7 @@
 		answer: func(a answer) { f.answered(o, a) }}
 	to := f.dealt()
 	f.after(f.hop(), func() {
-		if to.dead {
+		if to.dead || f.now >= giveUp { // nobody has taken it
 			q.answer(answer{status: failed})
 			return
 		}
--- a/internal/fleet/day.go
+++ b/internal/fleet/day.go
@@ -329,7 +329,7 @@
 		return err
 	}
 	if n := d.rate() * time.Duration(d.Length).Seconds() * d.busiest(); n > maxAsked {
-		return fmt.Errorf("rate: %.0f requests a day, at most %d expected", n, maxAsked)
+		return fmt.Errorf("rate: found %.0f requests a day, at most %d expected", n, maxAsked)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/fleet/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package fleet
+
+const raceOn = false
--- /dev/null
+++ b/logic/recover_test.go
@@ -0,0 +1,187 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+)
+
+// A count stood at a call or two for half a minute after failures had ended, since each step up took twelve finishes.
+func TestACutCountComesBackAtTheDouble(t *testing.T) {
+	for _, c := range []struct {
+		by    Evidence
+		goal  bool // whether it does
+		after int  // clean finishes that it takes from 1 to 16, a round each double
+	}{{Failures, true, 3 + 4 + 8 + 12}, {Yielding, true, 3 + 4 + 8 + 12}, {Late, false, 0}} {
+		t.Run(c.by.String(), func(t *testing.T) {
+			r := newRule(badPart, minCount, second)
+			r.count, r.peak = 20, 20
+			ev := &round{allowed: badPart, span: second, by: c.by}
+			r.shrink(0.05, ev)
+			if r.count != 1 || r.last.By != c.by {
+				t.Fatalf("cut to %.1f by %v", r.count, r.last.By)
+			}
+			n := 0
+			for now := start; n < 100 && r.count < 16; n++ {
+				now++
+				r.judge(ev, now, now, false)
+			}
+			if c.goal && n != c.after || !c.goal && n != 100 {
+				t.Errorf("%.1f after %d finishes", r.count, n)
+			}
+			if c.goal && r.count > r.goal {
+				t.Errorf("%.1f, over what it was cut from", r.count)
+			}
+		})
+	}
+}
+
+// One bad finish keeps a short round from being a good one.
+func TestAShortRoundIsCleanOrNone(t *testing.T) {
+	r := newRule(badPart, minCount, second)
+	r.count, r.peak = 20, 20
+	r.shrink(0.05, &r.fails)
+	for i := range 5 {
+		if f := r.judge(&r.fails, start+int64(i), start, i == 0); f != 0 || r.count != 1 {
+			t.Fatalf("after %d finishes, one of them bad: %.2f, count %.1f", i+1, f, r.count)
+		}
+	}
+}
+
+// failFast plays n calls 5 ms apart, of a class, before servers of which the first two fail at once.
+func failFast(t *testing.T, servers, n, class int) (b *Balancer, h *recorder, at map[string]int) {
+	b, h = with(t, crowded(), servers)
+	at = map[string]int{}
+	type call struct {
+		id, server string
+		at         int64
+	}
+	var out []call
+	for i := range n {
+		now := start + int64(i)*5_000
+		for len(out) > 0 && out[0].at <= now {
+			c := out[0]
+			out = out[1:]
+			b.Outcome(c.at, h, Outcome{ID: c.id, Status: OK, Took: 300_000, Closed: true})
+		}
+		id, before := fmt.Sprint("q", i), len(h.sends)
+		b.Request(now, h, Request{ID: id, Class: class, Tenant: -1, GiveUp: now + 6*second})
+		if len(h.sends) == before {
+			continue
+		}
+		s := h.sends[before].server
+		at[s]++
+		if s == "s0" || s == "s1" {
+			b.Outcome(now+1000, h, Outcome{ID: id, Status: Error, Took: 1000, Closed: true})
+		} else {
+			out = append(out, call{id, s, now + 300_000})
+		}
+	}
+	return b, h, at
+}
+
+// Servers that fail at once are always empty and drew most calls; their failures raised the usual part of failures until
+// none was to blame, and counted as calls that had met no crowd.
+func TestFailingServersAreOnTrial(t *testing.T) {
+	for _, c := range []struct {
+		class int
+		most  int // calls of 3,000 that may go to the two
+	}{{0, 3000/trialEvery + 40}, {2, 40}} {
+		b, _, at := failFast(t, 10, 3000, c.class)
+		if n := at["s0"] + at["s1"]; n > c.most {
+			t.Errorf("class %d: %d calls went to servers that fail, %d expected at most", c.class, n, c.most)
+		}
+		f := b.Figures()
+		if f.Tier.Cut.By != NoEvidence || f.Classes[c.class].Cut.By != NoEvidence {
+			t.Errorf("class %d: counts were cut: %+v", c.class, f)
+		}
+	}
+}
+
+// Where all fail alike nobody is on trial, and the counts hold back.
+func TestWhereAllFailNobodyIsToBlame(t *testing.T) {
+	b, h := with(t, crowded(), 6)
+	finishes(b, h, start, 300, 10_000, 100_000, func(i int) Status { return []Status{OK, Error}[i%2] })
+	f := b.Figures()
+	if f.Tier.Cut.By != Failures {
+		t.Errorf("half of all calls fail and the tier's count was cut by %v", f.Tier.Cut.By)
+	}
+	out := 0
+	for _, s := range b.ready {
+		if s.healthFor(0) < failing {
+			out++
+		}
+	}
+	if out > 3 {
+		t.Errorf("%d of 6 servers are on trial for what all do", out)
+	}
+}
+
+// A failure that a server is to blame for moves no count, share or home weight, in whatever number.
+func TestABlamedFailureIsNoEvidenceOfLoad(t *testing.T) {
+	b, h := with(t, crowded(), 6)
+	now := finishes(b, h, start, 200, 10_000, 300_000, served)
+	before := b.tier
+	for i := range 50 {
+		id := fmt.Sprint("x", i)
+		b.Request(now, h, Request{ID: id, Class: 2, Tenant: -1, GiveUp: now + 6*second})
+		a := b.reqs[id].attempts[0]
+		a.srv.inflight--
+		a.srv = b.ready[0]
+		a.srv.inflight++
+		b.Outcome(now+1, h, Outcome{ID: id, Status: Reset, Took: 1, Closed: true})
+	}
+	if b.tier.count != before.count || b.tier.ev.n != before.ev.n || b.tier.fails.n > before.fails.n+1 {
+		t.Errorf("count %.1f, rounds of %d and %d; %.1f, %d and %d before", b.tier.count, b.tier.ev.n, b.tier.fails.n,
+			before.count, before.ev.n, before.fails.n)
+	}
+}
+
+// With fewer calls out than servers nobody crowds anybody: a slow server's calls cut the shares to a third while four of
+// 23 calls were out.
+func TestASlowCallThatMetNoCrowdPressesNoShare(t *testing.T) {
+	for _, c := range []struct {
+		gap     int64
+		pressed bool
+	}{{500_000, false}, {5_000, true}} {
+		s := crowded()
+		s.Siblings = 1
+		b, h := with(t, s, 6)
+		now := finishes(b, h, start, 200, 20_000, 300_000, served)
+		finishes(b, h, now, 200, c.gap, 1_000_000, served)
+		if b.share < shareStart != c.pressed {
+			t.Errorf("calls %d us apart: shares at %.2f", c.gap, b.share)
+		}
+	}
+}
+
+// Each refusal names what it is refused by.
+func TestRefusalsNameTheirCause(t *testing.T) {
+	for _, c := range []struct {
+		want  Cause
+		spoil func(*Balancer, *Request)
+	}{
+		{ByLines, func(_ *Balancer, r *Request) { r.Lines, r.Spare = 16, 1 }},
+		{ByTier, func(b *Balancer, _ *Request) { b.tier.count = -1 }},
+		{ByClass, func(b *Balancer, _ *Request) { b.classes[0].rule.count = -1 }},
+		{ByTime, func(_ *Balancer, r *Request) { r.GiveUp = start + 1 }},
+		{ByServers, func(b *Balancer, _ *Request) { b.ready = nil }},
+	} {
+		b, _ := with(t, testSettings(), 2)
+		r := Request{ID: "r", Tenant: -1, GiveUp: start + second}
+		c.spoil(b, &r)
+		h := &causes{b: b}
+		b.Request(start, h, r)
+		if len(h.got) != 1 || h.got[0] != c.want {
+			t.Errorf("refused by %v, %v expected", h.got, c.want)
+		}
+	}
+}
+
+// causes is a Host that asks for the cause of each refusal.
+type causes struct {
+	recorder
+	b   *Balancer
+	got []Cause
+}
+
+func (h *causes) Refuse(string, int64) { h.got = append(h.got, h.b.Cause()) }
