--- a/logic/logic.go
+++ b/logic/logic.go
@@ -734,14 +734,12 @@
 // press takes one piece of evidence on whether the shares and home are under pressure. A class also yields
 // to one that is worth clearly more: that one's slow calls cut its count.
 func (b *Balancer) press(now int64, class int, a *attempt, slow, homeBad bool) {
-	alone := slow && a.light // no crowd: whoever is slow is so by itself
 	for i := range b.classes {
-		if c := &b.classes[i]; !alone && b.value(class) > yieldRatio*b.value(i) {
+		if c := &b.classes[i]; b.value(class) > yieldRatio*b.value(i) {
 			c.rule.learn(&c.yield, now, a.sent, slow, b.light(i))
 		}
 	}
-	if alone {
-	} else if f := b.shareEv.add(now, a.sent, slow); f == 1 && b.share < 1 {
+	if f := b.shareEv.add(now, a.sent, slow); f == 1 && b.share < 1 {
 		b.share = min(1, b.share+shareBack)
 	} else if f == 1 {
 		b.share = min(b.shareMost, b.share+shareRise)
