--- a/internal/fleet/closed_test.go
+++ b/internal/fleet/closed_test.go
@@ -12,7 +12,6 @@
 		Network: Network{Hop: Span(time.Microsecond)},
 		Classes: []Class{{Name: "c", Share: 1, Work: Span(10 * time.Millisecond), CV: 1, Aim: Span(time.Minute), Deadline: Span(time.Minute)}},
 		Tiers:   []Tier{{Copies: 1, Work: 1, Kinds: []Kind{{Count: 1, Cores: cores, Slots: slots, Waiting: 100_000}}}}}
-	d.fill()
 	return d
 }
 
@@ -30,13 +29,16 @@
 // A backend with as many slots as cores is M/M/c, one with many more M/M/c with shared processors, whose mean is the
 // same; and what it holds is the rate times the time (Little).
 func TestBackendsKeepTheClosedForms(t *testing.T) {
+	if raceOn {
+		t.Skip("the same without goroutines to race, ten times as long")
+	}
 	for _, c := range []struct {
 		cores, slots int
 		use          float64
 	}{{1, 1, 0.5}, {2, 2, 0.7}, {1, 1000, 0.6}, {2, 1000, 0.7}} {
 		rate := c.use * float64(c.cores) * 100
 		d := plain(c.cores, c.slots, rate)
-		if err := d.check(); err != nil {
+		if err := d.Complete(); err != nil {
 			t.Fatal(err)
 		}
 		spent, n, held, looks := 0.0, 0, 0.0, 0
--- a/internal/fleet/day.go
+++ b/internal/fleet/day.go
@@ -185,13 +185,19 @@
 		}
 		*d = over
 	}
-	d.fill()
-	if err := d.check(); err != nil {
+	if err := d.Complete(); err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
 	}
 	return d, nil
 }
 
+// Complete puts defaults where nothing is said, and returns the first field that is out of its range. Only a day that is
+// complete can be played.
+func (d *Day) Complete() error {
+	d.fill()
+	return d.check()
+}
+
 // fault words a decoder's error as one line with its place.
 func fault(file string, err error) error {
 	var strict *toml.StrictMissingError
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -67,7 +67,7 @@
 	Trace bool // samples of every copy, and each refusal with its cause
 }
 
-// Play plays a day that Read has checked.
+// Play plays a day that is complete.
 func Play(d *Day, opt Options) *Result { return newFleet(d, opt).play() }
 
 func newFleet(d *Day, opt Options) *fleet {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -67,6 +67,9 @@
 		gate     float64 // mean shadow but for shares, at most
 	}{{"base.toml", 0.77, 3, 0.12}, {"small.toml", 0.66, 3, 0.16}} {
 		days := hard(t, c.base)
+		if raceOn && c.base != "small.toml" {
+			continue
+		}
 		all := Sweep(days, Seeds(2, seeds), each)
 		for _, o := range all {
 			if len(o.Broken) > 0 {
--- /dev/null
+++ b/internal/fleet/sockets_test.go
@@ -0,0 +1,114 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"testing"
+	"time"
+
+	"fernlanding/internal/config"
+	"fernlanding/internal/fleet"
+	"fernlanding/internal/sidecar"
+	"fernlanding/internal/standin"
+)
+
+// The same day on sockets: a sidecar before stand-in workers, and the fleet's own backends of the same cores, speeds and
+// waiting rooms, with one that turns slow. Service is to lie within five points.
+func TestADayOnSocketsIsServedAlike(t *testing.T) {
+	if testing.Short() {
+		t.Skip("plays some seconds of load")
+	}
+	const (
+		work = 40 * time.Millisecond
+		long = 4 * time.Second
+		rate = 110.0
+	)
+	speeds := []float64{2, 1.2, 1.2, 0.8}
+	class := standin.Class{Name: "lookup", Method: "GET", Path: "/lookup/%d", Share: 1, Objective: 200 * time.Millisecond, Deadline: time.Second}
+	for _, slow := range []bool{false, true} {
+		real := onSockets(t, speeds, work, class, rate, long, slow)
+		d := &fleet.Day{Length: fleet.Span(long), Warmup: fleet.Span(time.Millisecond), Rate: rate,
+			Classes: []fleet.Class{{Name: "lookup", Share: 1, Work: fleet.Span(work), Aim: fleet.Span(class.Objective), Deadline: fleet.Span(class.Deadline)}},
+			Tiers:   []fleet.Tier{{Copies: 1, Work: 1}}}
+		for _, s := range speeds {
+			d.Tiers[0].Kinds = append(d.Tiers[0].Kinds, fleet.Kind{Count: 1, Cores: 2, Speed: s, Slots: 2, Waiting: 16})
+		}
+		if slow {
+			d.Trouble = []fleet.Trouble{{Kind: fleet.Slow, At: fleet.Span(long / 5), For: fleet.Span(long), Part: 0.25, Times: 8}}
+		}
+		if err := d.Complete(); err != nil {
+			t.Fatal(err)
+		}
+		played := 0.0
+		const plays = 8
+		for seed := range uint64(plays) {
+			d.Seed = seed
+			played += fleet.Play(d, fleet.Options{}).Service() / plays
+		}
+		if math.Abs(real-played) > 0.05 {
+			t.Errorf("slow %v: served %.3f on sockets, %.3f in the fleet", slow, real, played)
+		}
+	}
+}
+
+// onSockets returns the part of the load that was answered in time.
+func onSockets(t *testing.T, speeds []float64, work time.Duration, class standin.Class, rate float64, long time.Duration, slow bool) float64 {
+	t.Helper()
+	d, err := standin.NewDiscovery()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	var workers []*standin.Worker
+	for i, s := range speeds {
+		w, err := standin.NewWorker(standin.WorkerConfig{Cores: 2, Waiting: 16, Work: work, Speed: s})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(w.Close)
+		workers = append(workers, w)
+		d.Put(standin.Member{Name: fmt.Sprint("w", i), Address: w.Addr(), Zone: "a"})
+	}
+	app, err := config.Decode("day", fmt.Appendf(nil, `version = 1
+name = "day"
+[[listeners]]
+address = "127.0.0.1:0"
+[services.s]
+membership = "catalog"
+discovery = %q
+trusted = true
+[services.s.classes.lookup]
+repeat = "safe"
+objective = %q
+deadline = %q
+[[routes]]
+name = "r"
+prefix = "/"
+methods = ["GET"]
+service = "s"
+class = "lookup"
+`, d.Addr(), class.Objective, class.Deadline))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := sidecar.New(app, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	t.Cleanup(func() { stop(); <-ended })
+	if err := s.WaitReady(ctx, 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if slow {
+		trouble := time.AfterFunc(long/5, func() { workers[0].Slow(8) })
+		defer trouble.Stop()
+	}
+	l := standin.Load{Addr: s.Addr(), Classes: []standin.Class{class}, Rate: rate, For: long, Seed: 1, Tag: "day"}
+	r := l.Run(ctx)[0]
+	return float64(r.Served-r.Late) / float64(r.Sent)
+}
--- a/test.sh
+++ b/test.sh
@@ -13,6 +13,7 @@
 fi
 go vet ./...
 go test -race -timeout 5m ./...
+go test -timeout 5m ./internal/fleet  # all of its days: with -race it plays a few
 
 policy=$(sed -n 's/^policy = \[\(.*\)\].*/\1/p' deploy/balancer.toml | tr -d '",')
 [ -n "$policy" ] || { echo 'deploy/balancer.toml names no policy files'; exit 1; }
