--- a/internal/fleet/sockets_test.go
+++ b/internal/fleet/sockets_test.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"math"
 	"testing"
 	"time"
 
-	"fernlanding/internal/config"
 	"fernlanding/internal/fleet"
-	"fernlanding/internal/sidecar"
+	"fernlanding/internal/sidecar/sidecartest"
 	"fernlanding/internal/standin"
 )
 
@@ -71,7 +69,7 @@
 		workers = append(workers, w)
 		d.Put(standin.Member{Name: fmt.Sprint("w", i), Address: w.Addr(), Zone: "a"})
 	}
-	app, err := config.Decode("day", fmt.Appendf(nil, `version = 1
+	s := sidecartest.Start(t, fmt.Sprintf(`version = 1
 name = "day"
 [[listeners]]
 address = "127.0.0.1:0"
@@ -90,25 +88,11 @@
 service = "s"
 class = "lookup"
 `, d.Addr(), class.Objective, class.Deadline))
-	if err != nil {
-		t.Fatal(err)
-	}
-	s, err := sidecar.New(app, slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- s.Run(ctx) }()
-	t.Cleanup(func() { stop(); <-ended })
-	if err := s.WaitReady(ctx, 10*time.Second); err != nil {
-		t.Fatal(err)
-	}
 	if slow {
 		trouble := time.AfterFunc(long/5, func() { workers[0].Slow(8) })
 		defer trouble.Stop()
 	}
 	l := standin.Load{Addr: s.Addr(), Classes: []standin.Class{class}, Rate: rate, For: long, Seed: 1, Tag: "day"}
-	r := l.Run(ctx)[0]
+	r := l.Run(context.Background())[0]
 	return float64(r.Served-r.Late) / float64(r.Sent)
 }
--- a/internal/pcap/replay/sidecar_test.go
+++ b/internal/pcap/replay/sidecar_test.go
@@ -4,18 +4,15 @@
 	"bytes"
 	"context"
 	"fmt"
-	"log/slog"
 	"math/rand/v2"
 	"net/netip"
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
-	"fernlanding/internal/config"
 	"fernlanding/internal/pcap/synth"
 	"fernlanding/internal/pcap/write"
-	"fernlanding/internal/sidecar"
+	"fernlanding/internal/sidecar/sidecartest"
 	"fernlanding/internal/standin"
 )
 
@@ -39,7 +36,7 @@
 		t.Cleanup(b.Close)
 		fmt.Fprintf(&endpoints, "{ name = \"b%d\", address = %q, cell = 1 },", i, b.Addr())
 	}
-	app, err := config.Decode("replay", []byte(fmt.Sprintf(`version = 1
+	s := sidecartest.Start(t, fmt.Sprintf(`version = 1
 listeners = [{ address = "127.0.0.1:0" }]
 [services.s]
 membership = "static"
@@ -64,26 +61,7 @@
 prefix = "/charge"
 service = "s"
 class = "charge"
-`, endpoints.String())))
-	if err != nil {
-		t.Fatal(err)
-	}
-	s, err := sidecar.New(app, slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- s.Run(ctx) }()
-	t.Cleanup(func() {
-		stop()
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-	})
-	if err := s.WaitReady(ctx, 20*time.Second); err != nil {
-		t.Fatal(err)
-	}
+`, endpoints.String()))
 	return netip.MustParseAddrPort(s.Addr()), func(id string) []string {
 		mu.Lock()
 		defer mu.Unlock()
