--- a/internal/fleet/day.go
+++ b/internal/fleet/day.go
@@ -23,6 +23,7 @@
 	maxTiers    = 5
 	maxNames    = 64 // classes, tenants, troubles
 	maxAsked    = 1_000_000
+	maxCalls    = 10_000_000 // of all tiers, each request's first attempt
 )
 
 // Span is a length of time, in TOML as Go writes it: "1.5s".
@@ -334,9 +335,13 @@
 	if err := firstOf(bounds); err != nil {
 		return err
 	}
-	if n := d.rate() * time.Duration(d.Length).Seconds() * d.busiest(); n > maxAsked {
+	n := d.rate() * d.Length.Seconds() * d.busiest()
+	if n > maxAsked {
 		return fmt.Errorf("rate: found %.0f requests a day, at most %d expected", n, maxAsked)
 	}
+	if n *= d.callsEach(); n > maxCalls {
+		return fmt.Errorf("calls: found %.0f calls a day, at most %d expected", n, maxCalls)
+	}
 	return nil
 }
 
@@ -447,6 +452,16 @@
 	return d.Load * d.Capacity()
 }
 
+// callsEach is how many calls a request makes to all tiers, itself included.
+func (d *Day) callsEach() float64 {
+	sum, calls := 1.0, 1.0
+	for _, t := range d.Tiers[1:] {
+		calls *= t.Calls
+		sum += calls
+	}
+	return sum
+}
+
 // busiest is how many times the usual rate the troubles may bring.
 func (d *Day) busiest() float64 {
 	most := 1.0
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -143,13 +143,14 @@
 	f.byID[b.id] = b
 	f.backends[tier] = append(f.backends[tier], b)
 	if tier+1 < len(f.day.Tiers) {
-		b.copy = f.fresh(tier+1, index, f.countOf(tier))
+		b.copy = f.fresh(tier+1, index, f.day.countOf(tier))
 	}
 	return b
 }
 
-func (f *fleet) countOf(tier int) (n int) {
-	for _, k := range f.day.Tiers[tier].Kinds {
+// countOf is the number of a tier's backends.
+func (d *Day) countOf(tier int) (n int) {
+	for _, k := range d.Tiers[tier].Kinds {
 		n += k.Count
 	}
 	return n
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -8,7 +8,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"fernlanding/logic"
 )
@@ -250,7 +249,11 @@
 			}
 			return
 		}
-		if d.RatePerSecond()*time.Duration(d.Length).Seconds() > 500 || len(d.Tiers) > 2 {
+		backends := 0
+		for i := range d.Tiers {
+			backends += d.countOf(i)
+		}
+		if d.RatePerSecond()*d.Length.Seconds()*d.busiest()*d.callsEach() > 500 || float64(backends)*d.Length.Seconds() > 1000 {
 			return // long to play
 		}
 		if r := Play(d, Options{Trace: true}); len(r.Broken) > 0 && d.Network.Hop.micros() < 1000 {
--- a/internal/fleet/trouble.go
+++ b/internal/fleet/trouble.go
@@ -135,7 +135,7 @@
 	b.dead, b.launched, b.over, b.held, b.hung, b.slow, b.fail, b.spoil = false, f.now, false, 0, false, 1, 0, 0
 	b.clockAt = f.now
 	if b.tier+1 < len(f.day.Tiers) {
-		b.copy = f.fresh(b.tier+1, b.index, f.countOf(b.tier))
+		b.copy = f.fresh(b.tier+1, b.index, f.day.countOf(b.tier))
 	}
 	f.tell(b)
 }
