--- a/logic/logic.go
+++ b/logic/logic.go
@@ -183,12 +183,15 @@
 // canPass stretches the one-second window of a small count, so that fractional counts work. A fresh copy's
 // window is no longer than its life, or it would let a long window's worth through at once. Room for chance
 // guards sparse copies, where single calls fill a tenant's count.
-func (r *originRule) canPass(now, born int64, count, room, u float64) bool {
-	span := second
+//
+// The window holds what passed at other multiples of the shares too, each call by what it was of its multiple's share:
+// counted one for one, calls that passed at twice the share would bar all others for seconds once it is cut to a half.
+func (r *originRule) canPass(now, born int64, full, share, room, u float64) bool {
+	span, count := second, share*full
 	for span < windowWhole && count*float64(span/second) < windowHold && now-born >= span {
 		span *= 2
 	}
-	cur, fair := r.pass.sum(now, span), count*float64(min(span, max(second, now-born)))/float64(second)
+	cur, fair := share*r.pass.sum(now, span), count*float64(min(span, max(second, now-born)))/float64(second)
 	return cur+1 <= fair+u || u < room && cur <= fair+chanceRoom*math.Sqrt(fair)
 }
 
@@ -394,7 +397,7 @@
 	if !b.canPass(now, q) || !b.inTime(now, q) || !b.send(now, h, q) {
 		b.refuse(now, h, q) // for the cause that the check has set
 	} else if t := b.origin(q); t != nil {
-		t.pass.add(now)
+		t.pass.add(now, 1/b.share)
 	}
 }
 
@@ -424,8 +427,7 @@
 	}
 	b.cause = ByTenant
 	if t := b.origin(q); t != nil {
-		count := b.share * b.fair * b.s.Tenants[q.Tenant].Portion
-		if !t.canPass(now, b.born, count, b.room(now, q.Tenant), b.rnd.Float64()) {
+		if !t.canPass(now, b.born, b.fair*b.s.Tenants[q.Tenant].Portion, b.share, b.room(now, q.Tenant), b.rnd.Float64()) {
 			return false
 		}
 	}
@@ -464,7 +466,7 @@
 	q.out++
 	s.inflight++
 	b.tier.enter()
-	b.tier.pass.add(now)
+	b.tier.pass.add(now, 1)
 	b.classes[q.Class].rule.enter()
 	h.Send(q.ID, s.ID, b.timeout(now, q))
 	return true
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -319,8 +319,8 @@
 		passed := 0
 		const secs = 40
 		for now := start; now < start+secs*second; now += second / 100 {
-			if r.canPass(now, start, count, 0, 0.5) {
-				r.pass.add(now)
+			if r.canPass(now, start, count, 1, 0, 0.5) {
+				r.pass.add(now, 1)
 				passed++
 			}
 		}
@@ -335,8 +335,8 @@
 	var r originRule
 	passed := 0
 	for now := start; now < start+second; now += second / 100 {
-		if r.canPass(now, start, 3, 0, 0.5) {
-			r.pass.add(now)
+		if r.canPass(now, start, 3, 1, 0, 0.5) {
+			r.pass.add(now, 1)
 			passed++
 		}
 	}
@@ -413,8 +413,8 @@
 	for range 200 {
 		var r originRule
 		for now := start; now < start+8*second; now += second {
-			if r.canPass(now, start-100*second, 0.01, 0, rnd.Float64()) {
-				r.pass.add(now)
+			if r.canPass(now, start-100*second, 0.01, 1, 0, rnd.Float64()) {
+				r.pass.add(now, 1)
 				passed++
 			}
 		}
--- a/logic/state.go
+++ b/logic/state.go
@@ -21,13 +21,13 @@
 
 // window counts events over a sliding time of up to windowTicks buckets.
 type window struct {
-	n    [windowTicks]int32
+	n    [windowTicks]float32
 	last int64
 }
 
-func (w *window) add(now int64) {
+func (w *window) add(now int64, weight float64) {
 	w.advance(now)
-	w.n[w.last%windowTicks]++
+	w.n[w.last%windowTicks] += float32(weight)
 }
 
 func (w *window) advance(now int64) {
@@ -40,13 +40,13 @@
 
 func (w *window) sum(now, span int64) float64 {
 	w.advance(now)
-	total := int32(0)
+	total := 0.0
 	for i := int64(0); i < span/windowBucket; i++ {
 		if w.last-i >= 0 {
-			total += w.n[(w.last-i)%windowTicks]
+			total += float64(w.n[(w.last-i)%windowTicks])
 		}
 	}
-	return float64(total)
+	return total
 }
 
 // tally counts events and forgets them over about tallySpan.
@@ -221,7 +221,7 @@
 
 // originRule limits the calls passed per second for one tenant.
 type originRule struct {
-	node
+	node       // a call that passes weighs one over the multiple of the shares as it then is
 	came tally // its requests
 }
 
