--- a/logic/logic.go
+++ b/logic/logic.go
@@ -151,9 +151,9 @@
 	r.peak = r.threads
 }
 
-// judge takes one finish to a round of evidence. A count that such evidence has cut is doubled by each good round until
-// it is back, and while that lasts few finishes make one if none is bad: with a call or two out, a full round would
-// take longer than most troubles do.
+// judge takes one finish to a round of evidence. A count that such evidence has cut is doubled by each good
+// round until it is back, and while that lasts few finishes make one if none is bad: with a call or two out,
+// a full round would take longer than most troubles do.
 func (r *threadRule) judge(ev *round, now, sent int64, bad bool) (factor float64) {
 	back := r.last.By == ev.by && r.goal > r.count
 	if ev.clean = 0; back {
@@ -184,8 +184,9 @@
 // window is no longer than its life, or it would let a long window's worth through at once. Room for chance
 // guards sparse copies, where single calls fill a tenant's count.
 //
-// The window holds what passed at other multiples of the shares too, each call by what it was of its multiple's share:
-// counted one for one, calls that passed at twice the share would bar all others for seconds once it is cut to a half.
+// The window holds what passed at other multiples of the shares too, each call by what it was of its
+// multiple's share: counted one for one, calls that passed at twice the share would bar all others for
+// seconds once it is cut to a half.
 func (r *originRule) canPass(now, born int64, full, share, room, u float64) bool {
 	span, count := second, share*full
 	for span < windowWhole && count*float64(span/second) < windowHold && now-born >= span {
@@ -427,7 +428,8 @@
 	}
 	b.cause = ByTenant
 	if t := b.origin(q); t != nil {
-		if !t.canPass(now, b.born, b.fair*b.s.Tenants[q.Tenant].Portion, b.share, b.room(now, q.Tenant), b.rnd.Float64()) {
+		full, room := b.fair*b.s.Tenants[q.Tenant].Portion, b.room(now, q.Tenant)
+		if !t.canPass(now, b.born, full, b.share, room, b.rnd.Float64()) {
 			return false
 		}
 	}
@@ -483,9 +485,9 @@
 	return max(left, 1)
 }
 
-// draw picks a ready server of this copy's subset at random by weight. Failing ones come after all others, and those
-// that the request has tried come last, however empty they are. The subset grows where it has too few warm and healthy
-// servers, or none that the request may go to.
+// draw picks a ready server of this copy's subset at random by weight. Failing ones come after all others,
+// and those that the request has tried come last, however empty they are. The subset grows where it has too
+// few warm and healthy servers, or none that the request may go to.
 func (b *Balancer) draw(now int64, q *request) *server {
 	b.weights = b.weights[:0]
 	total, best, room := 0.0, 0, b.subset(now)
@@ -523,11 +525,12 @@
 	return 2
 }
 
-// tryOut tells whether a failing server may have this call, to show whether it still fails. One that fails at once is
-// always empty, and would draw most calls by that; so one call in so many goes out for a trial, and none that may not
-// be repeated.
+// tryOut tells whether a failing server may have this call, to show whether it still fails. One that fails
+// at once is always empty, and would draw most calls by that; so one call in so many goes out for a trial,
+// and none that may not be repeated.
 func (b *Balancer) tryOut(q *request, s *server) bool {
-	return b.untried >= trialEvery && s.inflight == 0 && len(q.attempts) == 0 && b.s.Classes[q.Class].Repeat != Unsafe
+	first := len(q.attempts) == 0 && b.s.Classes[q.Class].Repeat != Unsafe
+	return first && b.untried >= trialEvery && s.inflight == 0
 }
 
 // pick returns the ready server at which the sum of weights passes x, or nil if none has weight.
@@ -785,16 +788,17 @@
 	if status == ConnectFailed {
 		blame = s.whole.judge(x, 0)
 	} else if status != Error {
-		blame = s.whole.judge(x, blameRatio*b.usual(s, b.errs, func(s *server) *health { return &s.whole }))
+		blame = s.whole.judge(x, blameRatio*b.usual(s, b.errs, func(p *server) *health { return &p.whole }))
 	}
 	if status == Error || status == OK {
-		blame = s.classes[class].judge(x, blameRatio*b.usual(s, c.errs, func(s *server) *health { return &s.classes[class] }))
+		usual := b.usual(s, c.errs, func(p *server) *health { return &p.classes[class] })
+		blame = s.classes[class].judge(x, blameRatio*usual)
 	}
 	return blame
 }
 
-// usual is the part of failed calls that a server's peers show: their median, so that a server that fails at once, and
-// draws calls by it, is not its own measure. It is never more than the part over all calls.
+// usual is the part of failed calls that a server's peers show: their median, so that a server that fails at
+// once, and draws calls by it, is not its own measure. It is never more than the part over all calls.
 func (b *Balancer) usual(s *server, all float64, of func(*server) *health) float64 {
 	b.weights = b.weights[:0]
 	for _, p := range b.ready[:min(len(b.ready), peersMost)] {
--- a/logic/recover_test.go
+++ b/logic/recover_test.go
@@ -167,3 +167,26 @@
 }
 
 func (h *causes) Refuse(string, int64) { h.got = append(h.got, h.b.Cause()) }
+
+// Calls that had passed at twice the share barred all others for seconds once it was cut, with hardly a call out.
+func TestACutShareStillLetsItsPartPass(t *testing.T) {
+	const full = 20.0 // calls a second at a multiple of 1
+	for _, c := range []struct{ before, after float64 }{{2, 0.5}, {2, 1}, {1, 0.5}, {0.5, 2}, {1, 1}} {
+		r, passed := &originRule{}, 0
+		for now := start; now < start+20*second; now += second / 200 {
+			share := c.before
+			if now >= start+10*second {
+				share = c.after
+			}
+			if r.canPass(now, start-100*second, full, share, 0, 0.5) {
+				r.pass.add(now, 1/share)
+				if now >= start+10*second && now < start+12*second {
+					passed++
+				}
+			}
+		}
+		if want := 2 * full * c.after; float64(passed) < 0.8*want || float64(passed) > 1.25*want+2 {
+			t.Errorf("from %.1f to %.1f: %d passed in two seconds, %.0f expected", c.before, c.after, passed, want)
+		}
+	}
+}
