--- a/cmd/fernctl/fleet.go
+++ b/cmd/fernctl/fleet.go
@@ -86,7 +86,7 @@
 		return err
 	}
 	out := c.Root().Writer
-	o, r := fleet.Judge(d), fleet.Play(d, fleet.Options{})
+	o, r := fleet.Judge(d)
 	if c.Bool("json") {
 		if err := asJSON(out, o); err != nil {
 			return err
--- a/internal/fleet/sweep.go
+++ b/internal/fleet/sweep.go
@@ -18,13 +18,13 @@
 	Broken     []string  `json:"broken,omitempty"`
 }
 
-// Judge plays a day and its calm twin.
-func Judge(d *Day) Outcome {
+// Judge plays a day and its calm twin. The result is the day's own.
+func Judge(d *Day) (Outcome, *Result) {
 	r := Play(d, Options{})
 	o := Outcome{Day: d.Name, Seed: d.Seed, Service: r.Service(), Calm: r.Service(), Shadow: r.ShadowPart(), Gate: r.GatePart(),
 		Overdriven: r.Overdriven(), Broken: r.Broken}
 	if len(d.Trouble) == 0 {
-		return o
+		return o, r
 	}
 	calm := Play(d.Calm(), Options{})
 	o.Calm = calm.Service()
@@ -34,7 +34,7 @@
 			o.Recovery = append(o.Recovery, s)
 		}
 	}
-	return o
+	return o, r
 }
 
 // Seeds draws n seeds of a stream; streams share none but by chance.
@@ -53,7 +53,7 @@
 	each(len(all), func(i int) {
 		d := *days[i/len(seeds)]
 		d.Seed = seeds[i%len(seeds)]
-		all[i] = Judge(&d)
+		all[i], _ = Judge(&d)
 	})
 	return all
 }
