Take out dead names of the fleet and the module, and announce states in one place

Found in a reading of the change: lateBack, copyOf.trace and backend.lookedAt were used by nothing, kill repeated the loop of tell, and drain's comment said the opposite of what a draining backend does.

--- a/internal/fleet/backend.go
+++ b/internal/fleet/backend.go
@@ -80,7 +80,6 @@
 	held      float64 // running mean of requests that run or wait
 	idle      float64 // running mean of the part of its capacity that is free
 	pushed    []push  // work that has come while cold
-	lookedAt  int64
 }
 
 type push struct {
@@ -207,7 +206,7 @@
 // begin starts a job's work: from here on it has run.
 func (b *backend) begin(j *job) {
 	f, c := b.f, j.att.call
-	total := c.op.work * f.day.Tiers[b.tier].Work * f.noise(c)
+	total := c.op.work * f.day.Tiers[b.tier].Work * f.noise()
 	j.work, j.calls = total, f.callsOf(c)
 	if j.calls > 0 {
 		j.work, j.second = total/2, total/2
--- a/internal/fleet/copy.go
+++ b/internal/fleet/copy.go
@@ -17,7 +17,6 @@
 	dead  bool
 	late  int64            // until it is told of a change, microseconds
 	since map[string]int64 // and since when a backend takes nothing new
-	trace []Sample
 }
 
 // call is a request that a copy has been handed.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -161,8 +161,12 @@
 }
 
 // tell has every copy before a backend's tier learn of its state, each in its time.
-func (f *fleet) tell(b *backend) {
+func (f *fleet) tell(b *backend) { f.announce(b, b.state) }
+
+// announce has them learn of a state that need not be what the backend knows itself.
+func (f *fleet) announce(b *backend, state logic.State) {
 	e := b.entry()
+	e.State = state
 	for _, c := range f.all {
 		if c.tier == b.tier && !c.dead {
 			f.after(c.late, func() { c.list(logic.Delta, []logic.Server{e}) })
@@ -176,7 +180,7 @@
 }
 
 // noise is what one attempt's work differs by.
-func (f *fleet) noise(*call) float64 {
+func (f *fleet) noise() float64 {
 	if f.day.Noise == 0 {
 		return 1
 	}
--- a/internal/fleet/trouble.go
+++ b/internal/fleet/trouble.go
@@ -102,7 +102,7 @@
 		f.tell(b)
 		f.after(goneAfter, func() { f.remove(b) }) // attempts may be on their way
 	}
-	// Until the copies know, requests go on coming: the backend serves them.
+	// Until the copies know, requests go on coming: the backend turns them away.
 	f.after(int64(1.6*float64(f.day.Network.Notice.micros())), check)
 }
 
@@ -119,13 +119,7 @@
 
 func (f *fleet) kill(b *backend) {
 	b.die()
-	e := b.entry()
-	e.State = logic.Gone
-	for _, c := range f.all {
-		if c.tier == b.tier && !c.dead {
-			f.after(c.late, func() { c.list(logic.Delta, []logic.Server{e}) })
-		}
-	}
+	f.announce(b, logic.Gone)
 }
 
 func (f *fleet) revive(b *backend) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -28,7 +28,6 @@
 	roundSize  = 12  // finishes in a round of evidence: fewer are chance, more are late
 	roundSpan  = 2   // aims: a round with fewer finishes has lasted long enough
 	cleanLeast = 3.0 // finishes without a bad one that double a cut count, or twice the count if that is more
-	lateBack   = 0.8 // a cut for lateness is made good at the double up to this part of what was out
 	yieldBack  = 0.8 // a cut for a worthier class is made good at the double up to this part of what was out
 	badPart    = 0.4 // a larger part of late or failed finishes makes a round bad for the counts
 	hopeless   = 0.7 // the same in a late tier
