Pace the calls for lists and the first connections of copies that start together

Need: 200 copies that start at once before a list service of 50 whole readings a second made 614 readings in the worst second, gave up 1,587 of them, and 17 s after an outage still asked 126 times a second with 104 copies without a list. Cause (membership/catalog, Run): a call is given up after 1 s and asked again 50 to 500 ms later for the whole list, without jitter, whatever the service says; the service still works on what was given up.

internal/start decides now, purely: first readings spread by the number of copies, patience that grows when calls are given up, waits that stay spread over an outage, Retry-After kept, watches that resume by their version with one whole reading later, a bound on answers without end. Connections to a backend that has not shown itself are opened two at a time, and rest after one that did not come up. An empty first list makes no copy ready. For applications' sidecars alone: the platform's proxy has an agent of its own, or is told by the module when to ask.

--- a/internal/membership/catalog/catalog.go
+++ b/internal/membership/catalog/catalog.go
@@ -13,6 +13,7 @@
 
 	"fernlanding/internal/membership"
 	"fernlanding/internal/membership/heard"
+	"fernlanding/internal/start"
 )
 
 const (
@@ -27,6 +28,8 @@
 	retryFirst   = 50 * time.Millisecond   // after a failed call
 	retryMost    = 500 * time.Millisecond  // at most
 	maxList      = 4 << 20
+
+	mostRetryAfter = time.Hour // beyond which what a service asks for is no wait
 )
 
 // Client keeps a watch on the list and hands each answer on.
@@ -46,7 +49,12 @@
 	Subscribe bool            // the list is asked for, at the module's word; otherwise it is pushed and the watch stands by itself
 	First     bool            // with Subscribe: the module's word is needed at the start too
 	Asked     <-chan struct{} // with Subscribe: the module's word
-	Log       *slog.Logger
+	// Reads, where given, decides when to call: the list service is shared by many copies, which is not so where an agent
+	// on the copy's own machine answers. Not with Subscribe.
+	Reads  *start.Reads
+	Known  int64       // with Reads: the version of the list that the copy begins with; negative: it has none
+	Urgent func() bool // with Reads: the copy can't serve, or its backends die, until there is a newer list
+	Log    *slog.Logger
 }
 
 // New returns a client of a discovery.
@@ -67,6 +75,10 @@
 // the full list. With Subscribe the module says when to ask, after a failure and, with First, at the start.
 func (d *Client) Run(ctx context.Context, sink membership.Sink) {
 	defer d.client.CloseIdleConnections()
+	if d.cfg.Reads != nil {
+		d.pace(ctx, sink)
+		return
+	}
 	subscribe, first := d.cfg.Subscribe, d.cfg.Subscribe && d.cfg.First
 	index, wait := int64(-1), retryFirst
 	for subscribed := !first; ctx.Err() == nil; {
@@ -77,7 +89,7 @@
 				return
 			}
 		}
-		list, err := d.call(ctx, index)
+		list, err := d.call(ctx, index, d.hold, d.patience)
 		if ctx.Err() != nil {
 			return
 		}
@@ -87,7 +99,7 @@
 		if err != nil {
 			d.log.Warn("discovery", "error", err)
 			d.heard.Fell()
-			if !errors.Is(err, errBusy) {
+			if outcome, _ := judge(err); outcome != start.Busy {
 				index = -1
 			}
 			subscribed = false
@@ -108,14 +120,90 @@
 	}
 }
 
-var errBusy = errors.New("discovery is busy or down")
+// pace is Run where package start decides when to call.
+func (d *Client) pace(ctx context.Context, sink membership.Sink) {
+	began, had, index := time.Now(), d.cfg.Known >= 0, d.cfg.Known
+	next := d.cfg.Reads.First(began, had)
+	timer := time.NewTimer(next.After)
+	defer timer.Stop()
+	for calls := 1; ; calls++ {
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+		from := index
+		if next.Whole {
+			from = -1
+		}
+		list, err := d.call(ctx, from, next.Hold, next.Patience)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil && !list.Full && (from < 0 || list.Index < index) {
+			err = fmt.Errorf("%w: changes up to version %d, version %d stands", errSense, list.Index, index)
+		}
+		if errors.Is(err, errSense) {
+			d.cfg.Reads.Doubt()
+		}
+		outcome, after := judge(err)
+		switch {
+		case err == nil && !had && len(list.Endpoints) == 0:
+			// A copy that took this for its list would say that it can serve, and refuse all that comes.
+			if list.Index != index {
+				d.log.Warn("the list is empty; not ready", "version", list.Index, "calls", calls)
+			}
+			index = list.Index
+			d.heard.Spoke(index, 0)
+		case err == nil:
+			if index = list.Index; !had {
+				had = true
+				d.log.Info("first list", "after", time.Since(began).Round(time.Millisecond), "calls", calls, "endpoints", len(list.Endpoints))
+			}
+			sink.Listed(list)
+			d.heard.Spoke(index, 0)
+		default:
+			d.heard.Fell()
+			sink.Missed()
+		}
+		next = d.cfg.Reads.Next(time.Now(), outcome, !had || d.cfg.Urgent(), after)
+		if err != nil {
+			d.log.Warn("discovery", "error", err, "list", had, "calls", calls, "next", next.After.Round(time.Millisecond), "whole", next.Whole, "why", next.Why)
+		}
+		timer.Reset(next.After)
+	}
+}
+
+// judge says how a call ended, and when the service asked to come back.
+func judge(err error) (start.Outcome, time.Duration) {
+	var busy *busyError
+	switch {
+	case err == nil:
+		return start.Answered, 0
+	case errors.As(err, &busy):
+		return start.Busy, busy.after
+	case errors.Is(err, context.DeadlineExceeded):
+		return start.GivenUp, 0
+	}
+	return start.Broken, 0
+}
+
+// busyError is an answer that turns a call away.
+type busyError struct {
+	after time.Duration // that the service asked for (RFC 9110, section 10.2.3); 0: it did not
+}
+
+func (e *busyError) Error() string { return "discovery is busy or down" }
+
+// errSense is of answers that make no sense.
+var errSense = errors.New("no sense in the answer")
 
 // call asks for what is newer than index, or for the whole list if that is negative.
-func (d *Client) call(ctx context.Context, index int64) (*membership.List, error) {
-	u, patience := "http://"+d.addr+"/catalog/members", d.patience
+func (d *Client) call(ctx context.Context, index int64, hold, patience time.Duration) (*membership.List, error) {
+	u := "http://" + d.addr + "/catalog/members"
 	if index >= 0 {
-		u += "?from=" + strconv.FormatInt(index, 10) + "&hold_ms=" + strconv.FormatInt(d.hold.Milliseconds(), 10)
-		patience += d.hold
+		u += "?from=" + strconv.FormatInt(index, 10) + "&hold_ms=" + strconv.FormatInt(hold.Milliseconds(), 10)
+		patience += hold
 	}
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
@@ -128,8 +216,8 @@
 		return nil, fmt.Errorf("ask for the list: %w", err)
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode == http.StatusServiceUnavailable {
-		return nil, errBusy
+	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+		return nil, &busyError{retryAfter(resp.Header.Get("Retry-After"))}
 	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("ask for the list: status %s", resp.Status)
@@ -140,7 +228,16 @@
 	}
 	list, err := membership.Parse(data)
 	if err != nil {
-		return nil, fmt.Errorf("garbled list: %w", err)
+		return nil, fmt.Errorf("garbled list: %w: %w", errSense, err)
 	}
 	return list, nil
 }
+
+// retryAfter reads a Retry-After of seconds, whole or decimal; 0 for any other.
+func retryAfter(text string) time.Duration {
+	s, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(s > 0) {
+		return 0
+	}
+	return time.Duration(min(s, mostRetryAfter.Seconds()) * float64(time.Second))
+}
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"os"
 	"reflect"
 	"slices"
@@ -18,6 +19,7 @@
 	"fernlanding/internal/membership/blocking"
 	"fernlanding/internal/membership/catalog"
 	"fernlanding/internal/membership/file"
+	pace "fernlanding/internal/start"
 	upstream "fernlanding/internal/upstream/http1"
 	"fernlanding/logic"
 )
@@ -29,12 +31,16 @@
 	countedIn  = 4 << 10  // and elsewhere
 	drainPoll  = 20 * time.Millisecond
 	mostToken  = 4 << 10 // bytes of a registry's token
+
+	pacedStream = 31 // of the seed: what spreads calls for lists
+	dyingPart   = 8  // one of so many backends that can't be reached makes a newer list urgent
 )
 
 // service is one pool with its upstream and the source of its list, from the configuration that names it until its
 // last request has ended.
 type service struct {
 	cfg    *config.Service // does not change; where the list comes from does
+	rnd    *rand.Rand      // nil: the list service is not shared, and calls to it need no spreading; only plug draws from it
 	pool   *core.Pool
 	up     *upstream.Upstream
 	roster *roster
@@ -55,13 +61,17 @@
 	sockets  *shares
 	memory   *shares // nil on the platform
 	memoryMB float64
+	paced    bool // lists come from a service that all copies share, and not from an agent on this machine
 }
 
 // newService makes a service; it stands still until start.
 func newService(cfg *config.Service, seed uint64, with parted) (*service, error) {
 	s := &service{cfg: cfg}
+	if with.paced {
+		s.rnd = rand.New(rand.NewPCG(seed, pacedStream))
+	}
 	uc := upstream.Config{DialTimeout: cfg.DialTimeout, IdleClose: cfg.IdleClose, Rest: upstream.RestSpoilt,
-		Quota: descriptors{with.sockets, cfg.Name}, MaxAnswer: cfg.MaxAnswer, PassAll: cfg.PassAll,
+		Quota: descriptors{with.sockets, cfg.Name}, MaxAnswer: cfg.MaxAnswer, PassAll: cfg.PassAll, Paced: with.paced,
 		Once: func(class int) bool { return cfg.Logic.Classes[class].Repeat == logic.Unsafe }}
 	if cfg.Trusted {
 		uc.Rest = 0
@@ -110,6 +120,10 @@
 		s.source.Wait()
 	}
 	first := s.unplug == nil && s.cfg.Known != nil // with no list at all nobody says when to ask
+	known := int64(-1)
+	if first && reflect.DeepEqual(from, s.cfg.Source) { // the versions of two sources do not compare
+		known = s.cfg.Known.Index
+	}
 	s.from = from
 	ctx, unplug := context.WithCancel(context.Background())
 	s.unplug = unplug
@@ -125,11 +139,25 @@
 	case config.Consul:
 		source = blocking.New(blocking.Config{Address: from.Address, Service: from.As, Token: token(from.TokenFile, log), Log: log})
 	default:
-		source = catalog.New(catalog.Config{Address: from.Address, Subscribe: s.cfg.Logic.Subscribe, First: first, Asked: s.pool.Asked(), Log: log})
+		cc := catalog.Config{Address: from.Address, Subscribe: s.cfg.Logic.Subscribe, First: first, Asked: s.pool.Asked(), Log: log}
+		if s.rnd != nil && !cc.Subscribe {
+			copies := s.cfg.Logic.Siblings
+			if copies == 1 {
+				copies = 0 // not told
+			}
+			cc.Reads, cc.Known, cc.Urgent = pace.NewReads(pace.ReadsConfig{Copies: copies}, s.rnd), known, s.urgent
+		}
+		source = catalog.New(cc)
 	}
 	s.source.Go(func() { source.Run(ctx, s.roster) })
 }
 
+// urgent tells whether the service needs a newer list soon: it has none, or many of its backends can't be reached.
+func (s *service) urgent() bool {
+	u := s.up.Stats()
+	return !s.ready() || u.Unreachable > 0 && u.Unreachable*dyingPart >= u.Backends
+}
+
 // token reads a registry's token. Without one the registry says what it thinks of that.
 func token(path string, log *slog.Logger) string {
 	if path == "" {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -48,7 +48,7 @@
 // New opens the listeners; clients are served from Run on.
 func New(app *config.App, log *slog.Logger) (*Sidecar, error) {
 	s := &Sidecar{log: log, ended: make(chan struct{}), services: map[string]*service{}, leaving: map[*service]bool{},
-		with: parted{clock: core.NewClock(), log: log, memoryMB: app.Process.MemoryMB}}
+		with: parted{clock: core.NewClock(), log: log, memoryMB: app.Process.MemoryMB, paced: app.Wording == config.Application}}
 	s.halt, s.halted = context.WithCancel(context.Background())
 	parts, err := app.Descriptors()
 	if err != nil {
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -20,6 +20,7 @@
 	*http.Request
 	Content []byte // the body
 	Number  int    // of the backend's requests, from 1
+	OnConn  int    // of its connection's requests, from 1
 	Conn    net.Conn
 	Done    <-chan struct{} // closed when the backend ends
 }
@@ -46,6 +47,7 @@
 	all      sync.WaitGroup
 
 	requests, opened, open, mostOpen atomic.Int64
+	bound                            atomic.Int64 // connections at once; further ones are closed; 0: any number
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -79,6 +81,9 @@
 // SetHandler has the backend answer calls that come from now on in another way.
 func (b *Backend) SetHandler(h Handler) { b.handler.Store(&h) }
 
+// Bound has the backend close connections beyond so many; 0: none.
+func (b *Backend) Bound(conns int) { b.bound.Store(int64(conns)) }
+
 // Addr is where the backend listens.
 func (b *Backend) Addr() string { return b.listener.Addr().String() }
 
@@ -147,6 +152,9 @@
 		return false
 	default:
 	}
+	if most := b.bound.Load(); most > 0 && b.open.Load() >= most {
+		return false
+	}
 	b.conns[c] = true
 	b.opened.Add(1)
 	b.mostOpen.Store(max(b.mostOpen.Load(), b.open.Add(1)))
@@ -161,7 +169,7 @@
 		b.open.Add(-1)
 		c.Close()
 	}()
-	for r := bufio.NewReader(c); ; {
+	for r, n := bufio.NewReader(c), 1; ; n++ {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
@@ -170,7 +178,7 @@
 		if err != nil {
 			return
 		}
-		if !(*b.handler.Load())(&Call{Request: req, Content: content, Number: b.count(req), Conn: c, Done: b.done}) {
+		if !(*b.handler.Load())(&Call{Request: req, Content: content, Number: b.count(req), OnConn: n, Conn: c, Done: b.done}) {
 			return
 		}
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -1,9 +1,11 @@
 package standin
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fernlanding/internal/membership"
@@ -22,11 +24,39 @@
 		return err
 	}
 	s.done = make(chan struct{})
-	s.server = &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
-	s.over.Go(func() { _ = s.server.Serve(s.listener) })
+	s.server = &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}}
+	s.over.Go(func() { _ = s.server.Serve(counting{s.listener}) })
 	return nil
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// counted is a connection that counts what has been written to it.
+type counted struct {
+	net.Conn
+	wrote atomic.Int64
+}
+
+func (c *counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.wrote.Add(int64(n))
+	return n, err
+}
+
+// counting is a listener of counted connections.
+type counting struct{ net.Listener }
+
+func (l counting) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &counted{Conn: c}, nil
+}
+
 // Addr is where it listens.
 func (s *served) Addr() string { return s.listener.Addr().String() }
 
--- /dev/null
+++ b/internal/start/reads.go
@@ -0,0 +1,182 @@
+// Package start decides how a copy that has just started, or whose list service was away, comes back without harming what
+// it needs: when it asks for the list and how long it waits for the answer (Reads), and how fast it opens connections to
+// backends that have not shown yet that they can bear them (Dials). It is pure: no I/O, no clock; times and the source of
+// randomness come in as arguments. Each copy decides alone, and the sum over the fleet is what counts: all bounds are
+// chosen for the sum, by the number of copies where that is known.
+package start
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Outcome is how a call for the list ended.
+type Outcome int
+
+// The outcomes of a call.
+const (
+	Answered Outcome = iota // with news, or with none in a watch's time
+	GivenUp                 // no whole answer within the call's patience: the service may still be at work on it
+	Busy                    // turned away, in words: 503 or 429
+	Broken                  // refused, reset, or an answer that makes no sense
+)
+
+// String is the outcome as a log line words it.
+func (o Outcome) String() string {
+	return [...]string{"answered", "no answer in time", "turned away", "broken"}[o]
+}
+
+// Call is the next call that a copy makes to its list service.
+type Call struct {
+	After    time.Duration // from now
+	Whole    bool          // for the whole list; otherwise for what is newer than the version that the copy has
+	Patience time.Duration // that it waits for the answer, beyond the time that a watch holds
+	Hold     time.Duration // that a watch holds where nothing changes; 0 with Whole
+	Why      string        // it does not come at once; empty: it does
+}
+
+// ReadsConfig is what Reads go by. The zero value of a field stands for its default.
+type ReadsConfig struct {
+	Copies   int           // of the fleet that share the list service; 0: not told
+	Hold     time.Duration // of a watch, in the mean; 2 s
+	Patience time.Duration // with a whole reading, at first; 3 s
+	Watch    time.Duration // with a watch, beyond its hold, at first; 1 s
+	Starts   int           // of this copy lately, this one not included, as far as is known
+}
+
+// How a fleet's calls are spread.
+const (
+	perCopySpread = 5 * time.Millisecond // the first readings of N copies are spread over N times this: 200 a second
+	leastSpread   = 250 * time.Millisecond
+	mostSpread    = 60 * time.Second
+	perCopyWait   = 20 * time.Millisecond // after a failure N copies are spread over N times this: 50 a second
+	leastWait     = 2 * time.Second
+	unknownWait   = 4 * time.Second // where the number of copies is not told
+	mostWait      = 5 * time.Minute
+	firstWait     = 250 * time.Millisecond // of a wait after a failure: the least
+	waitGrowth    = 3                      // the bound of the next wait over the last wait (decorrelated jitter)
+	calmTimes     = 2                      // a copy whose list still serves waits up to this many times as long
+
+	mostPatience = 30 * time.Second
+	patienceUp   = 2   // after a call was given up
+	holdJitter   = 0.2 // part of a watch's hold by which it may be shorter or longer, lest copies told at once ask at once
+
+	watchBurst = 20                     // calls in a row that are answered at once, before they are spaced
+	watchEvery = 150 * time.Millisecond // is the spacing; a watch goes on if the next call comes within 200 ms
+
+	reconcileFirst = 30 * time.Second // after a break, a copy that resumed its watch reads the whole list once, this much later
+	reconcileSpan  = 60 * time.Second // and up to this much more
+
+	loopWait = time.Second // a copy that starts for the n-th time lately waits up to this times 2^n more
+	mostLoop = 30 * time.Second
+)
+
+// Reads decides when a copy calls its list service. It is not safe for concurrent use.
+type Reads struct {
+	cfg  ReadsConfig
+	rnd  *rand.Rand
+	has  bool          // a list, whose version the next call can go from
+	wait time.Duration // after the last failure; 0: the last call was answered
+	tell time.Duration // present patience with a whole reading
+	over time.Duration // and beyond a watch's hold
+
+	tokens float64
+	filled time.Time
+	whole  time.Time // when to read the whole list again; zero: not
+}
+
+// NewReads returns the Reads of a copy with no list.
+func NewReads(cfg ReadsConfig, rnd *rand.Rand) *Reads {
+	or := func(d *time.Duration, by time.Duration) {
+		if *d <= 0 {
+			*d = by
+		}
+	}
+	or(&cfg.Hold, 2*time.Second)
+	or(&cfg.Patience, 3*time.Second)
+	or(&cfg.Watch, time.Second)
+	return &Reads{cfg: cfg, rnd: rnd, tell: cfg.Patience, over: cfg.Watch, tokens: watchBurst}
+}
+
+// First is the first call. A copy that has a list, which may be old, serves by it and asks for what is newer. The calls of
+// all copies that start at once are spread by their number; those of one that dies again and again, by its starts.
+func (r *Reads) First(now time.Time, has bool) Call {
+	r.has, r.filled = has, now
+	spread := min(max(time.Duration(r.cfg.Copies)*perCopySpread, leastSpread), mostSpread)
+	c := Call{After: r.draw(0, spread), Why: "spread over the copies that may start with this one"}
+	if n := r.cfg.Starts; n > 0 {
+		c.After += r.draw(0, min(loopWait<<min(n, 10), mostLoop))
+		c.Why = "has started again and again"
+	}
+	if has { // the version may be another service's by now
+		r.whole = now.Add(c.After + r.draw(reconcileFirst, reconcileFirst+reconcileSpan))
+	}
+	return r.call(c, now.Add(c.After))
+}
+
+// Next is the call after one that has ended. urgent: the copy can't serve, or its backends die, until it has a newer list.
+// after is when the service asked to come back; 0: it did not say.
+func (r *Reads) Next(now time.Time, o Outcome, urgent bool, after time.Duration) Call {
+	if o == Answered {
+		// What an answer took is known to be borne: patience comes back step by step.
+		r.tell, r.over = max(r.cfg.Patience, r.tell/patienceUp), max(r.cfg.Watch, r.over/patienceUp)
+		r.has, r.wait = true, 0
+		return r.paced(now)
+	}
+	if o == GivenUp {
+		if r.tell = min(r.tell*patienceUp, mostPatience); r.has {
+			r.over = min(r.over*patienceUp, mostPatience)
+		}
+	}
+	if o == Broken && r.has && r.whole.IsZero() {
+		// The service may have come back with an older state whose versions then pass ours; no watch shows that.
+		r.whole = now.Add(r.draw(reconcileFirst, reconcileFirst+reconcileSpan))
+	}
+	most := unknownWait
+	if r.cfg.Copies > 0 {
+		most = min(max(time.Duration(r.cfg.Copies)*perCopyWait, leastWait), mostWait)
+	}
+	if !urgent {
+		most *= calmTimes
+	}
+	// The draw is cut by its bound, not at it: waits cut at a bound would all come out alike, and the copies together.
+	r.wait = r.draw(firstWait, min(waitGrowth*max(r.wait, firstWait), most))
+	c := Call{After: r.wait, Why: o.String()}
+	if after > 0 {
+		after = min(after, mostWait)
+		c.After = after + r.draw(0, max(after/2, firstWait))
+		c.Why += ", asked to come back later"
+	}
+	return r.call(c, now.Add(c.After))
+}
+
+// Doubt has the next call ask for the whole list: what the copy has does not go together with what it was told.
+func (r *Reads) Doubt() { r.has = false }
+
+// paced is the call after an answer: at once, unless many were answered at once.
+func (r *Reads) paced(now time.Time) Call {
+	r.tokens = min(watchBurst, r.tokens+float64(now.Sub(r.filled))/float64(watchEvery))
+	r.filled = now
+	c := Call{}
+	if r.tokens--; r.tokens < 0 {
+		c = Call{After: time.Duration(-r.tokens * float64(watchEvery)), Why: "answers come without end"}
+	}
+	return r.call(c, now.Add(c.After))
+}
+
+// call completes a call that is made at a time.
+func (r *Reads) call(c Call, at time.Time) Call {
+	c.Whole = !r.has || !r.whole.IsZero() && !at.Before(r.whole)
+	if c.Whole {
+		c.Patience, r.whole = r.tell, time.Time{}
+		return c
+	}
+	c.Patience = r.over
+	c.Hold = r.cfg.Hold + time.Duration((2*r.rnd.Float64()-1)*holdJitter*float64(r.cfg.Hold))
+	return c
+}
+
+// draw is a time from least to most, evenly.
+func (r *Reads) draw(least, most time.Duration) time.Duration {
+	return least + time.Duration(r.rnd.Int64N(int64(max(most-least, 0))+1))
+}
--- /dev/null
+++ b/internal/start/start_test.go
@@ -0,0 +1,230 @@
+package start_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"fernlanding/internal/start"
+)
+
+var zero = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+
+func copies(n, told int) (all []*start.Reads) {
+	for i := range n {
+		all = append(all, start.NewReads(start.ReadsConfig{Copies: told}, rand.New(rand.NewPCG(uint64(i), 5))))
+	}
+	return all
+}
+
+// busiest is the most that falls into one stretch of a length.
+func busiest(at []time.Duration, length time.Duration) int {
+	count := map[time.Duration]int{}
+	most := 0
+	for _, d := range at {
+		count[d/length]++
+		most = max(most, count[d/length])
+	}
+	return most
+}
+
+// However many copies start together, and are told so, the sum of their first readings stays near 200 a second.
+func TestFirstReadingsAreSpreadByTheFleet(t *testing.T) {
+	for _, n := range []int{100, 300, 3000} {
+		var at []time.Duration
+		for _, r := range copies(n, n) {
+			c := r.First(zero, false)
+			if !c.Whole || c.Hold != 0 || c.Why == "" {
+				t.Fatalf("first call of a copy with no list: %+v", c)
+			}
+			at = append(at, c.After)
+		}
+		if most := busiest(at, time.Second); most > 260 {
+			t.Errorf("%d copies: %d first readings in a second", n, most)
+		}
+	}
+	for _, r := range copies(50, 0) {
+		if c := r.First(zero, false); c.After > 250*time.Millisecond {
+			t.Errorf("a copy that is not told of others waits %v", c.After)
+		}
+		if c := r.First(zero, true); c.Whole || c.Hold == 0 {
+			t.Errorf("a copy with a list asks for the whole: %+v", c)
+		}
+	}
+}
+
+// After any number of failures the copies come as spread as after a few: no second has more than twice its part.
+func TestWaitsStaySpreadOverALongOutage(t *testing.T) {
+	const n, bound = 400, 8 * time.Second // 400 times 20 ms
+	all := copies(n, n)
+	at := make([]time.Duration, n)
+	for i, r := range all {
+		at[i] = r.First(zero, false).After
+	}
+	for end := time.Duration(0); end < 2*time.Minute; end += time.Second {
+		var came []time.Duration
+		for i, r := range all {
+			for at[i] < end+time.Second {
+				came = append(came, at[i])
+				c := r.Next(zero.Add(at[i]), start.Broken, true, 0)
+				if c.After > bound || c.After < 250*time.Millisecond {
+					t.Fatalf("a wait of %v", c.After)
+				}
+				at[i] += c.After
+			}
+		}
+		if end > 10*time.Second && len(came) > 200 {
+			t.Errorf("%d calls in the second from %v", len(came), end)
+		}
+		if b := busiest(came, 100*time.Millisecond); end > 10*time.Second && b > 40 {
+			t.Errorf("%d calls in a tenth of the second from %v", b, end)
+		}
+	}
+}
+
+func TestNextCalls(t *testing.T) {
+	fresh := func(has bool) *start.Reads {
+		r := start.NewReads(start.ReadsConfig{}, rand.New(rand.NewPCG(1, 2)))
+		r.First(zero, has)
+		return r
+	}
+	at := func(s float64) time.Time { return zero.Add(time.Duration(s * float64(time.Second))) }
+	t.Run("what the service asks for is kept", func(t *testing.T) {
+		for range 100 {
+			if c := fresh(false).Next(zero, start.Busy, true, 7*time.Second); c.After < 7*time.Second || c.After > 11*time.Second {
+				t.Fatalf("after %v", c.After)
+			}
+		}
+	})
+	t.Run("patience grows while readings are given up, and comes back", func(t *testing.T) {
+		r, last := fresh(false), 3*time.Second
+		for i := range 8 {
+			c := r.Next(at(float64(i)), start.GivenUp, true, 0)
+			if c.Patience != min(2*last, 30*time.Second) {
+				t.Fatalf("patience %v after %v", c.Patience, last)
+			}
+			last = c.Patience
+		}
+		for i := range 4 {
+			r.Next(at(float64(10+i)), start.Answered, false, 0)
+		}
+		r.Doubt()
+		if c := r.Next(at(20), start.Broken, true, 0); c.Patience != 3*time.Second {
+			t.Errorf("patience %v after four answers", c.Patience)
+		}
+	})
+	t.Run("a watch that is late by its link gets longer", func(t *testing.T) {
+		r := fresh(true)
+		first := r.Next(at(0), start.Answered, false, 0).Patience
+		if c := r.Next(at(3), start.GivenUp, false, 0); c.Patience <= first || c.Whole {
+			t.Errorf("patience %v and then %v, whole %v", first, c.Patience, c.Whole)
+		}
+	})
+	t.Run("after a break a watch resumes, and one whole reading follows", func(t *testing.T) {
+		r := fresh(false)
+		if c := r.Next(at(0), start.Answered, false, 0); c.Whole || c.After != 0 {
+			t.Fatalf("after the first list: %+v", c)
+		}
+		now, whole := 1.0, 0
+		if c := r.Next(at(now), start.Broken, false, 0); c.Whole {
+			t.Errorf("whole at once: %+v", c)
+		}
+		for now < 300 {
+			c := r.Next(at(now), start.Answered, false, 0)
+			if c.Whole {
+				if whole++; now < 29 || now > 95 {
+					t.Errorf("the whole reading came after %.0f s", now)
+				}
+			}
+			now += 2
+		}
+		if whole != 1 {
+			t.Errorf("%d whole readings after a break", whole)
+		}
+	})
+	t.Run("doubt asks for the whole list", func(t *testing.T) {
+		r := fresh(true)
+		r.Doubt()
+		if c := r.Next(at(0), start.Broken, false, 0); !c.Whole {
+			t.Errorf("%+v", c)
+		}
+	})
+	t.Run("answers without end are spaced", func(t *testing.T) {
+		r, now := fresh(true), 0.0
+		for range 200 {
+			now += r.Next(at(now), start.Answered, false, 0).After.Seconds()
+		}
+		if now < 26 || now > 31 {
+			t.Errorf("200 answers at once took %.1f s", now)
+		}
+		if c := r.Next(at(now), start.Answered, false, 0); c.After > 200*time.Millisecond {
+			t.Errorf("a watch that is spaced by %v is a new one", c.After)
+		}
+	})
+	t.Run("who starts again and again waits longer", func(t *testing.T) {
+		sum := func(starts int) (d time.Duration) {
+			for i := range uint64(200) {
+				d += start.NewReads(start.ReadsConfig{Starts: starts}, rand.New(rand.NewPCG(i, 2))).First(zero, false).After
+			}
+			return d / 200
+		}
+		if a, b, c := sum(0), sum(3), sum(100); !(a < time.Second && b > 2*time.Second && c > 10*time.Second && c < 20*time.Second) {
+			t.Errorf("mean waits %v, %v, %v", a, b, c)
+		}
+	})
+}
+
+func TestDials(t *testing.T) {
+	at := func(ms int) time.Time { return zero.Add(time.Duration(ms) * time.Millisecond) }
+	open := func(d *start.Dials, now time.Time) (n int) {
+		for n < 1000 {
+			if ok, _ := d.May(now); !ok {
+				break
+			}
+			n++
+		}
+		return n
+	}
+	var d start.Dials
+	if n := open(&d, at(0)); n != 2 {
+		t.Fatalf("%d connections at once to a backend that is not known", n)
+	}
+	d.Ended(at(1), false, false) // its request has ended: that tells nothing
+	if n := open(&d, at(1)); n != 1 || d.Proven() {
+		t.Errorf("%d more after one was given up", n)
+	}
+	d.Ended(at(2), true, false)
+	d.Ended(at(2), true, false)
+	if n := open(&d, at(2)); n != 8 {
+		t.Errorf("%d at once after two have come up", n)
+	}
+	for range 8 {
+		d.Ended(at(3), true, false)
+	}
+	if n := open(&d, at(3)); n != 16 || !d.Proven() {
+		t.Errorf("%d at once to one that is proven", n)
+	}
+	for range 16 {
+		d.Ended(at(4), true, false)
+	}
+	rests := []time.Duration{}
+	for now := 10; len(rests) < 8; {
+		if ok, wait := d.May(at(now)); !ok {
+			t.Fatalf("none at %d ms, wait %v", now, wait)
+		}
+		d.Ended(at(now), false, true)
+		ok, wait := d.May(at(now))
+		if ok || wait <= 0 {
+			t.Fatalf("no rest after a failure")
+		}
+		rests = append(rests, wait)
+		now += int(wait / time.Millisecond)
+	}
+	if rests[0] != 50*time.Millisecond || rests[1] != 100*time.Millisecond || rests[7] != 2*time.Second {
+		t.Errorf("rests %v", rests)
+	}
+	d.Forget()
+	if n := open(&d, at(10)); n != 2 {
+		t.Errorf("%d to a backend that has started anew", n)
+	}
+}
--- a/internal/upstream/http1/upstream.go
+++ b/internal/upstream/http1/upstream.go
@@ -14,6 +14,7 @@
 	"fernlanding/internal/core"
 	"fernlanding/internal/membership"
 	"fernlanding/internal/sock"
+	"fernlanding/internal/start"
 	"fernlanding/logic"
 )
 
@@ -72,6 +73,18 @@
 	ready   bool
 	epoch   int     // goes up when what the list says of it changes: drained, gone, restarted or moved
 	idle    []*conn // the most recently used last
+
+	unreachable bool          // the last connection has not come up
+	dials       start.Dials   // with Config.Paced
+	moved       chan struct{} // closed when a connection has come up, has failed or stands idle; nil: nobody waits for that
+}
+
+// wake wakes those that wait for a connection.
+func (b *backend) wake() {
+	if b.moved != nil {
+		close(b.moved)
+		b.moved = nil
+	}
 }
 
 // conn is a connection to a backend; it carries one request at a time.
@@ -98,6 +111,7 @@
 	// Once tells whether a request of a class may not be sent again once it may have run; nil: none is such.
 	Once    func(class int) bool
 	PassAll bool // replies of all kinds go on with their header; otherwise those with 200 and Content-Type alone
+	Paced   bool // connections to a backend that has not shown itself yet are opened a few at a time: see start.Dials
 }
 
 // New returns an Upstream that knows no backend.
@@ -144,6 +158,9 @@
 // turn begins a new epoch of a backend.
 func (p *Upstream) turn(b *backend) {
 	b.epoch++
+	b.unreachable = false
+	b.dials.Forget()
+	b.wake()
 	for _, c := range b.idle {
 		p.closeLocked(c)
 	}
@@ -226,10 +243,15 @@
 		return nil, errNoSockets
 	}
 	nc, err := p.dialer(ctx, "tcp", addr)
+	p.mu.Lock()
+	if b.epoch == epoch {
+		b.unreachable = err != nil && ctx.Err() == nil
+	}
 	if err != nil {
-		p.mu.Lock()
 		p.open--
-		p.mu.Unlock()
+	}
+	p.mu.Unlock()
+	if err != nil {
 		p.cfg.Quota.Give()
 		return nil, fmt.Errorf("dial %s: %w", b.name, err)
 	}
@@ -280,6 +302,7 @@
 	}
 	c.since = time.Now()
 	c.of.idle = append(c.of.idle, c)
+	c.of.wake()
 }
 
 // drop closes a connection.
@@ -314,7 +337,10 @@
 }
 
 // Stats counts the listed backends and the connections to them.
-type Stats struct{ Backends, Open, Idle int }
+type Stats struct {
+	Backends, Open, Idle int
+	Unreachable          int // backends to which the last connection did not come up
+}
 
 // Stats returns the present counts.
 func (p *Upstream) Stats() Stats {
@@ -323,26 +349,22 @@
 	s := Stats{Backends: len(p.byName), Open: p.open}
 	for _, b := range p.byName {
 		s.Idle += len(b.idle)
+		if b.unreachable {
+			s.Unreachable++
+		}
 	}
 	return s
 }
 
 // Carry implements core.Way.
 func (w *way) Carry(a *core.Attempt) core.Result {
-	var c *conn
 	fresh := w.pool.fresh(a.Class)
-	if !fresh {
-		c = w.pool.reuse(w.backend, w.epoch)
-	}
-	kept := c != nil
-	if !kept {
-		var err error
-		if c, err = w.dial(a); err != nil {
-			if a.Stopped() || errors.Is(err, errNoSockets) {
-				return core.Result{Status: logic.Moot} // stopped before anything was sent, or no fault of the backend's
-			}
-			return core.Result{Status: logic.ConnectFailed}
+	c, kept, err := w.connect(a, fresh)
+	if err != nil {
+		if a.Stopped() || errors.Is(err, errNoSockets) || errors.Is(err, errMoved) {
+			return core.Result{Status: logic.Moot} // stopped before anything was sent, or no fault of the backend's
 		}
+		return core.Result{Status: logic.ConnectFailed}
 	}
 	// A dial takes time. What has ended, drained or gone meanwhile gets nothing new.
 	if a.Stopped() || a.Late() || !w.pool.current(w.backend, w.epoch) {
@@ -361,8 +383,79 @@
 	return res
 }
 
-func (w *way) dial(a *core.Attempt) (*conn, error) {
+var (
+	errMoved   = errors.New("the list has changed")
+	errResting = errors.New("connections to it do not come up; none is opened for now")
+)
+
+// connect returns a kept connection, or else a new one. Where few may be opened at a time it waits for whichever comes
+// first.
+func (w *way) connect(a *core.Attempt, fresh bool) (c *conn, kept bool, err error) {
+	p := w.pool
+	if !fresh {
+		if c = p.reuse(w.backend, w.epoch); c != nil {
+			return c, true, nil
+		}
+	}
 	ctx, done := a.Context()
 	defer done()
-	return w.pool.dial(ctx, w.backend, w.addr, w.epoch)
+	if !p.cfg.Paced {
+		c, err = p.dial(ctx, w.backend, w.addr, w.epoch)
+		return c, false, err
+	}
+	for {
+		moved, err := w.turn()
+		if err != nil {
+			return nil, false, err
+		}
+		if moved == nil {
+			c, err = p.dial(ctx, w.backend, w.addr, w.epoch)
+			w.dialled(err, ctx.Err() != nil)
+			return c, false, err
+		}
+		select {
+		case <-moved:
+		case <-ctx.Done():
+			return nil, false, errMoved
+		}
+		if fresh {
+			continue
+		}
+		if c = p.reuse(w.backend, w.epoch); c != nil {
+			return c, true, nil
+		}
+	}
+}
+
+// turn counts a connection to the backend in; otherwise it returns what is closed when to try again.
+func (w *way) turn() (moved <-chan struct{}, err error) {
+	p, b := w.pool, w.backend
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b.epoch != w.epoch {
+		return nil, errMoved
+	}
+	ok, wait := b.dials.May(time.Now())
+	switch {
+	case ok:
+		return nil, nil
+	case wait > 0:
+		return nil, errResting
+	}
+	if b.moved == nil {
+		b.moved = make(chan struct{})
+	}
+	return b.moved, nil
+}
+
+// dialled counts a connection out that has come up, or has not; given: its request's time was over first.
+func (w *way) dialled(err error, given bool) {
+	p, b := w.pool, w.backend
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b.epoch == w.epoch {
+		failed := err != nil && !given && !errors.Is(err, errNoSockets)
+		b.dials.Ended(time.Now(), err == nil, failed)
+	}
+	b.wake()
 }
