--- /dev/null
+++ b/cmd/fernctl/rig.go
@@ -0,0 +1,300 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"fernlanding/internal/rig"
+	"fernlanding/internal/rig/actor"
+	"fernlanding/internal/rig/check"
+	"fernlanding/internal/rig/draw"
+	"fernlanding/internal/rig/history"
+	"fernlanding/internal/rig/scenario"
+)
+
+// actorWord is the command by which the rig starts its stand-ins. It is not for people.
+const actorWord = "actor"
+
+func rigCommand() *cli.Command {
+	seed := &cli.Uint64Flag{Name: "seed", Usage: "in place of the scenario's own `SEED`"}
+	program := &cli.StringFlag{Name: "sidecar", Usage: "the `PROGRAM` under test; the fernlanding beside this program by default"}
+	return &cli.Command{Name: "rig", Usage: "many processes of the program with faults between them",
+		Action: func(_ context.Context, c *cli.Command) error {
+			return errors.New("rig: one of run, list, report and shrink expected")
+		},
+		Commands: []*cli.Command{
+			{Name: "run", Usage: "play the scenario in FILE and judge it", ArgsUsage: "FILE", Action: rigRun,
+				Flags: []cli.Flag{seed, program, jsonFlag(), &cli.IntFlag{Name: "seeds", Value: 1, Usage: "play `N` seeds, from the seed on"},
+					&cli.StringFlag{Name: "history", Usage: "write what happened to `FILE`, of the last seed that failed or else the last"},
+					&cli.BoolFlag{Name: "logs", Usage: "with the sidecars' logs in it"}}},
+			{Name: "list", Usage: "what the scenario in FILE does, and when", ArgsUsage: "FILE", Flags: []cli.Flag{seed}, Action: rigList},
+			{Name: "report", Usage: "judge the HISTORY of a run of the scenario in FILE, and draw it", ArgsUsage: "FILE HISTORY", Action: rigReport,
+				Flags: []cli.Flag{seed, jsonFlag(), &cli.StringFlag{Name: "svg", Usage: "draw it to `FILE`"}}},
+			{Name: "shrink", Usage: "leave out faults of a scenario that fails, for as long as it fails", ArgsUsage: "FILE", Action: rigShrink,
+				Flags: []cli.Flag{seed, program, &cli.IntFlag{Name: "tries", Value: 2, Usage: "plays `N` times before a schedule counts as one that does not fail"}}},
+			{Name: actorWord, Hidden: true, Action: func(context.Context, *cli.Command) error { return actor.Main(os.Stdin, os.Stdout) }},
+		}}
+}
+
+// readScenario reads the scenario that a command names first.
+func readScenario(c *cli.Command, args int) (*scenario.Scenario, error) {
+	if c.Args().Len() != args {
+		return nil, fmt.Errorf("rig %s: %s expected", c.Name, c.ArgsUsage)
+	}
+	name := c.Args().First()
+	data, err := readBounded(name)
+	if err != nil {
+		return nil, fmt.Errorf("rig %s: %w", c.Name, err)
+	}
+	sc, err := scenario.Read(name, data)
+	if err != nil {
+		return nil, err
+	}
+	if c.IsSet("seed") {
+		sc.Seed = c.Uint64("seed")
+	}
+	return sc, nil
+}
+
+// rigOptions are the programs of a run.
+func rigOptions(c *cli.Command) (o rig.Options, err error) {
+	self, err := os.Executable()
+	if err != nil {
+		return o, fmt.Errorf("rig: %w", err)
+	}
+	program := c.String("sidecar")
+	if program == "" {
+		program = filepath.Join(filepath.Dir(self), "fernlanding")
+	}
+	if _, err := os.Stat(program); err != nil {
+		return o, fmt.Errorf("rig: the program under test: %w", err)
+	}
+	return rig.Options{Sidecar: []string{program}, Actor: []string{self, "rig", actorWord}, Logs: c.Bool("logs")}, nil
+}
+
+// rigPlay plays a scenario once; keep is where its history stays, if not empty.
+func rigPlay(ctx context.Context, sc *scenario.Scenario, o rig.Options, keep string) ([]check.Verdict, check.Figures, error) {
+	dir, err := os.MkdirTemp("", "rig")
+	if err != nil {
+		return nil, check.Figures{}, fmt.Errorf("rig: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	path := filepath.Join(dir, "history.jsonl")
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, check.Figures{}, fmt.Errorf("rig: %w", err)
+	}
+	defer f.Close()
+	o.Out, o.Dir = f, dir
+	if err := rig.Run(ctx, sc, o); err != nil {
+		return nil, check.Figures{}, err
+	}
+	if keep != "" {
+		if err := copyFile(path, keep); err != nil {
+			return nil, check.Figures{}, fmt.Errorf("rig: %w", err)
+		}
+	}
+	return rigJudge(sc, path)
+}
+
+func rigJudge(sc *scenario.Scenario, path string) ([]check.Verdict, check.Figures, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, check.Figures{}, fmt.Errorf("rig: %w", err)
+	}
+	defer f.Close()
+	all, err := history.Read(f)
+	if err != nil {
+		return nil, check.Figures{}, fmt.Errorf("rig: %s: %w", path, err)
+	}
+	return check.Run(sc, all), check.Measure(sc, all), nil
+}
+
+func copyFile(from, to string) error {
+	in, err := os.Open(from)
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	out, err := os.Create(to)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(out, in)
+	return errors.Join(err, out.Close())
+}
+
+// rigResult is a play as it is printed.
+type rigResult struct {
+	check.Figures
+	Verdicts []check.Verdict `json:"verdicts"`
+}
+
+func rigRun(ctx context.Context, c *cli.Command) error {
+	sc, err := readScenario(c, 1)
+	if err != nil {
+		return err
+	}
+	o, err := rigOptions(c)
+	if err != nil {
+		return err
+	}
+	n := c.Int("seeds")
+	if n < 1 || n > mostSeeds {
+		return fmt.Errorf("rig run: -seeds %d, 1 to %d expected", n, mostSeeds)
+	}
+	out, failed := c.Root().Writer, false
+	for i := range n {
+		x := *sc
+		x.Seed += uint64(i)
+		keep := c.String("history")
+		if failed {
+			keep = ""
+		}
+		verdicts, f, err := rigPlay(ctx, &x, o, keep)
+		if err != nil {
+			return err
+		}
+		if c.Bool("json") {
+			if err := asJSON(out, rigResult{f, verdicts}); err != nil {
+				return err
+			}
+		} else {
+			rigPrint(out, f, verdicts)
+		}
+		if len(verdicts) > 0 {
+			failed = true
+			fmt.Fprintf(c.Root().ErrWriter, "again: fernctl rig run -seed %d %s\n", x.Seed, c.Args().First())
+		}
+	}
+	if failed {
+		return errFaults
+	}
+	return nil
+}
+
+func rigPrint(out io.Writer, f check.Figures, verdicts []check.Verdict) {
+	fmt.Fprintf(out, "%s, seed %d, %.1f s: %d lives of sidecars, ready after %.2f s (median), %.2f (95%%), %.2f (last); %d never; all once after %.2f s\n",
+		f.Scenario, f.Seed, f.Seconds, f.Lives, f.ReadyP50, f.ReadyP95, f.ReadyAll, f.Never, f.FirstAll)
+	fmt.Fprintf(out, "lists: %d whole readings, %.0f in the worst second, %.1f a second at the end; %d further calls, %.0f, %.1f; %d calls refused, %d readings given up\n",
+		f.Reads.Total, f.Reads.Peak, f.Reads.Steady, f.Watches.Total, f.Watches.Peak, f.Watches.Steady, f.Refused, f.GivenUp)
+	fmt.Fprintf(out, "backends: %.0f connections to one in the worst second; cold ones over what they bear for %.2f s, %.2f at a time\n", f.Connects, f.Pushed, f.Longest)
+	fmt.Fprintf(out, "requests: %d asked, %.0f served (%d late), %d turned away, %d failed, %d without answer; %d attempts; %.3f of the first 30 s served\n",
+		f.Asked, f.Served, f.Late, f.Turned, f.Failed, f.Nothing, f.Attempts, f.EarlyPart)
+	if len(f.ListBack) > 0 {
+		fmt.Fprintf(out, "all ready after the end of each fault of the lists: %.2f s\n", f.ListBack)
+	}
+	for _, v := range verdicts {
+		fmt.Fprintln(out, v)
+	}
+	if len(verdicts) == 0 {
+		fmt.Fprintln(out, "all checks hold")
+	}
+}
+
+func rigList(_ context.Context, c *cli.Command) error {
+	sc, err := readScenario(c, 1)
+	if err != nil {
+		return err
+	}
+	out := c.Root().Writer
+	fmt.Fprintf(out, "%s, seed %d, %v: %d sidecars over %v, %d list services, %d backends in %d processes, %.0f requests a second\n", sc.Name, sc.Seed, sc.For,
+		sc.Sidecars.Count, sc.Sidecars.Sites, sc.Lists.Count, sc.Backends.Count, sc.Backends.Processes, sc.Clients.Rate)
+	for i, f := range sc.Schedule() {
+		fmt.Fprintf(out, "%-14s %s\n", f.Name(i), f)
+	}
+	return nil
+}
+
+func rigReport(_ context.Context, c *cli.Command) error {
+	sc, err := readScenario(c, 2)
+	if err != nil {
+		return err
+	}
+	path := c.Args().Get(1)
+	verdicts, f, err := rigJudge(sc, path)
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		err = asJSON(c.Root().Writer, rigResult{f, verdicts})
+	} else {
+		rigPrint(c.Root().Writer, f, verdicts)
+	}
+	if err != nil {
+		return err
+	}
+	if svg := c.String("svg"); svg != "" {
+		if err := rigDraw(sc, path, svg); err != nil {
+			return fmt.Errorf("rig report: %w", err)
+		}
+	}
+	if len(verdicts) > 0 {
+		return errFaults
+	}
+	return nil
+}
+
+func rigDraw(sc *scenario.Scenario, from, to string) error {
+	in, err := os.Open(from)
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	all, err := history.Read(in)
+	if err != nil {
+		return err
+	}
+	out, err := os.Create(to)
+	if err != nil {
+		return err
+	}
+	return errors.Join(draw.SVG(out, sc, all), out.Close())
+}
+
+// rigShrink leaves out faults, half of them at a time and then single ones, and prints the schedule that still fails.
+func rigShrink(ctx context.Context, c *cli.Command) error {
+	sc, err := readScenario(c, 1)
+	if err != nil {
+		return err
+	}
+	o, err := rigOptions(c)
+	if err != nil {
+		return err
+	}
+	tries, log, plays := c.Int("tries"), c.Root().ErrWriter, 0
+	var broken error
+	fails := func(faults []scenario.Fault) bool {
+		for range tries {
+			plays++
+			verdicts, _, err := rigPlay(ctx, sc.With(faults), o, "")
+			if err != nil {
+				broken = err
+				return false
+			}
+			if len(verdicts) > 0 {
+				return true
+			}
+		}
+		return false
+	}
+	began := time.Now()
+	least, found := scenario.Shrink(sc.Schedule(), func(f []scenario.Fault) bool { return broken == nil && fails(f) })
+	if broken != nil {
+		return broken
+	}
+	if !found {
+		fmt.Fprintf(log, "does not fail in %d plays\n", plays)
+		return nil
+	}
+	fmt.Fprintf(log, "%d of %d faults left after %d plays, %v\n", len(least), len(sc.Schedule()), plays, time.Since(began).Round(time.Second))
+	fmt.Fprint(c.Root().Writer, scenario.Text(least))
+	return errFaults
+}
--- /dev/null
+++ b/internal/rig/actor/actor.go
@@ -0,0 +1,167 @@
+// Package actor is the other processes of the rig: stand-ins of list services, backends and clients, many in a process. An
+// actor is told what it is by the first line of its standard input, and then one command a line; it tells what happens, one
+// event a line, on its standard output. It ends when its input does, so that none outlives the rig.
+package actor
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"fernlanding/internal/rig/history"
+	"fernlanding/internal/standin"
+)
+
+// Spec is what an actor is.
+type Spec struct {
+	Name  string `json:"name"`
+	Zero  int64  `json:"zero"` // of the run's clock
+	Group string `json:"group"`
+
+	// Of list services.
+	Rate       float64           `json:"rate,omitempty"`
+	Queue      int               `json:"queue,omitempty"`
+	RetryAfter time.Duration     `json:"retry_after,omitempty"`
+	Places     map[string]string `json:"places,omitempty"` // names of sidecars by their addresses
+
+	// Of backends.
+	Backends []string      `json:"backends,omitempty"`
+	Pods     []int         `json:"pods,omitempty"`
+	Cores    int           `json:"cores,omitempty"`
+	Waiting  int           `json:"waiting,omitempty"`
+	Work     time.Duration `json:"work,omitempty"`
+	Cold     time.Duration `json:"cold,omitempty"`
+	Part     float64       `json:"part,omitempty"`
+	Bears    float64       `json:"bears,omitempty"`
+	Conns    int           `json:"conns,omitempty"`
+
+	// Of clients.
+	Sidecars map[string]string `json:"sidecars,omitempty"` // addresses by name
+	Load     float64           `json:"load,omitempty"`     // requests a second
+	Poll     time.Duration     `json:"poll,omitempty"`
+	Seed     uint64            `json:"seed,omitempty"`
+}
+
+// Command is one thing that an actor is told while it runs.
+type Command struct {
+	Do      string           `json:"do"`
+	Mode    string           `json:"mode,omitempty"`
+	Names   []string         `json:"names,omitempty"`
+	Members []standin.Member `json:"members,omitempty"`
+	On      bool             `json:"on,omitempty"`
+}
+
+// Commands.
+const (
+	DoMode    = "mode"    // list services: Mode
+	DoMembers = "members" // list services: Members change; DELETED ones go
+	DoEnd     = "end"     // backends: Names end, as their processes would
+	DoStart   = "start"   // backends: Names start, cold
+	DoChoke   = "choke"   // backends: Names take many times as long, or no longer
+	DoFail    = "fail"    // backends: Names answer 500 at once, or no longer
+	DoLoad    = "load"    // clients: the load begins, or ends
+)
+
+// Hello is an actor's first line: where it listens.
+type Hello struct {
+	Address   string            `json:"address,omitempty"`   // of a list service
+	Addresses map[string]string `json:"addresses,omitempty"` // of backends, by name
+}
+
+const maxLine = 4 << 20
+
+// doer is an actor's inside.
+type doer interface {
+	do(Command) error
+	close()
+}
+
+// Main is an actor's life.
+func Main(in io.Reader, out io.Writer) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	lines := bufio.NewScanner(in)
+	lines.Buffer(make([]byte, 1<<16), maxLine)
+	if !lines.Scan() {
+		return fmt.Errorf("actor: a line that says what it is expected: %w", lines.Err())
+	}
+	var spec Spec
+	if err := json.Unmarshal(lines.Bytes(), &spec); err != nil {
+		return fmt.Errorf("actor: a line that says what it is expected: %w", err)
+	}
+	w := history.NewWriter(out)
+	t := teller{w: w, clock: history.ClockFrom(spec.Zero)}
+	inside, hello, err := t.begin(spec)
+	if err != nil {
+		return fmt.Errorf("actor %s: %w", spec.Name, err)
+	}
+	defer inside.close()
+	if err := json.NewEncoder(out).Encode(hello); err != nil {
+		return err
+	}
+	go func() {
+		<-ctx.Done()
+		if c, ok := in.(io.Closer); ok {
+			c.Close()
+		}
+	}()
+	flushed := make(chan struct{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(flushed)
+		tick := time.NewTicker(flushEvery)
+		defer tick.Stop()
+		for {
+			select {
+			case <-tick.C:
+				_ = w.Flush()
+			case <-ended:
+				_ = w.Flush()
+				return
+			}
+		}
+	}()
+	defer func() { close(ended); <-flushed }()
+	for lines.Scan() {
+		var c Command
+		if err := json.Unmarshal(lines.Bytes(), &c); err != nil {
+			return fmt.Errorf("actor %s: a command expected: %w", spec.Name, err)
+		}
+		if err := inside.do(c); err != nil {
+			return fmt.Errorf("actor %s: %s: %w", spec.Name, c.Do, err)
+		}
+	}
+	return nil
+}
+
+const flushEvery = 50 * time.Millisecond
+
+// teller writes events.
+type teller struct {
+	w     *history.Writer
+	clock history.Clock
+}
+
+func (t teller) tell(e history.Event) {
+	if e.At == 0 {
+		e.At = t.clock.Now()
+	}
+	t.w.Write(e)
+}
+
+func (t teller) begin(s Spec) (doer, Hello, error) {
+	switch s.Group {
+	case "lists":
+		return newLists(s, t)
+	case "backends":
+		return newBackends(s, t)
+	case "clients":
+		return newClients(s, t)
+	}
+	return nil, Hello{}, fmt.Errorf("group %q; lists, backends or clients expected", s.Group)
+}
--- /dev/null
+++ b/internal/rig/actor/clients.go
@@ -0,0 +1,333 @@
+package actor
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"fernlanding/internal/rig/history"
+	"fernlanding/internal/sock"
+)
+
+// Class is a class of requests that the rig's clients send, and its sidecars are configured for.
+type Class struct {
+	Name      string
+	Repeat    string
+	Method    string
+	Path      string
+	Share     float64
+	Objective time.Duration
+	Deadline  time.Duration
+}
+
+// classes are those of every run.
+var classes = []Class{
+	{"tariff-lookup", "safe", "GET", "/tariffs", 0.6, 300 * time.Millisecond, time.Second},
+	{"usage-rate", "keyed", "POST", "/usage", 0.25, 500 * time.Millisecond, 2 * time.Second},
+	{"charge-post", "unsafe", "POST", "/charges", 0.15, 700 * time.Millisecond, 2 * time.Second},
+}
+
+// Classes are the classes of every run.
+func Classes() []Class { return slices.Clone(classes) }
+
+// Window is how long a pod of backends drops a key's repeats.
+const Window = 7500 * time.Millisecond
+
+const (
+	clientLeeway = 500 * time.Millisecond // that a client waits on to see a late answer for what it is
+	mostHeld     = 2000                   // requests under way at a client process
+	loadStream   = 7
+	pollWithin   = time.Second
+	readyPolls   = 5 // times as long between two looks at one that is ready
+	spread       = 1_000_000
+)
+
+// clients send requests to sidecars that are ready.
+type clients struct {
+	spec Spec
+	t    teller
+	all  sync.WaitGroup
+	stop context.CancelFunc
+	ctx  context.Context
+
+	mu    sync.Mutex
+	ready map[string]bool
+	idle  map[string][]*line
+	load  context.CancelFunc
+}
+
+// line is a client's connection to a sidecar.
+type line struct {
+	net.Conn
+	r    *bufio.Reader
+	used bool
+}
+
+func newClients(s Spec, t teller) (doer, Hello, error) {
+	c := &clients{spec: s, t: t, ready: map[string]bool{}, idle: map[string][]*line{}}
+	c.ctx, c.stop = context.WithCancel(context.Background())
+	for i, name := range slices.Sorted(maps.Keys(s.Sidecars)) {
+		c.all.Go(func() { c.poll(name, rand.New(rand.NewPCG(s.Seed, uint64(i)+loadStream+1))) })
+	}
+	return c, Hello{}, nil
+}
+
+func (c *clients) close() {
+	c.stop()
+	c.all.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, all := range c.idle {
+		for _, l := range all {
+			l.Close()
+		}
+	}
+}
+
+func (c *clients) do(cmd Command) error {
+	if cmd.Do != DoLoad {
+		return errors.New("unknown command")
+	}
+	if c.load != nil {
+		c.load()
+		c.load = nil
+	}
+	if cmd.On {
+		ctx, stop := context.WithCancel(c.ctx)
+		c.load = stop
+		c.all.Go(func() {
+			c.play(ctx)
+			c.t.tell(history.Event{Kind: history.Quiet, Who: c.spec.Name})
+		})
+	}
+	return nil
+}
+
+// poll looks whether a sidecar is ready, again and again until it is, and now and then after that: as a front that deals out
+// clients does, which notices only after a while that one has died or started anew.
+func (c *clients) poll(name string, rnd *rand.Rand) {
+	tick := time.NewTimer(time.Duration(rnd.Int64N(int64(c.spec.Poll) + 1)))
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-c.ctx.Done():
+			return
+		}
+		healthy := c.healthy(name)
+		c.mu.Lock()
+		before := c.ready[name]
+		c.ready[name] = healthy
+		c.mu.Unlock()
+		if healthy && !before {
+			c.t.tell(history.Event{Kind: history.Ready, Who: c.spec.Name, To: name})
+		}
+		if healthy {
+			tick.Reset(readyPolls * c.spec.Poll)
+		} else {
+			tick.Reset(c.spec.Poll)
+		}
+	}
+}
+
+func (c *clients) healthy(name string) bool {
+	conn, err := net.DialTimeout("tcp4", c.spec.Sidecars[name], pollWithin)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(pollWithin))
+	if _, err := io.WriteString(conn, "GET /_health HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"); err != nil {
+		return false
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// play sends requests at random times until the context ends.
+func (c *clients) play(ctx context.Context) {
+	rnd := rand.New(rand.NewPCG(c.spec.Seed, loadStream))
+	held := make(chan struct{}, mostHeld)
+	names := slices.Sorted(maps.Keys(c.spec.Sidecars))
+	var all sync.WaitGroup
+	defer all.Wait()
+	next := time.Now()
+	for n := 0; ; n++ {
+		next = next.Add(time.Duration(rnd.ExpFloat64() / c.spec.Load * float64(time.Second)))
+		wait := time.NewTimer(time.Until(next))
+		select {
+		case <-wait.C:
+		case <-ctx.Done():
+			wait.Stop()
+			return
+		}
+		class, first, subject := pick(rnd), rnd.IntN(len(names)), rnd.IntN(spread)
+		name := c.choose(names, first)
+		if name == "" {
+			continue
+		}
+		select {
+		case held <- struct{}{}:
+		default:
+			continue // the client itself is at its bound
+		}
+		id := fmt.Sprintf("%s-%d", c.spec.Name, n)
+		all.Go(func() {
+			defer func() { <-held }()
+			c.ask(name, classes[class], id, subject)
+		})
+	}
+}
+
+func pick(rnd *rand.Rand) int {
+	x := rnd.Float64()
+	for i, c := range classes {
+		if x -= c.Share; x < 0 {
+			return i
+		}
+	}
+	return len(classes) - 1
+}
+
+// choose is a ready sidecar, from the nth on.
+func (c *clients) choose(names []string, n int) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range names {
+		if name := names[(n+i)%len(names)]; c.ready[name] {
+			return name
+		}
+	}
+	return ""
+}
+
+// ask sends one request and tells what came of it.
+func (c *clients) ask(name string, k Class, id string, subject int) {
+	target := fmt.Sprintf("%s/%d/%s", k.Path, subject, id)
+	body := ""
+	if k.Method == "POST" {
+		body = `{"minutes":3}`
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nRequest-Timeout-Ms: %d\r\n", k.Method, target, id, k.Deadline.Milliseconds())
+	if k.Repeat == "keyed" {
+		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", id)
+	}
+	if body != "" {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
+	}
+	b.WriteString("\r\n" + body)
+	e := history.Event{Kind: history.Asked, Who: c.spec.Name, To: name, ID: id, Class: k.Name, At: c.t.clock.Now()}
+	e.Until = e.At + k.Deadline.Microseconds()
+	began := time.Now()
+	status, why := c.converse(name, b.String(), k, began.Add(k.Deadline+clientLeeway), k.Method+" "+target+"\n"+body)
+	e.Took, e.Status, e.Why = time.Since(began).Microseconds(), status, why
+	c.t.tell(e)
+}
+
+// Why a request has no answer. The checkers know these words.
+const (
+	NoConnection = "no connection"
+	ClosedEarly  = "closed with no answer"
+	TimedOut     = "no answer in time"
+	NotWhole     = "an answer that is not whole"
+	WrongAnswer  = "another request's answer"
+	AfterAnswer  = "bytes after the answer"
+)
+
+func (c *clients) converse(name, text string, k Class, until time.Time, expect string) (status int, why string) {
+	for first := true; ; first = false {
+		l := c.take(name)
+		if l == nil {
+			conn, err := net.DialTimeout("tcp4", c.spec.Sidecars[name], time.Until(until))
+			if err != nil {
+				c.dead(name)
+				return 0, NoConnection
+			}
+			l = &line{Conn: conn, r: bufio.NewReader(conn)}
+		}
+		_ = l.SetDeadline(until)
+		_, err := io.WriteString(l, text)
+		var resp *http.Response
+		if err == nil {
+			resp, err = http.ReadResponse(l.r, &http.Request{Method: k.Method})
+		}
+		if err != nil {
+			l.Close()
+			var to net.Error
+			switch {
+			case errors.As(err, &to) && to.Timeout():
+				c.dead(name) // ask for its health before the next
+				return 0, TimedOut
+			case errors.Is(err, io.ErrUnexpectedEOF):
+				return 0, NotWhole
+			case l.used && first && k.Repeat == "safe": // it was closed between two requests
+				continue
+			}
+			c.dead(name)
+			return 0, ClosedEarly
+		}
+		data, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+		resp.Body.Close()
+		if err != nil {
+			l.Close()
+			return 0, NotWhole
+		}
+		if resp.StatusCode == http.StatusOK && string(data) != expect {
+			l.Close()
+			return resp.StatusCode, WrongAnswer
+		}
+		if l.r.Buffered() > 0 {
+			l.Close()
+			return resp.StatusCode, AfterAnswer
+		}
+		if l.used = true; resp.Close {
+			l.Close()
+		} else {
+			c.keep(name, l)
+		}
+		return resp.StatusCode, ""
+	}
+}
+
+// take takes a kept connection that its other end has left open and quiet.
+func (c *clients) take(name string) *line {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for all := c.idle[name]; len(all) > 0; all = c.idle[name] {
+		l := all[len(all)-1]
+		c.idle[name] = all[:len(all)-1]
+		if sock.Quiet(l.Conn) {
+			return l
+		}
+		l.Close()
+	}
+	return nil
+}
+
+func (c *clients) keep(name string, l *line) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle[name] = append(c.idle[name], l)
+}
+
+// dead has a sidecar asked for its health before it gets further requests.
+func (c *clients) dead(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ready[name] = false
+}
--- /dev/null
+++ b/internal/rig/actor/lists.go
@@ -0,0 +1,79 @@
+package actor
+
+import (
+	"fmt"
+	"net"
+	"strings"
+
+	"fernlanding/internal/rig/history"
+	"fernlanding/internal/standin"
+)
+
+// lists is one list service.
+type lists struct {
+	*standin.Discovery
+}
+
+func newLists(s Spec, t teller) (doer, Hello, error) {
+	d, err := standin.NewDiscoveryWith(standin.DiscoveryConfig{Rate: s.Rate, Queue: s.Queue, RetryAfter: s.RetryAfter,
+		// Members are listed by the port of their relay; each caller reaches it at its own place.
+		Address: func(caller string, m standin.Member) string {
+			_, port, _ := strings.Cut(m.Address, ":")
+			return net.JoinHostPort(caller, port)
+		},
+		Report: func(c standin.DiscoveryCall) {
+			host, _, _ := net.SplitHostPort(c.Caller)
+			e := history.Event{At: t.clock.Now(), Kind: history.Call, Who: s.Name, To: s.Places[host], Conn: c.Caller, N: c.From, Status: c.Status,
+				Took: t.clock.Now() - t.clock.At(c.Began), Bytes: c.Wrote}
+			for _, m := range c.Told {
+				mark := ""
+				if m.Status == "SERVING" {
+					mark = history.Serves
+				}
+				e.Names = append(e.Names, mark+m.Name)
+			}
+			switch {
+			case c.GivenUp:
+				e.Why = history.GivenUp
+			case c.Whole:
+				e.Why = history.Whole
+			}
+			t.tell(e)
+		}})
+	if err != nil {
+		return nil, Hello{}, err
+	}
+	return lists{d}, Hello{Address: d.Addr()}, nil
+}
+
+func (l lists) do(c Command) error {
+	switch c.Do {
+	case DoMode:
+		m, ok := standin.ModeOf(c.Mode)
+		if !ok {
+			return fmt.Errorf("unknown mode %q", c.Mode)
+		}
+		l.SetMode(m)
+	case DoMembers:
+		var put []standin.Member
+		var gone []string
+		for _, m := range c.Members {
+			if m.Status == "DELETED" {
+				gone = append(gone, m.Name)
+			} else {
+				put = append(put, m)
+			}
+		}
+		if len(put) > 0 {
+			l.Put(put...)
+		}
+		if len(gone) > 0 {
+			l.Delete(gone...)
+		}
+	default:
+		return fmt.Errorf("unknown command")
+	}
+	return nil
+}
+
+func (l lists) close() { l.Close() }
--- /dev/null
+++ b/internal/rig/history/history.go
@@ -0,0 +1,170 @@
+// Package history is what happened in a run of the rig: one line of JSON an event, all times from one clock, in microseconds
+// from the run's beginning.
+package history
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Kind is a kind of event.
+type Kind string
+
+// The kinds of event. Whoever is named in Who tells it; To is the other side.
+const (
+	Began     Kind = "began"     // the run, with its scenario's name in ID and its seed in N
+	Ended     Kind = "ended"     // the run; N is how many of its processes are still there
+	Fault     Kind = "fault"     // a fault (ID) begins (N 1) or ends (N 0); Why says it
+	Started   Kind = "started"   // a process, with its number in N
+	Gone      Kind = "gone"      // a process has ended; Why says how
+	Stopped   Kind = "stopped"   // a process was stopped (SIGSTOP)
+	Continued Kind = "continued" // and let go on
+	Told      Kind = "told"      // a process is about to be told to end, or to be killed
+	Ready     Kind = "ready"     // a sidecar (To) has answered that it is ready
+	Log       Kind = "log"       // a line of a process
+
+	Call      Kind = "call"      // a list service answered a call of To; N is the version it went from, negative: the whole list
+	Delivered Kind = "delivered" // a relay has handed on the first Bytes of Conn to their reader
+	Member    Kind = "member"    // a backend's (Who) state in the list changed: Why is SERVING, DRAINING or DELETED
+	Opened    Kind = "opened"    // a relay took a connection from Who to To
+	Sent      Kind = "sent"      // a relay took the first byte of the Nth request on Conn, from Who to To
+
+	Ran    Kind = "ran"    // a backend (Who) began the request ID; N is its number on Conn, Pod drops its repeats
+	Full   Kind = "full"   // a backend turned a request away
+	Pushed Kind = "pushed" // a cold backend holds more than it bears (N 1), or no longer (N 0)
+
+	Quiet Kind = "quiet" // a client process's load has ended, and all its requests
+	Asked Kind = "asked" // a client sent request ID to To and had Status after Took; 0: none, and Why
+)
+
+// What Call events say.
+const (
+	Serves  = "+"        // before the name of a backend that serves
+	Whole   = "whole"    // Why: the answer takes out all backends that it does not name
+	GivenUp = "given up" // Why: its caller had gone before the answer
+)
+
+// Event is one event.
+type Event struct {
+	At     int64    `json:"at"` // microseconds since the run began
+	Kind   Kind     `json:"kind"`
+	Who    string   `json:"who,omitempty"`
+	To     string   `json:"to,omitempty"`
+	ID     string   `json:"id,omitempty"`
+	Class  string   `json:"class,omitempty"`
+	Key    string   `json:"key,omitempty"` // an idempotency key
+	Conn   string   `json:"conn,omitempty"`
+	N      int64    `json:"n,omitempty"`
+	Bytes  int64    `json:"bytes,omitempty"`
+	Status int      `json:"status,omitempty"`
+	Took   int64    `json:"took,omitempty"`  // microseconds
+	Until  int64    `json:"until,omitempty"` // of Asked: when the client stopped waiting, or would have
+	Pod    int      `json:"pod,omitempty"`
+	Names  []string `json:"names,omitempty"` // of Call: the backends that its answer tells of, those that serve behind a Serves
+	Why    string   `json:"why,omitempty"`
+}
+
+// Clock counts microseconds from a moment, alike in every process of a machine.
+type Clock struct{ zero int64 }
+
+// NewClock returns a clock that begins now.
+func NewClock() Clock { return Clock{monotonic()} }
+
+// ClockFrom returns the clock whose Zero another process was told.
+func ClockFrom(zero int64) Clock { return Clock{zero} }
+
+// Zero is the clock's beginning, as ClockFrom takes it.
+func (c Clock) Zero() int64 { return c.zero }
+
+// Now is the present time.
+func (c Clock) Now() int64 { return (monotonic() - c.zero) / 1000 }
+
+// At is the time on the clock of a moment that was read by time.Now in this process.
+func (c Clock) At(t time.Time) int64 { return c.Now() - time.Since(t).Microseconds() }
+
+func monotonic() int64 {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t); err != nil {
+		return time.Now().UnixNano() // never: the clock is there on every Linux
+	}
+	return t.Nano()
+}
+
+// Writer writes events; it may be used by many goroutines.
+type Writer struct {
+	mu  sync.Mutex
+	buf *bufio.Writer
+	enc *json.Encoder
+	err error
+}
+
+// NewWriter returns a Writer. Flush has to follow the last event.
+func NewWriter(w io.Writer) *Writer {
+	b := bufio.NewWriterSize(w, 1<<16)
+	return &Writer{buf: b, enc: json.NewEncoder(b)}
+}
+
+// Write writes one event. The first error is kept for Flush.
+func (w *Writer) Write(e Event) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.err == nil {
+		w.err = w.enc.Encode(e)
+	}
+}
+
+// Flush writes out what is held back, and returns the first error.
+func (w *Writer) Flush() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.err == nil {
+		w.err = w.buf.Flush()
+	}
+	return w.err
+}
+
+// Bounds of a history that is read.
+const (
+	maxLine   = 1 << 20
+	maxEvents = 20_000_000
+)
+
+// Read reads a history, and sorts it by time.
+func Read(r io.Reader) (all []Event, err error) {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 1<<16), maxLine)
+	for n := 1; lines.Scan(); n++ {
+		if len(all) == maxEvents {
+			return nil, fmt.Errorf("history: line %d: at most %d events expected", n, maxEvents)
+		}
+		var e Event
+		if err := json.Unmarshal(lines.Bytes(), &e); err != nil {
+			return nil, fmt.Errorf("history: line %d: an event expected: %w", n, err)
+		}
+		if e.Kind == "" || e.At < 0 {
+			return nil, fmt.Errorf("history: line %d: an event with kind and at expected", n)
+		}
+		all = append(all, e)
+	}
+	if err := lines.Err(); errors.Is(err, bufio.ErrTooLong) {
+		return nil, fmt.Errorf("history: line %d: at most %d bytes expected", len(all)+1, maxLine)
+	} else if err != nil {
+		return nil, fmt.Errorf("history: %w", err)
+	}
+	Sort(all)
+	return all, nil
+}
+
+// Sort sorts events by time; those of one time stay in their order.
+func Sort(all []Event) {
+	slices.SortStableFunc(all, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+}
--- /dev/null
+++ b/internal/rig/play.go
@@ -0,0 +1,227 @@
+package rig
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"fernlanding/internal/rig/actor"
+	"fernlanding/internal/rig/history"
+	"fernlanding/internal/rig/scenario"
+	"fernlanding/internal/standin"
+)
+
+// step is the beginning or the end of a fault.
+type step struct {
+	at    time.Duration
+	fault int
+	end   bool
+}
+
+// play carries out the schedule.
+func (r *run) play(ctx context.Context) error {
+	faults := r.sc.Schedule()
+	var steps []step
+	for i, f := range faults {
+		steps = append(steps, step{f.At, i, false}, step{f.At + f.For, i, true})
+	}
+	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
+	began := time.Now()
+	ends := make([]func() error, len(faults))
+	for _, s := range steps {
+		if !sleep(ctx, time.Until(began.Add(s.at))) {
+			return ctx.Err()
+		}
+		f := faults[s.fault]
+		e := history.Event{Kind: history.Fault, ID: f.Name(s.fault), Names: f.Names, Why: f.String(), To: f.Link}
+		if s.end {
+			r.tell(e)
+			if err := ends[s.fault](); err != nil {
+				return fmt.Errorf("rig: the end of %s: %w", f, err)
+			}
+			continue
+		}
+		e.N = 1
+		r.tell(e)
+		var err error
+		if ends[s.fault], err = r.begin(ctx, f); err != nil {
+			return fmt.Errorf("rig: %s: %w", f, err)
+		}
+	}
+	if !sleep(ctx, time.Until(began.Add(r.sc.For))) {
+		return ctx.Err()
+	}
+	return nil
+}
+
+// begin begins a fault, and returns what ends it.
+func (r *run) begin(ctx context.Context, f scenario.Fault) (end func() error, err error) {
+	none := func() error { return nil }
+	switch f.Kind {
+	case scenario.Cut, scenario.OneWay, scenario.Delay, scenario.Hold, scenario.Reset, scenario.Half, scenario.Slow:
+		stop := r.net.Begin(f)
+		return func() error { stop(); return nil }, nil
+	case scenario.Stop:
+		names := r.processes(f)
+		for _, n := range names {
+			r.procs.stop(n)
+		}
+		return func() error {
+			for _, n := range names {
+				r.procs.cont(n)
+			}
+			return nil
+		}, nil
+	case scenario.Kill, scenario.Term:
+		return r.away(ctx, f)
+	case scenario.ListDown, scenario.ListSilent, scenario.ListHalf, scenario.ListEmpty, scenario.ListOlder:
+		mode := func(word string) error {
+			var all []error
+			for _, n := range f.Names {
+				all = append(all, r.procs.say(n, actor.Command{Do: actor.DoMode, Mode: word}))
+			}
+			return errors.Join(all...)
+		}
+		return func() error { return mode(standin.ListWell.String()) }, mode(string(f.Kind))
+	case scenario.Choke, scenario.Fail:
+		do := map[scenario.Kind]string{scenario.Choke: actor.DoChoke, scenario.Fail: actor.DoFail}[f.Kind]
+		return func() error { return r.backends(actor.Command{Do: do, Names: f.Names}) }, r.backends(actor.Command{Do: do, Names: f.Names, On: true})
+	case scenario.Replace:
+		return r.replace(ctx, f)
+	}
+	return none, fmt.Errorf("no such fault: %s", f.Kind)
+}
+
+// processes are the processes that a fault acts on.
+func (r *run) processes(f scenario.Fault) []string {
+	if f.On == scenario.OnBackends {
+		return r.backs
+	}
+	return f.Names
+}
+
+// away ends processes, and starts them again when the fault ends.
+func (r *run) away(ctx context.Context, f scenario.Fault) (func() error, error) {
+	names := r.processes(f)
+	if f.On == scenario.OnBackends { // they leave the list a while after
+		r.later(ctx, noticeAfter, func() { r.state("DELETED", r.workers...) })
+	}
+	if f.Kind == scenario.Kill {
+		for _, n := range names {
+			r.procs.kill(n)
+		}
+	} else if err := r.procs.terminate(names, 0); err != nil {
+		return nil, err
+	}
+	return func() error {
+		for _, n := range names {
+			r.procs.kill(n) // those that have not ended yet
+			var err error
+			switch i := number(n); f.On {
+			case scenario.OnSidecars:
+				err = r.startSidecar(i)
+			case scenario.OnLists:
+				err = r.startList(ctx, i)
+			default:
+				err = r.startBackends(ctx, i)
+			}
+			if err != nil {
+				return err
+			}
+		}
+		if f.On == scenario.OnBackends {
+			r.state("SERVING", r.workers...)
+		}
+		return nil
+	}, nil
+}
+
+// number is the number of a process by its name, from 0.
+func number(name string) (n int) {
+	for _, c := range name {
+		if c >= '0' && c <= '9' {
+			n = 10*n + int(c-'0')
+		}
+	}
+	return n - 1
+}
+
+// replace drains backends, ends them a while after, and starts them again, cold, when the fault ends.
+func (r *run) replace(ctx context.Context, f scenario.Fault) (func() error, error) {
+	r.state("DRAINING", f.Names...)
+	down := make(chan struct{})
+	r.faults.Go(func() {
+		defer close(down)
+		if sleep(ctx, min(drainFor, f.For)) {
+			_ = r.backends(actor.Command{Do: actor.DoEnd, Names: f.Names})
+			r.state("DELETED", f.Names...)
+		}
+	})
+	return func() error {
+		<-down
+		if err := r.backends(actor.Command{Do: actor.DoStart, Names: f.Names}); err != nil {
+			return err
+		}
+		r.state("SERVING", f.Names...)
+		return nil
+	}, nil
+}
+
+func (r *run) later(ctx context.Context, after time.Duration, f func()) {
+	r.faults.Go(func() {
+		if sleep(ctx, after) {
+			f()
+		}
+	})
+}
+
+// backends tells all processes of backends; each knows which are its own.
+func (r *run) backends(c actor.Command) error {
+	var all []error
+	for _, p := range r.backs {
+		all = append(all, r.procs.say(p, c))
+	}
+	return errors.Join(all...)
+}
+
+// state changes what the lists say of backends. One that serves again has started anew.
+func (r *run) state(status string, names ...string) {
+	var all []standin.Member
+	r.mu.Lock()
+	for _, n := range names {
+		m, ok := r.members[n]
+		if !ok {
+			i := r.names[n]
+			m = standin.Member{Name: n, Address: fmt.Sprintf(":%d", r.backPort[i]), Zone: r.sc.Site(i), Group: i % pods, Weight: 1}
+		}
+		if status == "SERVING" {
+			m.SinceMs = time.Now().UnixMilli()
+		}
+		m.Status = status
+		all = append(all, m)
+	}
+	r.mu.Unlock()
+	r.change(all...)
+}
+
+// change enters members and tells the list services that run.
+func (r *run) change(all ...standin.Member) {
+	r.mu.Lock()
+	for _, m := range all {
+		if m.Status == "DELETED" {
+			delete(r.members, m.Name)
+		} else {
+			r.members[m.Name] = m
+		}
+	}
+	r.mu.Unlock()
+	for _, m := range all {
+		r.tell(history.Event{Kind: history.Member, Who: m.Name, Why: m.Status})
+	}
+	for _, l := range r.lists {
+		_ = r.procs.say(l, actor.Command{Do: actor.DoMembers, Members: all}) // one that is down is told all at its start
+	}
+}
--- /dev/null
+++ b/internal/rig/run.go
@@ -0,0 +1,478 @@
+// Package rig starts many processes of the program with stand-ins of all that it meets, has every connection between them
+// go through relays with faults, and writes down what happens. Package check judges that.
+package rig
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"fernlanding/internal/rig/actor"
+	"fernlanding/internal/rig/history"
+	"fernlanding/internal/rig/link"
+	"fernlanding/internal/rig/scenario"
+	"fernlanding/internal/standin"
+)
+
+// Options say how a run is carried out.
+type Options struct {
+	Sidecar []string // the program under test and its first arguments; "-config FILE" is added
+	Actor   []string // the program that is an actor
+	Env     []string // further environment of both
+	Out     io.Writer
+	Logs    bool   // lines of the sidecars go into the history
+	Dir     string // for the sidecars' configurations; empty: a temporary one that is removed
+}
+
+const (
+	startWithin = 60 * time.Second // all actors
+	endWithin   = 10 * time.Second // all sidecars, after SIGTERM
+	firstPort   = 20_000           // below those that the kernel deals out
+	portSpan    = 10_000
+	pods        = 4
+	noticeAfter = 500 * time.Millisecond // a dead process's backends leave the list
+	drainFor    = time.Second            // from a backend's drain to its end
+	networks    = 200
+	freePart    = 0.8 // of the machine's free memory that a run may take
+
+	measureAfter = 100 * time.Millisecond // a process's start, when its runtime stands
+)
+
+// run is one run.
+type run struct {
+	sc       *scenario.Scenario
+	opts     Options
+	clock    history.Clock
+	events   *history.Writer
+	procs    *processes
+	net      *link.Net
+	dir      string
+	places   []link.Place // of the sidecars
+	port     int          // where they listen
+	relay    int          // where clients reach them
+	listPort []int
+	backPort []int
+
+	mu       sync.Mutex
+	listAt   []string
+	backAt   map[string]string
+	members  map[string]standin.Member
+	names    map[string]int // of backends: their numbers
+	sidecars []string
+	lists    []string
+	backs    []string // processes of backends
+	clients  []string
+	workers  []string
+	faults   sync.WaitGroup
+	quiet    chan struct{} // one for each client process whose load has ended
+}
+
+// Run plays a scenario, and writes its history. It returns when none of its processes is left; at the context's end it
+// breaks off.
+func Run(ctx context.Context, sc *scenario.Scenario, opts Options) (err error) {
+	r := &run{sc: sc, opts: opts, clock: history.NewClock(), events: history.NewWriter(opts.Out), backAt: map[string]string{}, members: map[string]standin.Member{},
+		names: map[string]int{}, sidecars: sc.Names(scenario.OnSidecars), lists: sc.Names(scenario.OnLists), clients: sc.Names(scenario.OnClients),
+		workers: sc.Names(scenario.OnBackends), quiet: make(chan struct{}, len(sc.Names(scenario.OnClients)))}
+	if r.dir = opts.Dir; r.dir == "" {
+		if r.dir, err = os.MkdirTemp("", "rig"); err != nil {
+			return fmt.Errorf("rig: %w", err)
+		}
+		defer os.RemoveAll(r.dir)
+	}
+	r.tell(history.Event{Kind: history.Began, ID: sc.Name, N: int64(sc.Seed)})
+	r.procs = newProcesses(r.tell)
+	defer func() {
+		left := r.procs.end()
+		if r.net != nil {
+			r.net.Close()
+		}
+		r.faults.Wait()
+		r.tell(history.Event{Kind: history.Ended, N: int64(left)})
+		err = errors.Join(err, r.events.Flush())
+	}()
+	if err := r.lay(); err != nil {
+		return fmt.Errorf("rig: %w", err)
+	}
+	if err := r.startActors(ctx); err != nil {
+		return fmt.Errorf("rig: %w", err)
+	}
+	if err := r.startSidecars(ctx); err != nil {
+		return fmt.Errorf("rig: %w", err)
+	}
+	if err := r.play(ctx); err != nil {
+		return err
+	}
+	return r.finish()
+}
+
+func (r *run) tell(e history.Event) {
+	if e.At == 0 {
+		e.At = r.clock.Now()
+	}
+	r.events.Write(e)
+}
+
+// lay finds a network of places and ports that nobody uses, and opens the relays.
+func (r *run) lay() error {
+	n := 1 + r.sc.Lists.Count + r.sc.Backends.Count
+	for try := range networks {
+		network := (os.Getpid()*7 + try) % networks
+		base := firstPort + (os.Getpid()*131+try*997)%(portSpan-n-1)
+		guard, err := net.Listen("tcp4", net.JoinHostPort(link.PlaceOf(network, 0).String(), strconv.Itoa(base)))
+		if err != nil {
+			continue
+		}
+		guard.Close()
+		names := map[link.Place]string{}
+		r.places = nil
+		for i, name := range r.sidecars {
+			r.places = append(r.places, link.PlaceOf(network, i))
+			names[r.places[i]] = name
+		}
+		r.net = link.New(names, (*watcher)(r))
+		r.port = base
+		if err = r.relays(names, base+1); err == nil {
+			return nil
+		}
+		r.net.Close()
+		r.net = nil
+		if try == networks-1 {
+			return err
+		}
+	}
+	return errors.New("no free ports between 20000 and 30000")
+}
+
+// relays opens the relays from a port on.
+func (r *run) relays(names map[link.Place]string, port int) error {
+	r.relay = port
+	relays := []link.Relay{{Group: scenario.OnClients + "-" + scenario.OnSidecars, To: func(at link.Place) (link.Ends, string, bool) {
+		name, ok := names[at]
+		return link.Ends{From: scenario.OnClients, To: name}, net.JoinHostPort(at.String(), strconv.Itoa(r.port)), ok
+	}}}
+	for i, list := range r.lists {
+		relays = append(relays, link.Relay{Group: scenario.OnSidecars + "-" + scenario.OnLists, Deliveries: true, To: func(at link.Place) (link.Ends, string, bool) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			name, ok := names[at]
+			return link.Ends{From: name, To: list}, r.listAt[i], ok
+		}})
+	}
+	for _, backend := range r.workers {
+		relays = append(relays, link.Relay{Group: scenario.OnSidecars + "-" + scenario.OnBackends, To: func(at link.Place) (link.Ends, string, bool) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			name, ok := names[at]
+			return link.Ends{From: name, To: backend}, r.backAt[backend], ok
+		}})
+	}
+	r.listAt = make([]string, len(r.lists))
+	for i := range relays {
+		relays[i].Port = port + i
+		if err := r.net.Listen(relays[i]); err != nil {
+			return err
+		}
+	}
+	for i := range r.lists {
+		r.listPort = append(r.listPort[:i], port+1+i)
+	}
+	for i := range r.workers {
+		r.backPort = append(r.backPort[:i], port+1+len(r.lists)+i)
+	}
+	return nil
+}
+
+// watcher writes what goes over the relays into the history.
+type watcher run
+
+func (w *watcher) Opened(e link.Ends) {
+	(*run)(w).tell(history.Event{Kind: history.Opened, Who: e.From, To: e.To})
+}
+
+func (w *watcher) Sent(e link.Ends, conn string, n int64) {
+	if e.From != scenario.OnClients && !strings.HasPrefix(e.To, "list-") {
+		(*run)(w).tell(history.Event{Kind: history.Sent, Who: e.From, To: e.To, Conn: conn, N: n})
+	}
+}
+
+func (w *watcher) Delivered(e link.Ends, conn string, n int64) {
+	(*run)(w).tell(history.Event{Kind: history.Delivered, Who: e.To, To: e.From, Conn: conn, Bytes: n})
+}
+
+// startActors starts list services, backends and clients.
+func (r *run) startActors(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startWithin)
+	defer cancel()
+	b := r.sc.Backends
+	for p := range b.Processes {
+		r.backs = append(r.backs, fmt.Sprintf("backends-%d", p+1))
+	}
+	for i, name := range r.workers {
+		r.names[name] = i
+	}
+	for p := range r.backs {
+		if err := r.startBackends(ctx, p); err != nil {
+			return err
+		}
+	}
+	var all []standin.Member
+	for i, name := range r.workers {
+		all = append(all, standin.Member{Name: name, Address: ":" + strconv.Itoa(r.backPort[i]), Zone: r.sc.Site(i), Group: i % pods, Weight: 1, Status: "SERVING"})
+	}
+	r.change(all...)
+	for i := range r.lists {
+		if err := r.startList(ctx, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startBackends starts one process of backends, the pth.
+func (r *run) startBackends(ctx context.Context, p int) error {
+	b := r.sc.Backends
+	spec := actor.Spec{Name: r.backs[p], Group: scenario.OnBackends, Cores: b.Cores, Waiting: b.Waiting, Work: b.Work, Cold: b.Cold, Part: b.Part, Bears: b.Bears, Conns: b.Conns}
+	for i, name := range r.workers {
+		if i%len(r.backs) == p {
+			spec.Backends, spec.Pods = append(spec.Backends, name), append(spec.Pods, i%pods)
+		}
+	}
+	hello, err := r.actor(ctx, spec)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, at := range hello.Addresses {
+		r.backAt[name] = at
+	}
+	return nil
+}
+
+// startList starts one list service, and tells it the members as they now are.
+func (r *run) startList(ctx context.Context, i int) error {
+	l := r.sc.Lists
+	places := map[string]string{}
+	for n, name := range r.sidecars {
+		places[r.places[n].String()] = name
+	}
+	hello, err := r.actor(ctx, actor.Spec{Name: r.lists[i], Group: scenario.OnLists, Rate: l.Rate, Queue: l.Queue, RetryAfter: l.RetryAfter, Places: places})
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.listAt[i] = hello.Address
+	var all []standin.Member
+	for _, name := range r.workers {
+		if m, ok := r.members[name]; ok {
+			all = append(all, m)
+		}
+	}
+	r.mu.Unlock()
+	return r.procs.say(r.lists[i], actor.Command{Do: actor.DoMembers, Members: all})
+}
+
+func (r *run) startClients(ctx context.Context) error {
+	c := r.sc.Clients
+	for i, name := range r.clients {
+		at := map[string]string{}
+		for n, sidecar := range r.sidecars {
+			if n%len(r.clients) == i {
+				at[sidecar] = net.JoinHostPort(r.places[n].String(), strconv.Itoa(r.relay))
+			}
+		}
+		if _, err := r.actor(ctx, actor.Spec{Name: name, Group: scenario.OnClients, Sidecars: at, Load: c.Rate / float64(len(r.clients)), Poll: c.Poll, Seed: r.sc.Seed + uint64(i)}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// actor starts an actor and returns its first line.
+func (r *run) actor(ctx context.Context, spec actor.Spec) (h actor.Hello, err error) {
+	spec.Zero = r.clock.Zero()
+	first, err := json.Marshal(spec)
+	if err != nil {
+		return h, err
+	}
+	hello := make(chan string, 1)
+	err = r.procs.start(process{name: spec.Name, args: r.opts.Actor, env: r.opts.Env, talks: true, read: func(out io.Reader) {
+		lines := bufio.NewScanner(out)
+		lines.Buffer(make([]byte, 1<<16), 4<<20)
+		if lines.Scan() {
+			hello <- lines.Text()
+		}
+		close(hello)
+		for lines.Scan() {
+			var e history.Event
+			if json.Unmarshal(lines.Bytes(), &e) != nil || e.Kind == "" {
+				continue
+			}
+			if r.events.Write(e); e.Kind == history.Quiet {
+				r.quiet <- struct{}{}
+			}
+		}
+		_, _ = io.Copy(io.Discard, out)
+	}})
+	if err != nil {
+		return h, err
+	}
+	if err := r.procs.write(spec.Name, first); err != nil {
+		return h, err
+	}
+	select {
+	case line, ok := <-hello:
+		if !ok {
+			return h, fmt.Errorf("%s has ended at its start", spec.Name)
+		}
+		if err := json.Unmarshal([]byte(line), &h); err != nil {
+			return h, fmt.Errorf("%s: its first line: %w", spec.Name, err)
+		}
+		return h, nil
+	case <-ctx.Done():
+		return h, fmt.Errorf("%s does not start: %w", spec.Name, ctx.Err())
+	}
+}
+
+// startSidecars starts the processes under test.
+func (r *run) startSidecars(ctx context.Context) error {
+	for i := range r.sidecars {
+		if err := os.WriteFile(r.config(i), []byte(r.file(i)), 0o600); err != nil {
+			return err
+		}
+	}
+	if err := r.fits(ctx); err != nil {
+		return err
+	}
+	if err := r.startClients(ctx); err != nil {
+		return err
+	}
+	for _, c := range r.clients {
+		if err := r.procs.say(c, actor.Command{Do: actor.DoLoad, On: r.sc.Clients.Rate > 0}); err != nil {
+			return err
+		}
+	}
+	each := r.sc.Sidecars.Start / time.Duration(len(r.sidecars))
+	for i := range r.sidecars {
+		if err := r.startSidecar(i); err != nil {
+			return err
+		}
+		if each > 0 && !sleep(ctx, each) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// fits starts one sidecar, sees what it takes, and refuses a run that would not fit into the machine's memory.
+func (r *run) fits(ctx context.Context) error {
+	if err := r.startSidecar(0); err != nil {
+		return err
+	}
+	if !sleep(ctx, measureAfter) {
+		return ctx.Err()
+	}
+	each := resident(r.procs.pid(r.sidecars[0]))
+	r.procs.kill(r.sidecars[0])
+	free := available()
+	if need := each * int64(len(r.sidecars)); free > 0 && float64(need) > freePart*float64(free) {
+		return fmt.Errorf("sidecars.count: %d processes of %d MB take %d MB; %d MB at most expected on this machine", len(r.sidecars), each>>20, need>>20, int64(freePart*float64(free))>>20)
+	}
+	return nil
+}
+
+func (r *run) startSidecar(i int) error {
+	p := process{name: r.sidecars[i], args: append(slices.Clone(r.opts.Sidecar), "-config", r.config(i)), env: r.opts.Env, sockets: r.sc.Sidecars.Sockets}
+	p.readErr = func(out io.Reader) {
+		lines := bufio.NewScanner(out)
+		for lines.Scan() {
+			if r.opts.Logs {
+				r.tell(history.Event{Kind: history.Log, Who: p.name, Why: lines.Text()})
+			}
+		}
+		_, _ = io.Copy(io.Discard, out)
+	}
+	return r.procs.start(p)
+}
+
+func (r *run) config(i int) string { return filepath.Join(r.dir, r.sidecars[i]+".toml") }
+
+// file is a sidecar's configuration.
+func (r *run) file(i int) string {
+	s, b := r.sc.Sidecars, r.sc.Backends
+	at := r.places[i].String()
+	var t strings.Builder
+	fmt.Fprintf(&t, "version = 2\nname = %q\n\n[process]\nmemory_mb = %g\nsockets = %d\n\n[[listeners]]\naddress = %q\n\n", r.sidecars[i], s.MemoryMB, s.Sockets, net.JoinHostPort(at, strconv.Itoa(r.port)))
+	fmt.Fprintf(&t, "[services.rating]\nmembership = \"catalog\"\ndiscovery = %q\ntrusted = true\n", net.JoinHostPort(at, strconv.Itoa(r.listPort[i%len(r.listPort)])))
+	if s.Told {
+		fmt.Fprintf(&t, "siblings = %d\nordinal = %d\n", s.Count, i)
+	}
+	if len(s.Sites) > 1 {
+		fmt.Fprintf(&t, "zones = [%s]\nzone = %q\n", quoted(s.Sites), r.sc.Site(i))
+	} else {
+		fmt.Fprintf(&t, "zones = [%s]\nzone = %q\n", quoted(s.Sites), s.Sites[0])
+	}
+	if b.Cold > 0 {
+		fmt.Fprintf(&t, "cold = %q\nstart_capacity = %g\ncold_multiple = %g\n", b.Cold, b.Part, b.Bears)
+	}
+	for _, c := range actor.Classes() {
+		fmt.Fprintf(&t, "[services.rating.classes.%s]\nrepeat = %q\nobjective = %q\ndeadline = %q\n", c.Name, c.Repeat, c.Objective, c.Deadline)
+		if c.Repeat == "keyed" {
+			fmt.Fprintf(&t, "key = \"Idempotency-Key\"\ndedup_scope = \"cell\"\ndedup_window = %q\n", actor.Window)
+		}
+	}
+	for _, c := range actor.Classes() {
+		fmt.Fprintf(&t, "\n[[routes]]\nname = %q\nprefix = %q\nservice = \"rating\"\nclass = %q\n", c.Name, c.Path, c.Name)
+	}
+	return t.String()
+}
+
+func quoted(words []string) string {
+	var out []string
+	for _, w := range words {
+		out = append(out, strconv.Quote(w))
+	}
+	return strings.Join(out, ", ")
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// finish has the load end and its last answers come, and ends the sidecars in order.
+func (r *run) finish() error {
+	for _, c := range r.clients {
+		_ = r.procs.say(c, actor.Command{Do: actor.DoLoad})
+	}
+	longest := time.Duration(0)
+	for _, c := range actor.Classes() {
+		longest = max(longest, c.Deadline)
+	}
+	late := time.NewTimer(longest + time.Second)
+	defer late.Stop()
+	for range r.clients {
+		select {
+		case <-r.quiet:
+		case <-late.C:
+		}
+	}
+	return r.procs.terminate(r.sidecars, endWithin)
+}
--- /dev/null
+++ b/internal/rig/scenario/scenario.go
@@ -0,0 +1,354 @@
+// Package scenario is the description of a run of the rig: how many processes of what kind, what load, and which faults
+// when. It is pure: bytes and a seed come in as arguments.
+package scenario
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"fernlanding/internal/doc"
+	"fernlanding/internal/rules"
+)
+
+// Bounds of a scenario.
+const (
+	MaxFile     = doc.MaxFile // bytes
+	MaxSidecars = 1000
+	MaxBackends = 1000
+	MaxLists    = 16
+	MaxFor      = 10 * time.Minute
+	MaxRate     = 20_000 // requests a second
+	maxFaults   = 1000
+	maxActors   = 64
+)
+
+// Scenario is a run.
+type Scenario struct {
+	Name     string
+	Seed     uint64
+	For      time.Duration // from the moment when all has been started
+	Sidecars Sidecars
+	Lists    Lists
+	Backends Backends
+	Clients  Clients
+	Bounds   Bounds
+	Random   Random
+	Faults   []Fault
+}
+
+// Sidecars are the processes under test.
+type Sidecars struct {
+	Count    int
+	Sites    []string      // dealt out in turn
+	Told     bool          // they are told how many they are
+	Start    time.Duration // they are started within this; 0: together
+	MemoryMB float64
+	Sockets  int
+}
+
+// Lists are the stand-in list services, one process each. Sidecars are dealt out to them in turn.
+type Lists struct {
+	Count      int
+	Rate       float64       // whole readings a second that each works off, in turn; 0: at once
+	Queue      int           // whole readings that wait; further ones get 503
+	RetryAfter time.Duration // that it says with 503
+}
+
+// Backends are stand-ins.
+type Backends struct {
+	Count     int
+	Processes int
+	Cores     int
+	Waiting   int
+	Work      time.Duration
+	Cold      time.Duration // until a fresh one is warm; 0: at once
+	Part      float64       // of its capacity that a fresh one starts with
+	Bears     float64       // a cold one bears this many times its present capacity at once
+	Conns     int           // connections that each holds; further ones are closed; 0: any number
+}
+
+// Clients send the load.
+type Clients struct {
+	Rate      float64 // requests a second, over all
+	Processes int
+	Poll      time.Duration // between two looks at whether a sidecar is ready
+}
+
+// Bounds are what a run is held to beyond the rules; 0: not.
+type Bounds struct {
+	Reads     float64       // whole readings a second over all list services, in any second
+	Connects  float64       // connections a second to one backend, in any second
+	ReadyFor  float64       // part of the sidecars that are ready...
+	ReadyIn   time.Duration // ...this soon after their start
+	ServedMin float64       // part of the requests that is served
+}
+
+// Random are faults that are drawn from the seed.
+type Random struct {
+	Count int
+	Kinds []Kind
+	From  time.Duration
+	Until time.Duration
+	Long  time.Duration // the longest
+}
+
+// Kind is a kind of fault.
+type Kind string
+
+// The kinds of fault. Those of links hold between two groups of processes.
+const (
+	Cut    Kind = "cut"    // bytes of either direction come no more until it ends, then all come
+	OneWay Kind = "oneway" // the same of one direction
+	Delay  Kind = "delay"  // bytes come later, by delay and up to jitter more; in one direction, where one is named
+	Hold   Kind = "hold"   // of each connection's next bytes only the first few come until it ends
+	Reset  Kind = "reset"  // open connections are reset, and so are new ones until it ends
+	Half   Kind = "half"   // one direction of open connections is closed, the other stays
+	Slow   Kind = "slow"   // bytes come at a rate
+
+	Kill    Kind = "kill"    // processes are killed, and started again when it ends
+	Stop    Kind = "stop"    // processes are stopped, and let go on when it ends
+	Term    Kind = "term"    // processes are told to end, and started again when it ends
+	Replace Kind = "replace" // backends drain, end, and come back fresh when it ends
+
+	ListDown   Kind = "down"      // list services answer 503
+	ListSilent Kind = "silent"    // they take calls and answer none
+	ListHalf   Kind = "half-body" // their answers break off
+	ListEmpty  Kind = "empty"     // their list is empty
+	ListOlder  Kind = "older"     // they step back in their versions, and stay there
+
+	Choke Kind = "choke" // backends take many times as long
+	Fail  Kind = "fail"  // backends answer 500 at once
+)
+
+// Groups of processes.
+const (
+	OnSidecars = "sidecars"
+	OnLists    = "lists"
+	OnBackends = "backends"
+	OnClients  = "clients"
+)
+
+// Directions of a link.
+const (
+	Both  = "both"
+	There = "there" // from the side that opens connections
+	Back  = "back"
+)
+
+// links are the links, by the side that opens connections.
+var links = []string{OnClients + "-" + OnSidecars, OnSidecars + "-" + OnLists, OnSidecars + "-" + OnBackends}
+
+// family says what a kind of fault acts on.
+type family int
+
+const (
+	ofLinks family = iota
+	ofProcesses
+	ofLists
+	ofBackends
+)
+
+// kinds has every kind, with what it acts on.
+var kinds = map[Kind]family{Cut: ofLinks, OneWay: ofLinks, Delay: ofLinks, Hold: ofLinks, Reset: ofLinks, Half: ofLinks, Slow: ofLinks,
+	Kill: ofProcesses, Stop: ofProcesses, Term: ofProcesses,
+	ListDown: ofLists, ListSilent: ofLists, ListHalf: ofLists, ListEmpty: ofLists, ListOlder: ofLists,
+	Replace: ofBackends, Choke: ofBackends, Fail: ofBackends}
+
+// Fault is one fault. A drawn one names all that it acts on.
+type Fault struct {
+	At    time.Duration
+	For   time.Duration
+	Kind  Kind
+	Link  string   // of a fault of links: the two groups
+	Way   string   // the direction, of those that have one
+	On    string   // the group of which Names are members
+	Names []string // of those that it acts on; empty: all that Site and Share say
+	Site  string   // only those of this site
+	Share float64  // only this part of them, drawn from the seed; 0: all
+	Delay time.Duration
+	More  time.Duration // jitter
+	Bytes int           // of Hold: that still come
+	Rate  int           // of Slow: bytes a second
+}
+
+// Name is how the history names a fault; i is its number in the schedule.
+func (f *Fault) Name(i int) string { return fmt.Sprintf("%d-%s", i+1, f.Kind) }
+
+// String says what a fault is, in a line.
+func (f Fault) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s", f.Kind)
+	if f.Link != "" {
+		fmt.Fprintf(&b, " %s", f.Link)
+	}
+	if f.Way != "" && f.Way != Both {
+		fmt.Fprintf(&b, " %s", f.Way)
+	}
+	if f.Delay > 0 {
+		fmt.Fprintf(&b, " by %v+%v", f.Delay, f.More)
+	}
+	if n := len(f.Names); n > 3 {
+		fmt.Fprintf(&b, " of %d %s", n, f.On)
+	} else if n > 0 {
+		fmt.Fprintf(&b, " of %s", strings.Join(f.Names, " "))
+	}
+	fmt.Fprintf(&b, ", %v to %v", f.At, f.At+f.For)
+	return b.String()
+}
+
+// Read reads a scenario. The error lists all faults, one a line.
+func Read(file string, data []byte) (*Scenario, error) {
+	root, faults := doc.Parse(file, data)
+	if root == nil {
+		return nil, doc.Faults(faults).Err()
+	}
+	r := &doc.Reader{Faults: faults}
+	s := doc.NewScope(r, root)
+	x := read(s)
+	if err := r.Faults.Err(); err != nil {
+		return nil, err
+	}
+	return x, nil
+}
+
+func read(s doc.Scope) *Scenario {
+	x := &Scenario{Name: s.Text("name", ""), Seed: uint64(s.Whole("seed", 1, 0, 1<<62)), For: s.Span("for", 10*time.Second, 100*time.Millisecond, MaxFor)}
+	if x.Name == "" {
+		s.Bad(rules.Missing, "name", "the scenario's name expected")
+	}
+	v := s.Sub("sidecars")
+	x.Sidecars = Sidecars{Count: int(v.Whole("count", 1, 1, MaxSidecars)), Sites: v.Texts("sites"), Told: v.Flag("told"), Start: v.Span("start", 0, 0, MaxFor),
+		MemoryMB: v.Number("memory_mb", 64, 16, 1<<16), Sockets: int(v.Whole("sockets", 512, 64, 1<<16))}
+	if len(x.Sidecars.Sites) == 0 {
+		x.Sidecars.Sites = []string{"a"}
+	}
+	v.Done()
+	v = s.Sub("lists")
+	x.Lists = Lists{Count: int(v.Whole("count", 1, 1, MaxLists)), Rate: v.Number("rate", 0, 0, 1e6), Queue: int(v.Whole("queue", 100, 0, 1e6)),
+		RetryAfter: v.Span("retry_after", 0, 0, MaxFor)}
+	v.Done()
+	v = s.Sub("backends")
+	x.Backends = Backends{Count: int(v.Whole("count", 4, 1, MaxBackends)), Processes: int(v.Whole("processes", 1, 1, maxActors)), Cores: int(v.Whole("cores", 4, 1, 1024)),
+		Waiting: int(v.Whole("waiting", 32, 0, 1e6)), Work: v.Span("work", 5*time.Millisecond, 0, time.Minute), Cold: v.Span("cold", 0, 0, MaxFor),
+		Part: v.Number("start_capacity", 1, 0.01, 1), Bears: v.Number("cold_multiple", 3, 1, 100), Conns: int(v.Whole("connections", 0, 0, 1e6))}
+	if x.Backends.Processes > x.Backends.Count {
+		v.Bad(rules.Range, "processes", "1 to the %d backends expected", x.Backends.Count)
+	}
+	v.Done()
+	v = s.Sub("clients")
+	x.Clients = Clients{Rate: v.Number("rate", 0, 0, MaxRate), Processes: int(v.Whole("processes", 1, 1, maxActors)),
+		Poll: v.Span("poll", 200*time.Millisecond, 10*time.Millisecond, time.Minute)}
+	v.Done()
+	v = s.Sub("bounds")
+	x.Bounds = Bounds{Reads: v.Number("reads_per_s", 0, 0, 1e9), Connects: v.Number("connects_per_s", 0, 0, 1e9), ReadyFor: v.Number("ready_part", 0, 0, 1),
+		ReadyIn: v.Span("ready_within", 0, 0, MaxFor), ServedMin: v.Number("served_part", 0, 0, 1)}
+	v.Done()
+	x.random(s.Sub("random"))
+	list := s.List("faults")
+	if len(list) > maxFaults {
+		s.Bad(rules.TooMany, "faults", "%d faults, %d expected at most", len(list), maxFaults)
+		list = nil
+	}
+	for _, f := range list {
+		x.Faults = append(x.Faults, x.fault(f))
+		f.Done()
+	}
+	s.Take("faults")
+	s.Done()
+	return x
+}
+
+func (x *Scenario) random(v doc.Scope) {
+	x.Random = Random{Count: int(v.Whole("count", 0, 0, 200)), From: v.Span("from", 0, 0, MaxFor), Until: v.Span("until", x.For, 0, MaxFor),
+		Long: v.Span("long", 2*time.Second, 10*time.Millisecond, MaxFor)}
+	for _, w := range v.Texts("kinds") {
+		if _, ok := kinds[Kind(w)]; !ok {
+			v.Bad(rules.Word, "kinds", "%s", doc.Guess(fmt.Sprintf("%q is no kind of fault; one of %s expected", w, strings.Join(KindNames(), ", ")), w, KindNames()))
+			continue
+		}
+		x.Random.Kinds = append(x.Random.Kinds, Kind(w))
+	}
+	if x.Random.Count > 0 && len(x.Random.Kinds) == 0 {
+		v.Bad(rules.Missing, "kinds", "the kinds of faults that are drawn expected")
+	}
+	if x.Random.Until > x.For || x.Random.From >= x.Random.Until {
+		v.Bad(rules.Range, "until", "after from, and at most the run's %v expected", x.For)
+	}
+	v.Done()
+}
+
+// KindNames are the words for all kinds of faults, in order.
+func KindNames() (out []string) {
+	for k := range kinds {
+		out = append(out, string(k))
+	}
+	slices.Sort(out)
+	return out
+}
+
+// fault reads one fault and checks it against the processes of the run.
+func (x *Scenario) fault(v doc.Scope) (f Fault) {
+	f = Fault{At: v.Span("at", 0, 0, MaxFor), For: v.Span("for", 0, 0, MaxFor), Kind: Kind(v.Word("kind", "", KindNames()...)),
+		Site: v.Text("site", ""), Share: v.Number("share", 0, 0, 1), Names: v.Texts("names"),
+		Delay: v.Span("delay", 0, 0, time.Minute), More: v.Span("jitter", 0, 0, time.Minute), Bytes: int(v.Whole("bytes", 100, 0, 1<<20)),
+		Rate: int(v.Whole("rate", 0, 0, 1<<30))}
+	if f.At+f.For > x.For {
+		v.Bad(rules.Range, "for", "the fault to end by the run's end, %v, expected; it ends at %v", x.For, f.At+f.For)
+	}
+	f.Way, f.Link = v.Word("way", Both, Both, There, Back), ""
+	switch kinds[f.Kind] {
+	case ofLinks:
+		f.Link = v.Word("link", "", links...)
+		f.On = v.Word("on", OnSidecars, OnSidecars, OnBackends, OnLists)
+		if f.On != OnSidecars && !strings.HasSuffix(f.Link, f.On) {
+			v.Bad(rules.Exclusive, "on", "%s are at no end of the link %s", f.On, f.Link)
+		}
+		if f.Kind == OneWay && f.Way == Both {
+			v.Bad(rules.Missing, "way", "the direction expected: there or back")
+		}
+		if f.Kind == Delay && f.Delay+f.More == 0 {
+			v.Bad(rules.Missing, "delay", "the delay expected")
+		}
+		if f.Kind == Slow && f.Rate == 0 {
+			v.Bad(rules.Missing, "rate", "bytes a second expected")
+		}
+	case ofProcesses:
+		f.On = v.Word("on", OnSidecars, OnSidecars, OnLists, OnBackends)
+		if f.On == OnBackends && (f.Share > 0 || f.Site != "" || len(f.Names) > 0) && f.Kind != Stop {
+			v.Bad(rules.Exclusive, "on", "backends share processes: all of them, or single ones by kind = %q, expected", Replace)
+		}
+	case ofLists:
+		f.On = OnLists
+		v.Take("on")
+	case ofBackends:
+		f.On = OnBackends
+		v.Take("on")
+	}
+	v.Take("link", "on")
+	if f.Site != "" && !slices.Contains(x.Sidecars.Sites, f.Site) {
+		v.Bad(rules.UnknownZone, "site", "one of the sites expected: %s", strings.Join(x.Sidecars.Sites, ", "))
+	}
+	known := x.Names(f.On)
+	for _, n := range f.Names {
+		if !slices.Contains(known, n) {
+			v.Bad(rules.UnknownService, "names", "%q is no process of this run; %s-1 to %s-%d expected", n, single(f.On), single(f.On), len(known))
+		}
+	}
+	return f
+}
+
+func single(group string) string { return strings.TrimSuffix(group, "s") }
+
+// Names are the members of a group, in order.
+func (x *Scenario) Names(group string) (out []string) {
+	n := map[string]int{OnSidecars: x.Sidecars.Count, OnLists: x.Lists.Count, OnBackends: x.Backends.Count, OnClients: x.Clients.Processes}[group]
+	for i := range n {
+		out = append(out, fmt.Sprintf("%s-%d", single(group), i+1))
+	}
+	return out
+}
+
+// Site is the site of the nth member of a group, from 0.
+func (x *Scenario) Site(n int) string { return x.Sidecars.Sites[n%len(x.Sidecars.Sites)] }
--- /dev/null
+++ b/internal/rig/scenario/schedule.go
@@ -0,0 +1,148 @@
+package scenario
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	scheduleStream = 1 // of the seed
+	leastFault     = 100 * time.Millisecond
+	mostShare      = 0.6 // of a group that a drawn fault acts on
+)
+
+// Schedule is every fault of the run with the names of what it acts on: those that stand in the scenario, and those that it
+// has drawn, by their times. The same seed gives the same schedule.
+func (x *Scenario) Schedule() (out []Fault) {
+	rnd := rand.New(rand.NewPCG(x.Seed, scheduleStream))
+	for _, f := range x.Faults {
+		f.Names = x.chosen(f, rnd)
+		out = append(out, f)
+	}
+	for range x.Random.Count {
+		f := x.draw(rnd)
+		f.Names = x.chosen(f, rnd)
+		out = append(out, f)
+	}
+	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return out
+}
+
+// chosen are the names of those that a fault acts on.
+func (x *Scenario) chosen(f Fault, rnd *rand.Rand) (out []string) {
+	if len(f.Names) > 0 {
+		return f.Names
+	}
+	for i, n := range x.Names(f.On) {
+		if f.Site == "" || x.Site(i) == f.Site || f.On == OnLists {
+			out = append(out, n)
+		}
+	}
+	if f.Share > 0 && f.Share < 1 {
+		rnd.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+		out = out[:max(1, int(f.Share*float64(len(out))+0.5))]
+		slices.SortFunc(out, func(a, b string) int { return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b)) })
+	}
+	return out
+}
+
+// draw draws one fault.
+func (x *Scenario) draw(rnd *rand.Rand) Fault {
+	r := x.Random
+	f := Fault{Kind: r.Kinds[rnd.IntN(len(r.Kinds))], Way: Both, Share: 0.1 + rnd.Float64()*(mostShare-0.1), Bytes: rnd.IntN(300)}
+	f.For = min(leastFault+time.Duration(rnd.Int64N(int64(r.Long))), r.Until-r.From).Round(time.Millisecond)
+	f.At = (r.From + time.Duration(rnd.Int64N(int64(r.Until-r.From-f.For)+1))).Round(time.Millisecond)
+	f.At = min(f.At, x.For-f.For)
+	switch kinds[f.Kind] {
+	case ofLinks:
+		f.Link, f.On = links[rnd.IntN(len(links))], OnSidecars
+		if f.Kind == OneWay || f.Kind == Delay || f.Kind == Hold || f.Kind == Half {
+			f.Way = []string{There, Back}[rnd.IntN(2)]
+		}
+		if f.Kind == Delay {
+			f.Delay, f.More = time.Duration(1+rnd.IntN(1000))*time.Millisecond, time.Duration(rnd.IntN(200))*time.Millisecond
+		}
+		if f.Kind == Slow {
+			f.Rate = 100 + rnd.IntN(20_000)
+		}
+	case ofProcesses:
+		f.On = OnSidecars
+	case ofLists:
+		f.On, f.Share = OnLists, 0
+	case ofBackends:
+		f.On = OnBackends
+	}
+	return f
+}
+
+// With is the scenario with a schedule of its own and nothing drawn.
+func (x *Scenario) With(faults []Fault) *Scenario {
+	y := *x
+	y.Faults, y.Random = faults, Random{}
+	return &y
+}
+
+// Text is a schedule as a scenario file has it.
+func Text(faults []Fault) string {
+	var b strings.Builder
+	for _, f := range faults {
+		fmt.Fprintf(&b, "[[faults]]\nat = %q\nfor = %q\nkind = %q\n", f.At, f.For, f.Kind)
+		if kinds[f.Kind] == ofLinks {
+			fmt.Fprintf(&b, "link = %q\non = %q\nway = %q\n", f.Link, f.On, f.Way)
+		} else if kinds[f.Kind] == ofProcesses {
+			fmt.Fprintf(&b, "on = %q\n", f.On)
+		}
+		var names []string
+		for _, n := range f.Names {
+			names = append(names, strconv.Quote(n))
+		}
+		if len(names) > 0 {
+			fmt.Fprintf(&b, "names = [%s]\n", strings.Join(names, ", "))
+		}
+		if f.Delay+f.More > 0 {
+			fmt.Fprintf(&b, "delay = %q\njitter = %q\n", f.Delay, f.More)
+		}
+		if f.Kind == Hold {
+			fmt.Fprintf(&b, "bytes = %d\n", f.Bytes)
+		}
+		if f.Kind == Slow {
+			fmt.Fprintf(&b, "rate = %d\n", f.Rate)
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
+// Shrink leaves out faults for as long as what is left still fails: first large parts, then single ones (delta debugging, as
+// Zeller and Hildebrandt describe it). found is false where the whole schedule does not fail.
+func Shrink(all []Fault, fails func([]Fault) bool) (least []Fault, found bool) {
+	if !fails(all) {
+		return nil, false
+	}
+	if len(all) > 0 && fails(nil) {
+		return nil, true
+	}
+	for part := max(1, len(all)/2); len(all) > 1; {
+		cut := false
+		for from := 0; from < len(all) && len(all) > 1; {
+			to := min(from+part, len(all))
+			if rest := slices.Concat(all[:from], all[to:]); len(rest) > 0 && fails(rest) {
+				all, cut = rest, true
+			} else {
+				from = to
+			}
+		}
+		if !cut {
+			if part == 1 {
+				break
+			}
+			part = max(1, part/2)
+		}
+	}
+	return all, true
+}
