--- a/cmd/fernctl/fleet.go
+++ b/cmd/fernctl/fleet.go
@@ -22,7 +22,7 @@
 	seed := &cli.Uint64Flag{Name: "seed", Usage: "in place of the day's own `SEED`"}
 	return &cli.Command{Name: "fleet", Usage: "play days of a whole fleet on a virtual clock",
 		Action: func(_ context.Context, c *cli.Command) error {
-			return errors.New("fleet: one of run, sweep and explain expected")
+			return errors.New("fleet: one of run, sweep, explain and coldstart expected")
 		},
 		Commands: []*cli.Command{
 			{Name: "run", Usage: "play the day that FILES describe, later ones over earlier ones", ArgsUsage: "FILE...",
@@ -33,6 +33,7 @@
 			{Name: "explain", Usage: "draw a copy's counts over a day, with what caused its refusals", ArgsUsage: "FILE...",
 				Flags: []cli.Flag{seed, &cli.IntFlag{Name: "tier", Usage: "its `NUMBER`, from 0"}, &cli.IntFlag{Name: "copy", Usage: "its `NUMBER`, from 0"},
 					&cli.BoolFlag{Name: "svg", Usage: "as a picture"}}, Action: fleetExplain},
+			coldStartCommand(),
 		}}
 }
 
--- a/cmd/fernctl/fleet_test.go
+++ b/cmd/fernctl/fleet_test.go
@@ -48,7 +48,7 @@
 		{[]string{"run"}, 2, "a day's file expected"},
 		{[]string{"run", filepath.Join(dir, "none.toml")}, 2, "no such file"},
 		{[]string{"run", slow}, 2, "slow.toml: load: found 0"},
-		{nil, 2, "one of run, sweep and explain expected"},
+		{nil, 2, "one of run, sweep, explain and coldstart expected"},
 	} {
 		var out, log bytes.Buffer
 		code := run(context.Background(), append([]string{"fleet"}, c.args...), &out, &log)
--- a/internal/start/reads.go
+++ b/internal/start/reads.go
@@ -55,6 +55,7 @@
 	mostWait      = 5 * time.Minute
 	firstWait     = 250 * time.Millisecond // of a wait after a failure: the least
 	waitGrowth    = 3                      // the bound of the next wait over the last wait (decorrelated jitter)
+	firstPart     = 8                      // the bound of the first wait is at least this part of the longest
 	calmTimes     = 2                      // a copy whose list still serves waits up to this many times as long
 
 	mostPatience = 30 * time.Second
@@ -140,7 +141,8 @@
 		most *= calmTimes
 	}
 	// The draw is cut by its bound, not at it: waits cut at a bound would all come out alike, and the copies together.
-	r.wait = r.draw(firstWait, min(waitGrowth*max(r.wait, firstWait), most))
+	// A large fleet's first waits are long too: those who are turned away at the start are nearly all of it.
+	r.wait = r.draw(firstWait, min(max(waitGrowth*max(r.wait, firstWait), most/firstPart), most))
 	c := Call{After: r.wait, Why: o.String()}
 	if after > 0 {
 		after = min(after, mostWait)
