--- a/internal/rig/actor/actor.go
+++ b/internal/rig/actor/actor.go
@@ -39,6 +39,7 @@
 	Part     float64       `json:"part,omitempty"`
 	Bears    float64       `json:"bears,omitempty"`
 	Conns    int           `json:"conns,omitempty"`
+	Fresh    bool          `json:"fresh,omitempty"` // they have just started; otherwise they are warm
 
 	// Of clients.
 	Sidecars map[string]string `json:"sidecars,omitempty"` // addresses by name
--- a/internal/rig/actor/backends.go
+++ b/internal/rig/actor/backends.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fernlanding/internal/rig/history"
+	"fernlanding/internal/sock"
 	"fernlanding/internal/standin"
 )
 
@@ -30,7 +31,10 @@
 	b := &backends{spec: s, t: t, all: map[string]*worker{}}
 	h := Hello{Addresses: map[string]string{}}
 	for i, name := range s.Backends {
-		w := &worker{spec: s, t: t, name: name, pod: s.Pods[i], cores: make(chan struct{}, s.Cores), born: time.Now().Add(-s.Cold), address: "127.0.0.1:0"}
+		w := &worker{spec: s, t: t, name: name, pod: s.Pods[i], born: time.Now().Add(-s.Cold), address: "127.0.0.1:0"}
+		if s.Fresh {
+			w.born = time.Now()
+		}
 		if err := w.start(); err != nil {
 			b.close()
 			return nil, h, err
@@ -77,16 +81,17 @@
 	return nil
 }
 
-// worker is one backend: cores, a waiting room, and a capacity that grows from its start on.
+// worker is one backend: cores, of which a fresh one has a part at first, and a waiting room. What has waited for a core and
+// whose caller has gone is not begun.
 type worker struct {
 	spec    Spec
 	t       teller
 	name    string
 	pod     int
 	address string
-	cores   chan struct{}
 	born    time.Time
 	backend *standin.Backend
+	warming []*time.Timer // each brings a core
 
 	mu     sync.Mutex
 	held   int // requests
@@ -106,10 +111,18 @@
 	if w.backend != nil {
 		return nil
 	}
-	b, err := standin.NewBackendAt(w.address, w.handle)
+	cores := make(chan struct{}, w.spec.Cores)
+	b, err := standin.NewBackendAt(w.address, func(c *standin.Call) bool { return w.handle(c, cores) })
 	if err != nil {
 		return err
 	}
+	for n := 2; n <= w.spec.Cores && w.warmth(time.Now()) < 1; n++ {
+		// The nth core is there as soon as more than n-1 cores' part of the capacity is; see take for what is not whole.
+		if after := (float64(n-1)/float64(w.spec.Cores) - w.spec.Part) / (1 - w.spec.Part) * float64(w.spec.Cold); after > 0 {
+			cores <- struct{}{}
+			w.warming = append(w.warming, time.AfterFunc(time.Until(w.born.Add(time.Duration(after))), func() { <-cores }))
+		}
+	}
 	b.Bound(w.spec.Conns)
 	w.backend = b
 	return nil
@@ -117,8 +130,11 @@
 
 func (w *worker) end() {
 	if w.backend != nil {
+		for _, t := range w.warming {
+			t.Stop()
+		}
 		w.backend.Close()
-		w.backend = nil
+		w.backend, w.warming = nil, nil
 	}
 }
 
@@ -145,7 +161,8 @@
 		w.pushed = true
 		w.t.tell(history.Event{Kind: history.Pushed, Who: w.name, N: 1, Took: int64(w.held)})
 	}
-	times := 1 / warm
+	part := warm * float64(w.spec.Cores)
+	times := math.Ceil(part) / part
 	if w.pushed || now.Before(w.until) {
 		times *= pushedSlow
 	}
@@ -166,7 +183,7 @@
 	}
 }
 
-func (w *worker) handle(c *standin.Call) bool {
+func (w *worker) handle(c *standin.Call, cores chan struct{}) bool {
 	e := history.Event{Who: w.name, ID: c.Header.Get("Request-Id"), Key: c.Header.Get("Idempotency-Key"), Class: c.Method, Conn: c.Conn.RemoteAddr().String(), N: int64(c.OnConn), Pod: w.pod}
 	w.mu.Lock()
 	fails := w.fails
@@ -182,11 +199,14 @@
 	}
 	defer w.leave()
 	select {
-	case w.cores <- struct{}{}:
-		defer func() { <-w.cores }()
+	case cores <- struct{}{}:
+		defer func() { <-cores }()
 	case <-c.Done:
 		return false
 	}
+	if !sock.Quiet(c.Conn) {
+		return false // its caller has gone
+	}
 	e.Kind = history.Ran
 	w.t.tell(e)
 	work := time.NewTimer(time.Duration(times * float64(w.spec.Work)))
--- a/internal/rig/actor/clients.go
+++ b/internal/rig/actor/clients.go
@@ -40,6 +40,9 @@
 // Classes are the classes of every run.
 func Classes() []Class { return slices.Clone(classes) }
 
+// Tenant is the one tenant of all requests.
+const Tenant = "roaming"
+
 // Window is how long a pod of backends drops a key's repeats.
 const Window = 7500 * time.Millisecond
 
@@ -223,7 +226,7 @@
 		body = `{"minutes":3}`
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nRequest-Timeout-Ms: %d\r\n", k.Method, target, id, k.Deadline.Milliseconds())
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nTenant: %s\r\nRequest-Timeout-Ms: %d\r\n", k.Method, target, id, Tenant, k.Deadline.Milliseconds())
 	if k.Repeat == "keyed" {
 		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", id)
 	}
--- a/internal/rig/play.go
+++ b/internal/rig/play.go
@@ -126,7 +126,7 @@
 			case scenario.OnLists:
 				err = r.startList(ctx, i)
 			default:
-				err = r.startBackends(ctx, i)
+				err = r.startBackends(ctx, i, true)
 			}
 			if err != nil {
 				return err
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -222,13 +222,17 @@
 		r.names[name] = i
 	}
 	for p := range r.backs {
-		if err := r.startBackends(ctx, p); err != nil {
+		if err := r.startBackends(ctx, p, b.Fresh); err != nil {
 			return err
 		}
 	}
 	var all []standin.Member
+	since := int64(0)
+	if b.Fresh {
+		since = time.Now().UnixMilli()
+	}
 	for i, name := range r.workers {
-		all = append(all, standin.Member{Name: name, Address: ":" + strconv.Itoa(r.backPort[i]), Zone: r.sc.Site(i), Group: i % pods, Weight: 1, Status: "SERVING"})
+		all = append(all, standin.Member{SinceMs: since, Name: name, Address: ":" + strconv.Itoa(r.backPort[i]), Zone: r.sc.Site(i), Group: i % pods, Weight: 1, Status: "SERVING"})
 	}
 	r.change(all...)
 	for i := range r.lists {
@@ -239,10 +243,10 @@
 	return nil
 }
 
-// startBackends starts one process of backends, the pth.
-func (r *run) startBackends(ctx context.Context, p int) error {
+// startBackends starts one process of backends, the pth; fresh ones are cold.
+func (r *run) startBackends(ctx context.Context, p int, fresh bool) error {
 	b := r.sc.Backends
-	spec := actor.Spec{Name: r.backs[p], Group: scenario.OnBackends, Cores: b.Cores, Waiting: b.Waiting, Work: b.Work, Cold: b.Cold, Part: b.Part, Bears: b.Bears, Conns: b.Conns}
+	spec := actor.Spec{Name: r.backs[p], Group: scenario.OnBackends, Cores: b.Cores, Waiting: b.Waiting, Work: b.Work, Cold: b.Cold, Part: b.Part, Bears: b.Bears, Conns: b.Conns, Fresh: fresh}
 	for i, name := range r.workers {
 		if i%len(r.backs) == p {
 			spec.Backends, spec.Pods = append(spec.Backends, name), append(spec.Pods, i%pods)
@@ -426,6 +430,9 @@
 	if b.Cold > 0 {
 		fmt.Fprintf(&t, "cold = %q\nstart_capacity = %g\ncold_multiple = %g\n", b.Cold, b.Part, b.Bears)
 	}
+	if q := r.sc.Clients.Quota; q > 0 {
+		fmt.Fprintf(&t, "[services.rating.tenants.%s]\nportion = 1\nquota = %g\n", actor.Tenant, q)
+	}
 	for _, c := range actor.Classes() {
 		fmt.Fprintf(&t, "[services.rating.classes.%s]\nrepeat = %q\nobjective = %q\ndeadline = %q\n", c.Name, c.Repeat, c.Objective, c.Deadline)
 		if c.Repeat == "keyed" {
--- a/internal/rig/scenario/scenario.go
+++ b/internal/rig/scenario/scenario.go
@@ -66,6 +66,7 @@
 	Cold      time.Duration // until a fresh one is warm; 0: at once
 	Part      float64       // of its capacity that a fresh one starts with
 	Bears     float64       // a cold one bears this many times its present capacity at once
+	Fresh     bool          // all of them have just started when the run begins
 	Conns     int           // connections that each holds; further ones are closed; 0: any number
 }
 
@@ -73,6 +74,7 @@
 type Clients struct {
 	Rate      float64 // requests a second, over all
 	Processes int
+	Quota     float64       // requests a second that sidecars are told to be inside the one tenant's share; 0: no tenant
 	Poll      time.Duration // between two looks at whether a sidecar is ready
 }
 
@@ -232,14 +234,15 @@
 	v = s.Sub("backends")
 	x.Backends = Backends{Count: int(v.Whole("count", 4, 1, MaxBackends)), Processes: int(v.Whole("processes", 1, 1, maxActors)), Cores: int(v.Whole("cores", 4, 1, 1024)),
 		Waiting: int(v.Whole("waiting", 32, 0, 1e6)), Work: v.Span("work", 5*time.Millisecond, 0, time.Minute), Cold: v.Span("cold", 0, 0, MaxFor),
-		Part: v.Number("start_capacity", 1, 0.01, 1), Bears: v.Number("cold_multiple", 3, 1, 100), Conns: int(v.Whole("connections", 0, 0, 1e6))}
+		Part: v.Number("start_capacity", 1, 0.01, 1), Bears: v.Number("cold_multiple", 3, 1, 100), Conns: int(v.Whole("connections", 0, 0, 1e6)),
+		Fresh: v.Flag("fresh")}
 	if x.Backends.Processes > x.Backends.Count {
 		v.Bad(rules.Range, "processes", "1 to the %d backends expected", x.Backends.Count)
 	}
 	v.Done()
 	v = s.Sub("clients")
 	x.Clients = Clients{Rate: v.Number("rate", 0, 0, MaxRate), Processes: int(v.Whole("processes", 1, 1, maxActors)),
-		Poll: v.Span("poll", 200*time.Millisecond, 10*time.Millisecond, time.Minute)}
+		Quota: v.Number("quota", 0, 0, 1e9), Poll: v.Span("poll", 200*time.Millisecond, 10*time.Millisecond, time.Minute)}
 	v.Done()
 	v = s.Sub("bounds")
 	x.Bounds = Bounds{Reads: v.Number("reads_per_s", 0, 0, 1e9), Connects: v.Number("connects_per_s", 0, 0, 1e9), ReadyFor: v.Number("ready_part", 0, 0, 1),
--- a/logic/figures.go
+++ b/logic/figures.go
@@ -15,13 +15,14 @@
 	ByTries         // it has had all its attempts
 	ByBudget        // the budget of further attempts is spent
 	ByTurn          // its turn, by its key, would come too late
+	ByCold          // only cold servers could have it, and they bear no more
 	Causes    = iota
 )
 
 // String is the cause in words.
 func (c Cause) String() string {
 	return [Causes]string{"none", "connections", "tier count", "tenant count", "class count", "time left", "no server",
-		"attempts", "retry budget", "turn of its key"}[c]
+		"attempts", "retry budget", "turn of its key", "cold servers"}[c]
 }
 
 // Evidence is the kind of evidence that cut a count.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -489,7 +489,7 @@
 // few warm and healthy servers, or none that the request may go to.
 func (b *Balancer) draw(now int64, q *request) *server {
 	b.weights = b.weights[:0]
-	total, best, room := 0.0, 0, b.subset(now)
+	total, best, room, warm := 0.0, 0, b.subset(now), 0.0
 	for _, s := range b.ready {
 		if room <= 0 && total > 0 {
 			break
@@ -504,15 +504,44 @@
 			total, best = 0, rank
 		}
 		total += w
+		warm += b.warmth(now, s)
 		b.weights = append(b.weights, w)
 	}
 	s := b.pick(b.rnd.Float64() * total)
+	if s != nil && b.warmth(now, s) < 1 && b.rnd.Float64() > b.bears(now, warm/float64(len(b.weights))) {
+		if s = b.pick(b.rnd.Float64() * b.dropCold(now)); s == nil {
+			b.cause = ByCold
+		}
+	}
 	if b.untried++; s != nil && s.healthFor(q.Class) < failing {
 		b.untried = 0
 	}
 	return s
 }
 
+// bears is the part of the calls drawn for cold servers that they can take. Their weights see to it while most
+// servers are warm. Where few are, after a release or a loss that all share, the copies of this proxy would send
+// them in sum what warm ones bear. Servers are held to be made for all that the tenants may ask for; a copy
+// that is asked for less sends more of it, and at first it expects to be asked for its part.
+func (b *Balancer) bears(now int64, warmth float64) float64 {
+	if b.s.Stage > 0 || b.fair == 0 {
+		return 1 // nothing tells how many calls servers are made for
+	}
+	life := float64(min(now-b.born, tallySpan)) / float64(second)
+	return warmth / coldMargin * b.fair * (life + 1) / (b.came.at(now) + b.fair)
+}
+
+// dropCold takes the cold servers out of the draw and returns what is left of the sum of weights.
+func (b *Balancer) dropCold(now int64) (total float64) {
+	for i, s := range b.ready[:len(b.weights)] {
+		if b.warmth(now, s) < 1 {
+			b.weights[i] = 0
+		}
+		total += b.weights[i]
+	}
+	return total
+}
+
 // rank is the order in which servers come into question for a request; the highest goes first.
 func (b *Balancer) rank(q *request, s *server) int {
 	switch {
