Note a sidecar's starts in a lasting folder, and say when it is ready or why it is not

Need: a copy that dies again and again read its list at full rate each time, and a copy that was not ready said nothing. process.state_dir: starts without a life of two minutes are counted; each makes the next first reading later, to 30 s.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -51,6 +51,7 @@
 	Wording   Wording
 	Seed      uint64 // of all random draws; 0: the sidecar draws one
 	Process   Process
+	StateDir  string // a folder that lasts, for what outlives the process; empty: none
 	Listeners []Listener
 	Services  []*Service
 	Routes    []Route
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -34,7 +34,7 @@
 
 // later are the fields that version 1 lacks.
 var later = map[string]int{"team": 2, "host": 2, "serves": 2, "generated": 2, "owner": 2, "answers": 2, "cold_multiple": 2, "share": 2,
-	"path": 2, "registered_as": 2, "token_file": 2, "key": 2, "resend": 2, "early_data": 2, "hedge": 2, "formerly": 2, "for": 2}
+	"path": 2, "registered_as": 2, "token_file": 2, "key": 2, "resend": 2, "early_data": 2, "hedge": 2, "formerly": 2, "for": 2, "state_dir": 2}
 
 // decoder reads one file.
 type decoder struct {
@@ -110,6 +110,9 @@
 	p := s.Sub("process")
 	app.Process = Process{Cores: p.Number("cores", 0, 0, 1024), MemoryMB: p.Number("memory_mb", 0, 0, 1<<20),
 		Sockets: int(p.Whole("sockets", defaultSockets, 1, 1<<24))}
+	if app.StateDir = p.Text("state_dir", ""); p.Has("state_dir") && app.StateDir == "" {
+		p.Bad(rules.Missing, "state_dir", "a folder expected")
+	}
 	p.Done()
 	x.listeners(s)
 	names, scopes := s.Each("services")
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -414,10 +414,21 @@
 
 // file is a sidecar's configuration.
 func (r *run) file(i int) string {
-	s, b := r.sc.Sidecars, r.sc.Backends
+	s := r.sc.Sidecars
 	at := r.places[i].String()
 	var t strings.Builder
 	fmt.Fprintf(&t, "version = 2\nname = %q\n\n[process]\nmemory_mb = %g\nsockets = %d\n\n[[listeners]]\naddress = %q\n\n", r.sidecars[i], s.MemoryMB, s.Sockets, net.JoinHostPort(at, strconv.Itoa(r.port)))
+	if s.State { // of the process table, which stands before the listeners
+		return strings.Replace(t.String(), "[process]\n", fmt.Sprintf("[process]\nstate_dir = %q\n", filepath.Join(r.dir, r.sidecars[i])), 1) + r.service(i)
+	}
+	return t.String() + r.service(i)
+}
+
+// service is the part of a sidecar's configuration that says whom it calls.
+func (r *run) service(i int) string {
+	s, b := r.sc.Sidecars, r.sc.Backends
+	at := r.places[i].String()
+	var t strings.Builder
 	fmt.Fprintf(&t, "[services.rating]\nmembership = \"catalog\"\ndiscovery = %q\ntrusted = true\n", net.JoinHostPort(at, strconv.Itoa(r.listPort[i%len(r.listPort)])))
 	if s.Told {
 		fmt.Fprintf(&t, "siblings = %d\nordinal = %d\n", s.Count, i)
--- a/internal/rig/scenario/scenario.go
+++ b/internal/rig/scenario/scenario.go
@@ -46,6 +46,7 @@
 	Start    time.Duration // they are started within this; 0: together
 	MemoryMB float64
 	Sockets  int
+	State    bool // each has a folder that outlives its process
 }
 
 // Lists are the stand-in list services, one process each. Sidecars are dealt out to them in turn.
@@ -222,7 +223,7 @@
 	}
 	v := s.Sub("sidecars")
 	x.Sidecars = Sidecars{Count: int(v.Whole("count", 1, 1, MaxSidecars)), Sites: v.Texts("sites"), Told: v.Flag("told"), Start: v.Span("start", 0, 0, MaxFor),
-		MemoryMB: v.Number("memory_mb", 64, 16, 1<<16), Sockets: int(v.Whole("sockets", 512, 64, 1<<16))}
+		MemoryMB: v.Number("memory_mb", 64, 16, 1<<16), Sockets: int(v.Whole("sockets", 512, 64, 1<<16)), State: v.Flag("state")}
 	if len(x.Sidecars.Sites) == 0 {
 		x.Sidecars.Sites = []string{"a"}
 	}
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -40,6 +40,7 @@
 // last request has ended.
 type service struct {
 	cfg    *config.Service // does not change; where the list comes from does
+	starts int             // of the sidecar lately
 	rnd    *rand.Rand      // nil: the list service is not shared, and calls to it need no spreading; only plug draws from it
 	pool   *core.Pool
 	up     *upstream.Upstream
@@ -61,12 +62,13 @@
 	sockets  *shares
 	memory   *shares // nil on the platform
 	memoryMB float64
+	starts   int  // of this sidecar lately, this one not included, as far as is known
 	paced    bool // lists come from a service that all copies share, and not from an agent on this machine
 }
 
 // newService makes a service; it stands still until start.
 func newService(cfg *config.Service, seed uint64, with parted) (*service, error) {
-	s := &service{cfg: cfg}
+	s := &service{cfg: cfg, starts: with.starts}
 	if with.paced {
 		s.rnd = rand.New(rand.NewPCG(seed, pacedStream))
 	}
@@ -145,9 +147,10 @@
 			if copies == 1 {
 				copies = 0 // not told
 			}
-			cc.Reads, cc.Known, cc.Urgent = pace.NewReads(pace.ReadsConfig{Copies: copies}, s.rnd), known, s.urgent
+			cc.Reads, cc.Known, cc.Urgent = pace.NewReads(pace.ReadsConfig{Copies: copies, Starts: s.starts}, s.rnd), known, s.urgent
 		}
 		source = catalog.New(cc)
+		s.starts = 0 // a later source, after a reload, is no start
 	}
 	s.source.Go(func() { source.Run(ctx, s.roster) })
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"reflect"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,12 +20,16 @@
 	"fernlanding/internal/core"
 	"fernlanding/internal/front"
 	"fernlanding/internal/front/http1"
+	"fernlanding/internal/start/record"
 )
 
 const (
-	killAfter  = 3 * time.Second        // SIGKILL comes the longest deadline, or this, after SIGTERM
-	killLeeway = 500 * time.Millisecond // and somewhat more
-	servePart  = 0.7                    // of the time between: requests are taken; the rest is for their answers
+	killAfter     = 3 * time.Second        // SIGKILL comes the longest deadline, or this, after SIGTERM
+	killLeeway    = 500 * time.Millisecond // and somewhat more
+	notReadyEvery = 5 * time.Second        // says a sidecar that is not ready why
+	readyPoll     = 50 * time.Millisecond  // looks it whether it is
+
+	servePart = 0.7 // of the time between: requests are taken; the rest is for their answers
 )
 
 // Sidecar is a proxy with its listeners open.
@@ -34,6 +39,7 @@
 	fronts []*http1.Front
 	world  atomic.Pointer[world]
 	ended  chan struct{}
+	record *record.Record // of its starts; nil: none is kept
 
 	mu       sync.Mutex // one configuration takes hold at a time
 	app      *config.App
@@ -66,6 +72,12 @@
 			return nil, err
 		}
 	}
+	if app.StateDir != "" {
+		s.record = record.In(app.StateDir)
+		if s.with.starts, err = s.record.Begin(time.Now()); err != nil {
+			log.Warn("earlier starts are not known", "error", strings.ReplaceAll(err.Error(), "\n", "; "))
+		}
+	}
 	w, _, err := s.prepare(app)
 	if err != nil {
 		return nil, err
@@ -243,7 +255,7 @@
 	if !reflect.DeepEqual(app.Listeners, s.app.Listeners) {
 		return fmt.Errorf("listeners: %w", errFixed)
 	}
-	if app.Process != s.app.Process {
+	if app.Process != s.app.Process || app.StateDir != s.app.StateDir {
 		return fmt.Errorf("process: %w", errFixed)
 	}
 	w, _, err := s.prepare(app)
@@ -279,6 +291,11 @@
 	defer s.end()
 	var parts sync.WaitGroup
 	defer parts.Wait()
+	if s.with.paced {
+		watch, unwatch := context.WithCancel(ctx)
+		defer unwatch()
+		parts.Go(func() { s.watchStart(watch) })
+	}
 	served := make(chan error, len(s.fronts))
 	for _, f := range s.fronts {
 		parts.Go(func() { served <- f.Serve() })
@@ -317,6 +334,36 @@
 	return err
 }
 
+// watchStart says in the log when the sidecar is ready, and until then now and then why it is not; and it has its start
+// forgotten once it has lasted.
+func (s *Sidecar) watchStart(ctx context.Context) {
+	began, said := time.Now(), time.Now()
+	look := time.NewTicker(readyPoll)
+	defer look.Stop()
+	lasted := time.NewTimer(record.Stable)
+	defer lasted.Stop()
+	for {
+		select {
+		case now := <-look.C:
+			if s.healthy() {
+				look.Stop()
+				s.log.Info("ready", "after", now.Sub(began).Round(time.Millisecond), "earlier_starts", s.with.starts)
+			} else if now.Sub(said) >= notReadyEvery {
+				said = now
+				s.log.Warn("not ready", "for", now.Sub(began).Round(time.Millisecond), "no_list_of", s.world.Load().unlisted(), "earlier_starts", s.with.starts)
+			}
+		case <-lasted.C:
+			if s.record != nil {
+				if err := s.record.Lasted(); err != nil {
+					s.log.Warn("record of starts", "error", err)
+				}
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // end ends all services, those included that drain.
 func (s *Sidecar) end() {
 	s.halted()
--- a/internal/sidecar/world.go
+++ b/internal/sidecar/world.go
@@ -33,6 +33,17 @@
 	mirrors    chan struct{}
 }
 
+// unlisted are the names of the services that have no list.
+func (w *world) unlisted() (names []string) {
+	for name, v := range w.services {
+		if !v.ready() {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // table is one listener's routes.
 type table struct {
 	compiled *route.Table
