--- /dev/null
+++ b/internal/rig/check/check_test.go
@@ -0,0 +1,136 @@
+package check_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"fernlanding/internal/rig/actor"
+	"fernlanding/internal/rig/check"
+	"fernlanding/internal/rig/history"
+	"fernlanding/internal/rig/scenario"
+)
+
+const ms = 1000
+
+func sc(t *testing.T, more string) *scenario.Scenario {
+	t.Helper()
+	x, err := scenario.Read("s.toml", []byte("name = \"x\"\n[sidecars]\ncount = 2\n[backends]\ncount = 3\n"+more))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return x
+}
+
+func asked(at, took int64, status int, why string) history.Event {
+	return history.Event{At: at * ms, Kind: history.Asked, To: "sidecar-1", ID: "r", Class: "charge-post", Took: took * ms, Until: (at + 2000) * ms, Status: status, Why: why}
+}
+
+func ran(at int64, id, key, who string, pod int) history.Event {
+	return history.Event{At: at * ms, Kind: history.Ran, Class: "POST", ID: id, Key: key, Who: who, Pod: pod}
+}
+
+func call(at int64, why string, names ...string) history.Event {
+	return history.Event{At: at * ms, Kind: history.Call, To: "sidecar-1", Conn: "c", Bytes: at, Names: names, Why: why}
+}
+
+func delivered(at, bytes int64) history.Event {
+	return history.Event{At: at * ms, Kind: history.Delivered, Conn: "c", Bytes: bytes}
+}
+
+func sent(at int64) history.Event {
+	return history.Event{At: at * ms, Kind: history.Sent, Who: "sidecar-1", To: "backend-1"}
+}
+
+func on(at int64, kind history.Kind, who string) history.Event {
+	return history.Event{At: at * ms, Kind: kind, Who: who, To: who}
+}
+
+// Each check finds what it is for, and lets the near miss beside it pass.
+func TestChecks(t *testing.T) {
+	window := actor.Window.Milliseconds()
+	cut := func(at, n int64) history.Event {
+		return history.Event{At: at * ms, Kind: history.Fault, ID: "1-cut", N: n, To: "clients-sidecars", Names: []string{"sidecar-1"}}
+	}
+	for _, c := range []struct {
+		name, check string
+		events      []history.Event
+	}{
+		{"served", "", []history.Event{asked(0, 10, 200, "")}},
+		{"served late, which earns nothing", "", []history.Event{asked(0, 2400, 200, "")}},
+		{"answered after its client has gone", check.OneAnswer, []history.Event{asked(0, 2600, 200, "")}},
+		{"no answer", check.OneAnswer, []history.Event{asked(0, 2500, 0, actor.TimedOut)}},
+		{"no answer of one that is killed", "", []history.Event{asked(0, 100, 0, actor.ClosedEarly), on(90, history.Told, "sidecar-1")}},
+		{"no answer long after another was killed", check.OneAnswer, []history.Event{asked(0, 100, 0, actor.ClosedEarly), on(90, history.Told, "sidecar-2")}},
+		{"no answer of one that is back since long", check.OneAnswer, []history.Event{on(0, history.Told, "sidecar-1"), on(500, history.Ready, "sidecar-1"), asked(1100, 100, 0, actor.ClosedEarly)}},
+		{"no answer of one that is stopped", "", []history.Event{asked(0, 2500, 0, actor.TimedOut), on(2000, history.Stopped, "sidecar-1")}},
+		{"no answer over a cut link", "", []history.Event{cut(0, 1), asked(10, 2500, 0, actor.TimedOut), cut(3000, 0)}},
+		{"no answer long after a cut", check.OneAnswer, []history.Event{cut(0, 1), cut(100, 0), asked(1000, 2500, 0, actor.TimedOut)}},
+		{"another's answer, whatever the link", check.OneAnswer, []history.Event{cut(0, 1), asked(10, 10, 200, actor.WrongAnswer)}},
+
+		{"a charge twice", check.Effects, []history.Event{ran(0, "r", "", "backend-1", 0), ran(50, "r", "", "backend-2", 0)}},
+		{"two charges", "", []history.Event{ran(0, "r", "", "backend-1", 0), ran(50, "s", "", "backend-2", 0)}},
+		{"a key that its pod drops", "", []history.Event{ran(0, "r", "k", "backend-1", 1), ran(window-1, "r", "k", "backend-2", 1)}},
+		{"a key in another pod", check.Effects, []history.Event{ran(0, "r", "k", "backend-1", 1), ran(50, "r", "k", "backend-2", 2)}},
+		{"a key after its window", check.Effects, []history.Event{ran(0, "r", "k", "backend-1", 1), ran(window, "r", "k", "backend-2", 1)}},
+
+		{"sent within the grace", "", []history.Event{call(0, "", "backend-1"), delivered(10, 0), sent(300)}},
+		{"sent after the grace", check.Drains, []history.Event{call(0, "", "backend-1"), delivered(10, 0), sent(400)}},
+		{"not handed on", "", []history.Event{call(5, "", "backend-1"), delivered(10, 4), sent(400)}},
+		{"handed on late", "", []history.Event{call(0, "", "backend-1"), delivered(200, 0), sent(500)}},
+		{"a whole list that lacks it", check.Drains, []history.Event{call(0, history.Whole, "+backend-2"), delivered(10, 0), sent(400)}},
+		{"a change that does not name it", "", []history.Event{call(0, "", "backend-2"), delivered(10, 0), sent(400)}},
+		{"back in the list", "", []history.Event{call(0, "", "backend-1"), delivered(10, 0), call(300, "", "+backend-1"), sent(400)}},
+		{"its end noted after the next call", "", []history.Event{call(0, "", "backend-1"), call(20, "", "+backend-1"), delivered(30, 0), sent(400)}},
+		{"by a process that has started since", "", []history.Event{call(0, "", "backend-1"), delivered(10, 0), on(300, history.Started, "sidecar-1"), sent(400)}},
+		{"by one that was stopped", "", []history.Event{call(0, "", "backend-1"), delivered(10, 0), on(20, history.Stopped, "sidecar-1"), on(3000, history.Continued, "sidecar-1"), sent(3200)}},
+		{"by one that was stopped, later", check.Drains, []history.Event{call(0, "", "backend-1"), delivered(10, 0), on(20, history.Stopped, "sidecar-1"), on(3000, history.Continued, "sidecar-1"), sent(3400)}},
+
+		{"a cold backend pushed over", check.Cold, []history.Event{{At: 1, Kind: history.Pushed, Who: "backend-1", N: 1}, {At: 2, Kind: history.Pushed, Who: "backend-1"}}},
+		{"a process that ends by itself", check.Processes, []history.Event{{At: 1, Kind: history.Gone, Who: "sidecar-1", Why: "by itself: ended"}}},
+		{"a process that fails at its end", check.Processes, []history.Event{{At: 1, Kind: history.Gone, Who: "sidecar-1", Why: "exit status 1"}}},
+		{"one that was killed", "", []history.Event{{At: 1, Kind: history.Gone, Who: "sidecar-1", Why: "signal: killed"}}},
+	} {
+		all := append(slices.Clone(c.events), history.Event{At: 99_000_000, Kind: history.Ended})
+		history.Sort(all)
+		var names []string
+		for _, v := range check.Run(sc(t, ""), all) {
+			names = append(names, v.Check)
+		}
+		if strings.Join(names, " ") != c.check {
+			t.Errorf("%s: %q, want %q", c.name, names, c.check)
+		}
+	}
+	for name, last := range map[string][]history.Event{"left": {{Kind: history.Ended, N: 1}}, "broken off": nil} {
+		if v := check.Run(sc(t, ""), last); len(v) != 1 || v[0].Check != check.Processes {
+			t.Errorf("%s: %v", name, v)
+		}
+	}
+}
+
+func TestBoundsAndFigures(t *testing.T) {
+	var all []history.Event
+	all = append(all, on(0, history.Started, "sidecar-1"), on(1, history.Gone, "sidecar-1")) // which only measures
+	for i, n := range []string{"sidecar-1", "sidecar-2"} {
+		all = append(all, on(1000, history.Started, n), history.Event{At: int64(1500+1000*i) * ms, Kind: history.Ready, To: n})
+	}
+	for i := range int64(30) {
+		all = append(all, history.Event{At: (2000 + i) * ms, Kind: history.Call, N: -1, Status: 200}, history.Event{At: (3000 + i) * ms, Kind: history.Opened, Who: "sidecar-1", To: "backend-2"})
+	}
+	all = append(all, asked(4000, 10, 200, ""), asked(4001, 10, 503, ""), history.Event{At: 8_000_000, Kind: history.Ended})
+	x := sc(t, "")
+	f := check.Measure(x, all)
+	if f.Lives != 2 || f.ReadyP50 != 1.5 || f.FirstAll != 1.5 || f.Reads.Peak != 30 || f.Connects != 30 || f.Asked != 2 || f.Served != 1 || f.Turned != 1 || f.Never != 0 {
+		t.Errorf("%+v", f)
+	}
+	if got := f.ReadyWithin(time.Second); got != 0.5 {
+		t.Errorf("%v ready within a second", got)
+	}
+	for bounds, want := range map[string]int{"": 0, "reads_per_s = 30": 0, "reads_per_s = 29": 1, "connects_per_s = 29": 1, "ready_part = 0.5\nready_within = \"1s\"": 0,
+		"ready_part = 0.6\nready_within = \"1s\"": 1, "served_part = 0.5": 0, "served_part = 0.6": 1} {
+		if v := check.Run(sc(t, "[bounds]\n"+bounds+"\n"), all); len(v) != want {
+			t.Errorf("%s: %v", bounds, v)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rig/history/history_test.go
@@ -0,0 +1,48 @@
+package history_test
+
+import (
+	"bytes"
+	"reflect"
+	"strings"
+	"testing"
+
+	"fernlanding/internal/rig/history"
+)
+
+func TestWhatIsWrittenIsReadInOrder(t *testing.T) {
+	var b bytes.Buffer
+	w := history.NewWriter(&b)
+	events := []history.Event{{At: 30, Kind: history.Asked, ID: "x", Status: 200}, {At: 10, Kind: history.Call, N: -1, Names: []string{"+a"}}, {At: 30, Kind: history.Gone}}
+	for _, e := range events {
+		w.Write(e)
+	}
+	if err := w.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	got, err := history.Read(&b)
+	if want := []history.Event{events[1], events[0], events[2]}; err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v, %v", got, err)
+	}
+	for _, c := range []struct{ text, want string }{
+		{"{\"at\":1,\"kind\":\"gone\"}\nx\n", "history: line 2: an event expected"},
+		{`{"at":-1,"kind":"gone"}`, "history: line 1: an event with kind and at expected"},
+		{`{"at":1}`, "history: line 1: an event with kind and at expected"},
+		{strings.Repeat("x", 2<<20), "history: line 1: at most 1048576 bytes expected"},
+	} {
+		if _, err := history.Read(strings.NewReader(c.text)); err == nil || !strings.HasPrefix(err.Error(), c.want) {
+			t.Errorf("%.30s: %v", c.text, err)
+		}
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`{"at":1,"kind":"asked","names":["a"]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		all, err := history.Read(bytes.NewReader(data))
+		for i := 1; err == nil && i < len(all); i++ {
+			if all[i].At < all[i-1].At {
+				t.Fatal("out of order")
+			}
+		}
+	})
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -40,6 +40,7 @@
 	world  atomic.Pointer[world]
 	ended  chan struct{}
 	record *record.Record // of its starts; nil: none is kept
+	remind time.Duration  // between two words that it is not ready
 
 	mu       sync.Mutex // one configuration takes hold at a time
 	app      *config.App
@@ -53,7 +54,7 @@
 
 // New opens the listeners; clients are served from Run on.
 func New(app *config.App, log *slog.Logger) (*Sidecar, error) {
-	s := &Sidecar{log: log, ended: make(chan struct{}), services: map[string]*service{}, leaving: map[*service]bool{},
+	s := &Sidecar{log: log, ended: make(chan struct{}), remind: notReadyEvery, services: map[string]*service{}, leaving: map[*service]bool{},
 		with: parted{clock: core.NewClock(), log: log, memoryMB: app.Process.MemoryMB, paced: app.Wording == config.Application}}
 	s.halt, s.halted = context.WithCancel(context.Background())
 	parts, err := app.Descriptors()
@@ -348,7 +349,7 @@
 			if s.healthy() {
 				look.Stop()
 				s.log.Info("ready", "after", now.Sub(began).Round(time.Millisecond), "earlier_starts", s.with.starts)
-			} else if now.Sub(said) >= notReadyEvery {
+			} else if now.Sub(said) >= s.remind {
 				said = now
 				s.log.Warn("not ready", "for", now.Sub(began).Round(time.Millisecond), "no_list_of", s.world.Load().unlisted(), "earlier_starts", s.with.starts)
 			}
