--- a/logic/logic.go
+++ b/logic/logic.go
@@ -490,7 +490,7 @@
 // few warm and healthy servers, or none that the request may go to.
 func (b *Balancer) draw(now int64, q *request) *server {
 	b.weights = b.weights[:0]
-	total, best, room, warm := 0.0, 0, b.subset(now), 0.0
+	total, best, room, warm, allCold := 0.0, 0, b.subset(now), 0.0, true
 	for _, s := range b.ready {
 		if room <= 0 && total > 0 {
 			break
@@ -506,10 +506,11 @@
 		}
 		total += w
 		warm += b.warmth(now, s)
+		allCold = allCold && b.warmth(now, s) < 1
 		b.weights = append(b.weights, w)
 	}
 	s := b.pick(b.rnd.Float64() * total)
-	if s != nil && b.warmth(now, s) < 1 && b.rnd.Float64() > b.bears(now, warm/float64(len(b.weights))) {
+	if s != nil && b.warmth(now, s) < 1 && b.rnd.Float64() > b.bears(now, warm/float64(len(b.weights)), allCold) {
 		if s = b.pick(b.rnd.Float64() * b.dropCold(now)); s == nil {
 			b.cause = ByCold
 		}
@@ -523,14 +524,19 @@
 // bears is the part of the calls drawn for cold servers that they can take. Their weights see to it while most
 // servers are warm. Where few are, after a release or a loss that all share, the copies of this proxy would send
 // them in sum what warm ones bear. Servers are held to be made for all that the tenants may ask for; a copy
-// that is asked for less sends more of it, and at first it expects to be asked for its part.
-func (b *Balancer) bears(now int64, warmth float64) float64 {
+// that is asked for less sends more of it, and at first it expects to be asked for its part. One that is asked
+// for more sends less only where all are cold: otherwise it would push the warm ones over.
+func (b *Balancer) bears(now int64, warmth float64, allCold bool) float64 {
 	if b.s.Stage > 0 || b.fair == 0 {
 		return 1 // nothing tells how many calls servers are made for
 	}
 	life := float64(min(now-b.born, tallySpan)) / float64(second)
 	before := max(0, b.came.at(now)-1) // the one at hand tells nothing of a rate
-	return warmth / coldMargin * b.fair * (life + coldPrior) / (before + b.fair*coldPrior)
+	part := b.fair * (life + coldPrior) / (before + b.fair*coldPrior)
+	if !allCold {
+		part = max(1, part)
+	}
+	return warmth / coldMargin * part
 }
 
 // dropCold takes the cold servers out of the draw and returns what is left of the sum of weights.
