--- a/internal/rig/actor/clients.go
+++ b/internal/rig/actor/clients.go
@@ -51,7 +51,8 @@
 	mostHeld     = 2000                   // requests under way at a client process
 	loadStream   = 7
 	pollWithin   = time.Second
-	readyPolls   = 5 // times as long between two looks at one that is ready
+	keptFor      = 5 * time.Second // less than a sidecar keeps an idle one (10 s), lest its close cross a request
+	readyPolls   = 5               // times as long between two looks at one that is ready
 	spread       = 1_000_000
 )
 
@@ -74,6 +75,7 @@
 	net.Conn
 	r    *bufio.Reader
 	used bool
+	at   time.Time // when it was kept
 }
 
 func newClients(s Spec, t teller) (doer, Hello, error) {
@@ -266,6 +268,9 @@
 		_ = l.SetDeadline(until)
 		_, err := io.WriteString(l, text)
 		var resp *http.Response
+		if err == nil {
+			_, err = l.r.Peek(1)
+		}
 		if err == nil {
 			resp, err = http.ReadResponse(l.r, &http.Request{Method: k.Method})
 		}
@@ -314,7 +319,7 @@
 	for all := c.idle[name]; len(all) > 0; all = c.idle[name] {
 		l := all[len(all)-1]
 		c.idle[name] = all[:len(all)-1]
-		if sock.Quiet(l.Conn) {
+		if time.Since(l.at) < keptFor && sock.Quiet(l.Conn) {
 			return l
 		}
 		l.Close()
@@ -325,6 +330,7 @@
 func (c *clients) keep(name string, l *line) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	l.at = time.Now()
 	c.idle[name] = append(c.idle[name], l)
 }
 
