--- a/cmd/fernctl/rig.go
+++ b/cmd/fernctl/rig.go
@@ -105,16 +105,25 @@
 }
 
 func rigJudge(sc *scenario.Scenario, path string) ([]check.Verdict, check.Figures, error) {
-	f, err := os.Open(path)
+	all, err := readHistory(path)
 	if err != nil {
 		return nil, check.Figures{}, fmt.Errorf("rig: %w", err)
 	}
+	return check.Run(sc, all), check.Measure(sc, all), nil
+}
+
+// readHistory reads a run's history from a file.
+func readHistory(path string) ([]history.Event, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
 	defer f.Close()
 	all, err := history.Read(f)
 	if err != nil {
-		return nil, check.Figures{}, fmt.Errorf("rig: %s: %w", path, err)
+		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	return check.Run(sc, all), check.Measure(sc, all), nil
+	return all, nil
 }
 
 func copyFile(from, to string) error {
@@ -243,12 +252,7 @@
 }
 
 func rigDraw(sc *scenario.Scenario, from, to string) error {
-	in, err := os.Open(from)
-	if err != nil {
-		return err
-	}
-	defer in.Close()
-	all, err := history.Read(in)
+	all, err := readHistory(from)
 	if err != nil {
 		return err
 	}
