--- a/logic/logic.go
+++ b/logic/logic.go
@@ -510,8 +510,11 @@
 		b.weights = append(b.weights, w)
 	}
 	s := b.pick(b.rnd.Float64() * total)
-	if s != nil && b.warmth(now, s) < 1 && b.rnd.Float64() > b.bears(now, warm/float64(len(b.weights)), allCold) {
-		if s = b.pick(b.rnd.Float64() * b.dropCold(now)); s == nil {
+	if s != nil && b.warmth(now, s) < 1 {
+		if b.rnd.Float64() > b.bears(now, warm/float64(len(b.weights)), allCold) {
+			s = b.pick(b.rnd.Float64() * b.dropCold(now))
+		}
+		if s == nil {
 			b.cause = ByCold
 		}
 	}
@@ -521,11 +524,11 @@
 	return s
 }
 
-// bears is the part of the calls drawn for cold servers that they can take. Their weights see to it while most
-// servers are warm. Where few are, after a release or a loss that all share, the copies of this proxy would send
-// them in sum what warm ones bear. Servers are held to be made for all that the tenants may ask for; a copy
-// that is asked for less sends more of it, and at first it expects to be asked for its part. One that is asked
-// for more sends less only where all are cold: otherwise it would push the warm ones over.
+// bears is the part of the calls drawn for cold servers that they can take. Their weights see to it while
+// most servers are warm. Where few are, after a release or a loss that all share, the copies of this proxy
+// would send them in sum what warm ones bear. Servers are held to be made for all that the tenants may ask
+// for; a copy that is asked for less sends more of it, and at first it expects to be asked for its part. One
+// that is asked for more sends less only where all are cold: otherwise it would push the warm ones over.
 func (b *Balancer) bears(now int64, warmth float64, allCold bool) float64 {
 	if b.s.Stage > 0 || b.fair == 0 {
 		return 1 // nothing tells how many calls servers are made for
