--- a/cmd/fernctl/rig.go
+++ b/cmd/fernctl/rig.go
@@ -79,6 +79,16 @@
 	return rig.Options{Sidecar: []string{program}, Actor: []string{self, "rig", actorWord}, Logs: c.Bool("logs")}, nil
 }
 
+// rigPrepare is what a command needs to play the scenario that it names.
+func rigPrepare(c *cli.Command) (*scenario.Scenario, rig.Options, error) {
+	sc, err := readScenario(c, 1)
+	if err != nil {
+		return nil, rig.Options{}, err
+	}
+	o, err := rigOptions(c)
+	return sc, o, err
+}
+
 // rigPlay plays a scenario once; keep is where its history stays, if not empty.
 func rigPlay(ctx context.Context, sc *scenario.Scenario, o rig.Options, keep string) ([]check.Verdict, check.Figures, error) {
 	dir, err := os.MkdirTemp("", "rig")
@@ -147,11 +157,7 @@
 }
 
 func rigRun(ctx context.Context, c *cli.Command) error {
-	sc, err := readScenario(c, 1)
-	if err != nil {
-		return err
-	}
-	o, err := rigOptions(c)
+	sc, o, err := rigPrepare(c)
 	if err != nil {
 		return err
 	}
@@ -265,11 +271,7 @@
 
 // rigShrink leaves out faults, half of them at a time and then single ones, and prints the schedule that still fails.
 func rigShrink(ctx context.Context, c *cli.Command) error {
-	sc, err := readScenario(c, 1)
-	if err != nil {
-		return err
-	}
-	o, err := rigOptions(c)
+	sc, o, err := rigPrepare(c)
 	if err != nil {
 		return err
 	}
--- a/internal/rig/link/link_test.go
+++ b/internal/rig/link/link_test.go
@@ -45,7 +45,7 @@
 	t.Cleanup(b.Close)
 	s := &seen{}
 	place := link.PlaceOf(os.Getpid()%100, 7)
-	n := link.New(map[link.Place]string{place: "sidecar-8"}, s)
+	n := link.New(s)
 	t.Cleanup(n.Close)
 	for port := 31_000; port < 32_000; port++ {
 		err = n.Listen(link.Relay{Group: group, Port: port, Deliveries: true, To: func(at link.Place) (link.Ends, string, bool) {
--- a/internal/rig/link/net.go
+++ b/internal/rig/link/net.go
@@ -53,7 +53,6 @@
 // Net is all relays of a run.
 type Net struct {
 	watch Watcher
-	names map[Place]string // of the sidecars
 	all   sync.WaitGroup
 	done  chan struct{}
 
@@ -66,9 +65,9 @@
 	closed    bool
 }
 
-// New returns a network without relays. names has the places of sidecars.
-func New(names map[Place]string, watch Watcher) *Net {
-	return &Net{watch: watch, names: names, done: make(chan struct{}), changed: make(chan struct{}), conns: map[*pair]bool{}}
+// New returns a network without relays.
+func New(watch Watcher) *Net {
+	return &Net{watch: watch, done: make(chan struct{}), changed: make(chan struct{}), conns: map[*pair]bool{}}
 }
 
 // Relay is where a relay leads.
@@ -127,7 +126,7 @@
 	n.mu.Lock()
 	n.next++
 	id := n.next
-	n.rules = append(slices.Clone(n.rules), Rule{f, id})
+	n.rules = append(n.rules, Rule{f, id})
 	n.change()
 	var struck []*pair
 	for p := range n.conns {
@@ -147,7 +146,7 @@
 	return func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		n.rules = slices.DeleteFunc(slices.Clone(n.rules), func(r Rule) bool { return r.id == id })
+		n.rules = slices.DeleteFunc(n.rules, func(r Rule) bool { return r.id == id })
 		n.change()
 	}
 }
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -140,7 +140,7 @@
 			r.places = append(r.places, link.PlaceOf(network, i))
 			names[r.places[i]] = name
 		}
-		r.net = link.New(names, (*watcher)(r))
+		r.net = link.New((*watcher)(r))
 		r.port = base
 		if err = r.relays(names, base+1); err == nil {
 			return nil
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -495,7 +495,8 @@
 		if room <= 0 && total > 0 {
 			break
 		}
-		room -= s.healthFor(q.Class) * b.warmth(now, s)
+		part := b.warmth(now, s)
+		room -= s.healthFor(q.Class) * part
 		w, rank := 0.0, b.rank(q, s)
 		if rank >= best && b.mayGo(now, q, s) {
 			w = b.weigh(now, s, q.Class)
@@ -505,8 +506,8 @@
 			total, best = 0, rank
 		}
 		total += w
-		warm += b.warmth(now, s)
-		allCold = allCold && b.warmth(now, s) < 1
+		warm += part
+		allCold = allCold && part < 1
 		b.weights = append(b.weights, w)
 	}
 	s := b.pick(b.rnd.Float64() * total)
