Rename heard, news and allot to staleness, reconcile and quota

The names were the project's own where the field has terms: how long a source has been silent is its staleness, what is taken from a registry's answers is reconciled, and parts of a bounded good are quotas. Packages, their files, the tracker's methods (Confirmed, Failed) and the pages that name them; no behaviour changes.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -222,7 +222,7 @@
 	Clients = "(clients)"
 )
 
-// Parts is how a good is divided: see package allot.
+// Parts is how a good is divided: see package quota.
 type Parts struct {
 	Total  int64
 	Names  []string
--- a/internal/membership/blocking/blocking.go
+++ b/internal/membership/blocking/blocking.go
@@ -18,8 +18,8 @@
 	"time"
 
 	"fernlanding/internal/membership"
-	"fernlanding/internal/membership/heard"
-	"fernlanding/internal/membership/news"
+	"fernlanding/internal/membership/reconcile"
+	"fernlanding/internal/membership/staleness"
 )
 
 const (
@@ -49,12 +49,12 @@
 type Source struct {
 	cfg    Config
 	client *http.Client
-	teller *heard.Teller
+	teller *staleness.Teller
 }
 
 // New returns a source.
 func New(cfg Config) *Source {
-	return &Source{cfg: cfg, teller: heard.NewTeller("health reads", cfg.Log),
+	return &Source{cfg: cfg, teller: staleness.NewTeller("health reads", cfg.Log),
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true}}}
 }
 
@@ -73,7 +73,7 @@
 		}
 		if err == nil && next < index {
 			s.cfg.Log.Warn("health reads: the index fell, reading anew", "from", index, "to", next)
-			s.teller.Fell()
+			s.teller.Failed()
 			index = 0
 			if !pause(ctx, rand.N(idle)) {
 				return
@@ -85,7 +85,7 @@
 			fresh, err = s.teller.Whole(sink, entries)
 		}
 		if err != nil {
-			s.teller.Fell()
+			s.teller.Failed()
 			if s.cfg.Log.Warn("health reads: the last list stands", "error", err); !missed {
 				missed = true
 				sink.Missed()
@@ -116,7 +116,7 @@
 }
 
 // read makes one read. Index 0 does not wait.
-func (s *Source) read(ctx context.Context, index uint64) (next uint64, entries []news.Entry, err error) {
+func (s *Source) read(ctx context.Context, index uint64) (next uint64, entries []reconcile.Entry, err error) {
 	u := "http://" + s.cfg.Address + "/v1/health/service/" + url.PathEscape(s.cfg.Service)
 	limit := patience
 	if index > 0 {
@@ -174,7 +174,7 @@
 }
 
 // parse reads an answer. Entries are judged one by one where the list is.
-func parse(data []byte) (entries []news.Entry, err error) {
+func parse(data []byte) (entries []reconcile.Entry, err error) {
 	var raw []json.RawMessage
 	if err := json.Unmarshal(data, &raw); err != nil {
 		return nil, fmt.Errorf("list: %w", err)
@@ -186,13 +186,13 @@
 		var i instance
 		key := fmt.Sprintf("/(entry %d)", n+1)
 		if err := json.Unmarshal(r, &i); err != nil {
-			entries = append(entries, news.Entry{Key: key, Value: []byte(`{"address":7}`)}) // is skipped as it stands
+			entries = append(entries, reconcile.Entry{Key: key, Value: []byte(`{"address":7}`)}) // is skipped as it stands
 			continue
 		}
 		if i.Service.ID != "" {
 			key = "/" + i.Service.ID
 		}
-		entries = append(entries, news.Entry{Key: key, Value: i.value()})
+		entries = append(entries, reconcile.Entry{Key: key, Value: i.value()})
 	}
 	return entries, nil
 }
--- a/internal/membership/blocking/blocking_test.go
+++ b/internal/membership/blocking/blocking_test.go
@@ -10,7 +10,7 @@
 
 	"fernlanding/internal/membership"
 	"fernlanding/internal/membership/contract"
-	"fernlanding/internal/membership/news"
+	"fernlanding/internal/membership/reconcile"
 	"fernlanding/internal/standin"
 )
 
@@ -133,7 +133,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	told, err := news.New(news.Config{}).Whole(time.Now(), news.Snapshot{Count: -1, Entries: entries})
+	told, err := reconcile.New(reconcile.Config{}).Whole(time.Now(), reconcile.Snapshot{Count: -1, Entries: entries})
 	if err != nil || len(told.List.Endpoints) != 3 || len(told.Skipped) != 4 {
 		t.Fatalf("%+v, %v", told, err)
 	}
@@ -159,7 +159,7 @@
 		if err != nil {
 			return
 		}
-		if _, err := news.New(news.Config{}).Whole(time.Time{}, news.Snapshot{Count: -1, Entries: entries}); err != nil {
+		if _, err := reconcile.New(reconcile.Config{}).Whole(time.Time{}, reconcile.Snapshot{Count: -1, Entries: entries}); err != nil {
 			t.Fatal(err)
 		}
 	})
--- a/internal/membership/catalog/catalog.go
+++ b/internal/membership/catalog/catalog.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"fernlanding/internal/membership"
-	"fernlanding/internal/membership/heard"
+	"fernlanding/internal/membership/staleness"
 	"fernlanding/internal/start"
 )
 
@@ -40,7 +40,7 @@
 	log      *slog.Logger
 	client   *http.Client
 	cfg      Config
-	heard    *heard.Heard
+	stale    *staleness.Tracker
 }
 
 // Config is what a Client is told.
@@ -63,12 +63,12 @@
 	if cfg.Subscribe {
 		hold, patience = askHold, askPatience
 	}
-	return &Client{addr: cfg.Address, hold: hold, patience: patience, log: cfg.Log, cfg: cfg, heard: heard.New(),
+	return &Client{addr: cfg.Address, hold: hold, patience: patience, log: cfg.Log, cfg: cfg, stale: staleness.New(),
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true}}}
 }
 
 // Health implements membership.Source.
-func (d *Client) Health() membership.Health { return d.heard.Health() }
+func (d *Client) Health() membership.Health { return d.stale.Health() }
 
 // Run implements membership.Source: it watches until the context ends. The next watch follows its answer at once, lest changes in between
 // count as told late. After a call that failed in a way that leaves the version in doubt, it begins with
@@ -98,7 +98,7 @@
 		}
 		if err != nil {
 			d.log.Warn("discovery", "error", err)
-			d.heard.Fell()
+			d.stale.Failed()
 			if outcome, _ := judge(err); outcome != start.Busy {
 				index = -1
 			}
@@ -116,7 +116,7 @@
 		}
 		index, wait, subscribed = list.Index, retryFirst, true
 		sink.Listed(list)
-		d.heard.Spoke(index, 0)
+		d.stale.Confirmed(index, 0)
 	}
 }
 
@@ -154,16 +154,16 @@
 				d.log.Warn("the list is empty; not ready", "version", list.Index, "calls", calls)
 			}
 			index = list.Index
-			d.heard.Spoke(index, 0)
+			d.stale.Confirmed(index, 0)
 		case err == nil:
 			if index = list.Index; !had {
 				had = true
 				d.log.Info("first list", "after", time.Since(began).Round(time.Millisecond), "calls", calls, "endpoints", len(list.Endpoints))
 			}
 			sink.Listed(list)
-			d.heard.Spoke(index, 0)
+			d.stale.Confirmed(index, 0)
 		default:
-			d.heard.Fell()
+			d.stale.Failed()
 			sink.Missed()
 		}
 		next = d.cfg.Reads.Next(time.Now(), outcome, !had || d.cfg.Urgent(), after)
--- a/internal/membership/file/file.go
+++ b/internal/membership/file/file.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"fernlanding/internal/membership"
-	"fernlanding/internal/membership/heard"
-	"fernlanding/internal/membership/news"
+	"fernlanding/internal/membership/reconcile"
+	"fernlanding/internal/membership/staleness"
 )
 
 const (
@@ -30,7 +30,7 @@
 type Source struct {
 	path   string
 	log    *slog.Logger
-	teller *heard.Teller
+	teller *staleness.Teller
 	last   os.FileInfo
 	read   time.Time
 	said   string // the fault that was logged last
@@ -40,7 +40,7 @@
 // "since"}]}. An entry that makes no sense is skipped and named once; a file that is none changes nothing.
 func New(path string, log *slog.Logger) *Source {
 	log = log.With("file", path)
-	return &Source{path: path, log: log, teller: heard.NewTeller("list in a file", log)}
+	return &Source{path: path, log: log, teller: staleness.NewTeller("list in a file", log)}
 }
 
 // Health implements membership.Source.
@@ -76,7 +76,7 @@
 	}
 	if err != nil {
 		s.last = nil
-		s.teller.Fell()
+		s.teller.Failed()
 		if err.Error() != s.said {
 			s.said = err.Error()
 			s.log.Warn("list in a file: the last one stands", "error", err)
@@ -110,7 +110,7 @@
 }
 
 // parse takes a file apart. Its entries are judged one by one.
-func parse(data []byte) (entries []news.Entry, err error) {
+func parse(data []byte) (entries []reconcile.Entry, err error) {
 	var raw struct {
 		Endpoints *[]json.RawMessage `json:"endpoints"`
 	}
@@ -139,7 +139,7 @@
 			key = fmt.Sprintf("(entry %d)", i+1)
 		}
 		seen[key] = true
-		entries = append(entries, news.Entry{Key: "/" + key, Value: e})
+		entries = append(entries, reconcile.Entry{Key: "/" + key, Value: e})
 	}
 	return entries, nil
 }
--- a/internal/membership/news/news.go
+++ b/internal/membership/reconcile/reconcile.go
@@ -1,11 +1,11 @@
-// Package news decides what of that which a registry says is news to a pool, and what is not. It is pure: no I/O, no
+// Package reconcile decides what of that which a registry says is news to a pool, and what is not. It is pure: no I/O, no
 // clock; times come in as arguments.
 //
 // A registry can be wrong in ways that would empty a pool: a stale member answers with an older state, a restored backup
 // begins anew, an answer is cut short, another cluster stands at the address. None of it reaches a pool; the last list
 // stands, and the source counts as silent. What reaches it does so in order, and a whole list follows whatever may have
 // been missed.
-package news
+package reconcile
 
 import (
 	"encoding/json"
--- a/internal/membership/news/news_test.go
+++ b/internal/membership/reconcile/reconcile_test.go
@@ -1,4 +1,4 @@
-package news
+package reconcile
 
 import (
 	"errors"
--- /dev/null
+++ b/internal/membership/staleness/staleness.go
@@ -0,0 +1,46 @@
+// Package staleness keeps the health of a source: what sources of all kinds share.
+package staleness
+
+import (
+	"sync"
+	"time"
+
+	"fernlanding/internal/membership"
+)
+
+// Tracker is a source's health. It may be used by many goroutines.
+type Tracker struct {
+	mu   sync.Mutex
+	last time.Time
+	h    membership.Health
+}
+
+// New returns the health of a source that begins now, and has heard nothing.
+func New() *Tracker {
+	now := time.Now()
+	return &Tracker{last: now, h: membership.Health{Silent: now}}
+}
+
+// Confirmed notes that something that made sense was heard, with the version that stands.
+func (s *Tracker) Confirmed(index int64, skipped int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last = time.Now()
+	s.h.Index, s.h.Skipped, s.h.Silent = index, skipped, time.Time{}
+}
+
+// Failed notes that what was heard, or its absence, is no news.
+func (s *Tracker) Failed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.h.Refused++; s.h.Silent.IsZero() {
+		s.h.Silent = s.last
+	}
+}
+
+// Health is the health as it stands.
+func (s *Tracker) Health() membership.Health {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.h
+}
--- a/internal/membership/heard/teller.go
+++ b/internal/membership/staleness/teller.go
@@ -1,18 +1,18 @@
-package heard
+package staleness
 
 import (
 	"log/slog"
 	"time"
 
 	"fernlanding/internal/membership"
-	"fernlanding/internal/membership/news"
+	"fernlanding/internal/membership/reconcile"
 )
 
 // Teller hands on what is new in the lists of a source that reads whole ones without a version of their own: they are
 // counted. It is not safe for concurrent use.
 type Teller struct {
-	*Heard
-	book  *news.Book
+	*Tracker
+	book  *reconcile.Book
 	log   *slog.Logger
 	what  string // begins its lines in the log
 	index int64
@@ -20,14 +20,14 @@
 
 // NewTeller returns a teller that has told nothing.
 func NewTeller(what string, log *slog.Logger) *Teller {
-	return &Teller{Heard: New(), book: news.New(news.Config{}), log: log, what: what}
+	return &Teller{Tracker: New(), book: reconcile.New(reconcile.Config{}), log: log, what: what}
 }
 
 // Whole takes a list, and tells a sink if it differs from the last one. An error says why it is no news; then the last
 // one stands.
-func (t *Teller) Whole(sink membership.Sink, entries []news.Entry) (fresh bool, err error) {
+func (t *Teller) Whole(sink membership.Sink, entries []reconcile.Entry) (fresh bool, err error) {
 	before := t.book.List()
-	told, err := t.book.Whole(time.Now(), news.Snapshot{Revision: t.index + 1, Count: -1, Entries: entries})
+	told, err := t.book.Whole(time.Now(), reconcile.Snapshot{Revision: t.index + 1, Count: -1, Entries: entries})
 	if err != nil {
 		return false, err
 	}
@@ -46,4 +46,4 @@
 }
 
 // Still notes that the list that stands was seen to be the source's.
-func (t *Teller) Still() { t.Spoke(t.index, t.book.Skipped()) }
+func (t *Teller) Still() { t.Confirmed(t.index, t.book.Skipped()) }
--- a/internal/allot/allot.go
+++ b/internal/quota/quota.go
@@ -1,11 +1,11 @@
-// Package allot divides a bounded good of the process, descriptors or memory, among parties: clients and pools. It is
+// Package quota divides a bounded good of the process, descriptors or memory, among parties: clients and pools. It is
 // pure: no I/O, no clock.
 //
 // Each party has a floor that it can have at any time. What the floors leave is lent to whoever asks. A party that is
 // turned away counts as in want for a while, until it has been given something; as long, those that hold more than
 // their fair part of what is lent get no more, and Debtor names one that is to give back. The sum of what is held never passes the total.
 // Times are in microseconds of one clock.
-package allot
+package quota
 
 import (
 	"cmp"
--- a/internal/allot/allot_test.go
+++ b/internal/quota/quota_test.go
@@ -1,4 +1,4 @@
-package allot
+package quota
 
 import (
 	"errors"
--- a/internal/sidecar/shares.go
+++ b/internal/sidecar/shares.go
@@ -6,9 +6,9 @@
 	"slices"
 	"sync"
 
-	"fernlanding/internal/allot"
 	"fernlanding/internal/config"
 	"fernlanding/internal/core"
+	"fernlanding/internal/quota"
 )
 
 // shares is a ledger of descriptors or memory that many goroutines use.
@@ -16,13 +16,13 @@
 	clock core.Clock
 
 	mu     sync.Mutex
-	ledger *allot.Ledger
+	ledger *quota.Ledger
 	shed   map[string]func() bool // has a party give back one of what it keeps idle; called with no lock held
 	given  chan struct{}          // closed, and made anew, when something is given back that somebody waits for
 }
 
 func newShares(clock core.Clock, total int64) (*shares, error) {
-	ledger, err := allot.New(total)
+	ledger, err := quota.New(total)
 	if err != nil {
 		return nil, err
 	}
