Keep each service's last list in the lasting folder, and begin with it

A start serves by a list younger than process.list_age (10 min) at once, and reads within a spread that grows with the list's age. Until any list has come, what may not be repeated goes only to backends that have served a call (logic.Recalled), and a 4xx of one that has not is a failed attempt, not the client's fault. The platform's known list is as before.

--- a/internal/catalogue/dir/write.go
+++ b/internal/catalogue/dir/write.go
@@ -13,6 +13,7 @@
 	"fernlanding/internal/catalogue"
 	"fernlanding/internal/config"
 	"fernlanding/internal/doc"
+	"fernlanding/internal/durable"
 )
 
 // Marker is the file in a directory that Write has written, which tells that the directory is its own.
@@ -157,7 +158,7 @@
 }
 
 // Replace puts other bytes into a file, in one step.
-func Replace(name string, data []byte) (err error) {
+func Replace(name string, data []byte) error {
 	info, err := os.Stat(name)
 	if err != nil {
 		return fmt.Errorf("write: %w", err)
@@ -165,27 +166,5 @@
 	if target, err := filepath.EvalSymlinks(name); err == nil {
 		name = target
 	}
-	f, err := os.CreateTemp(filepath.Dir(name), "."+filepath.Base(name)+".new-")
-	if err != nil {
-		return fmt.Errorf("write: %w", err)
-	}
-	defer func() {
-		if err != nil {
-			_ = os.Remove(f.Name())
-			err = fmt.Errorf("write: %w", err)
-		}
-	}()
-	if _, err = f.Write(data); err == nil {
-		err = f.Chmod(info.Mode().Perm())
-	}
-	if err == nil {
-		err = f.Sync()
-	}
-	if e := f.Close(); err == nil {
-		err = e
-	}
-	if err == nil {
-		err = os.Rename(f.Name(), name)
-	}
-	return err
+	return durable.Replace(name, data, info.Mode().Perm(), true)
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -51,7 +51,8 @@
 	Wording   Wording
 	Seed      uint64 // of all random draws; 0: the sidecar draws one
 	Process   Process
-	StateDir  string // a folder that lasts, for what outlives the process; empty: none
+	StateDir  string        // a folder that lasts, for what outlives the process; empty: none
+	ListAge   time.Duration // with StateDir: a list that its source last confirmed longer ago is not begun with; 0: none is kept
 	Listeners []Listener
 	Services  []*Service
 	Routes    []Route
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -20,6 +20,8 @@
 
 const (
 	defaultSockets = 1024
+	defaultListAge = 10 * time.Minute
+	maxListAge     = 24 * time.Hour
 	maxNames       = 64 // bytes of a name
 	maxRouteTime   = MaxDeadline
 	minTime        = time.Millisecond
@@ -34,7 +36,7 @@
 
 // later are the fields that version 1 lacks.
 var later = map[string]int{"team": 2, "host": 2, "serves": 2, "generated": 2, "owner": 2, "answers": 2, "cold_multiple": 2, "share": 2,
-	"path": 2, "registered_as": 2, "token_file": 2, "key": 2, "resend": 2, "early_data": 2, "hedge": 2, "formerly": 2, "for": 2, "state_dir": 2}
+	"path": 2, "registered_as": 2, "token_file": 2, "key": 2, "resend": 2, "early_data": 2, "hedge": 2, "formerly": 2, "for": 2, "state_dir": 2, "list_age": 2}
 
 // decoder reads one file.
 type decoder struct {
@@ -113,6 +115,9 @@
 	if app.StateDir = p.Text("state_dir", ""); p.Has("state_dir") && app.StateDir == "" {
 		p.Bad(rules.Missing, "state_dir", "a folder expected")
 	}
+	if app.ListAge = p.Span("list_age", defaultListAge, 0, maxListAge); p.Has("list_age") && app.StateDir == "" {
+		p.Bad(rules.Missing, "list_age", "state_dir, the folder that lists are kept in, expected beside it")
+	}
 	p.Done()
 	x.listeners(s)
 	names, scopes := s.Each("services")
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -40,6 +40,7 @@
 type Attempt struct {
 	*Request
 	Deadline time.Time
+	server   string
 	number   int
 	sent     int64 // when the module decided
 	way      Way   // nil: it can't be carried out
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -152,6 +152,9 @@
 // Cached takes the list as it was last known, maybe long ago.
 func (p *Pool) Cached(list *membership.List) { p.list(logic.Cached, list) }
 
+// Recalled takes the list as an earlier process knew it: see logic.Recalled.
+func (p *Pool) Recalled(list *membership.List) { p.list(logic.Recalled, list) }
+
 // Listed implements membership.Sink.
 func (p *Pool) Listed(list *membership.List) {
 	if list.Full {
@@ -335,6 +338,9 @@
 	if r.out == a {
 		r.out = nil
 	}
+	if res.Fault && p.bal.Doubts(a.server) {
+		res.Fault = false // it may be another service that finds fault, and with what was not meant for it
+	}
 	switch {
 	case r.over:
 		res.Reply.Done() // nobody waits for it
@@ -373,7 +379,7 @@
 	if timeout != 0 {
 		until = min(until, now+timeout)
 	}
-	a := &Attempt{Request: r, number: r.sends, sent: now, Deadline: h.clock.Time(until)}
+	a := &Attempt{Request: r, server: server, number: r.sends, sent: now, Deadline: h.clock.Time(until)}
 	r.sends++
 	if !r.over && r.out == nil { // never two attempts of a request at once
 		a.way = h.upstream.Open(server)
--- a/internal/fleet/coldstart/coldstart.go
+++ b/internal/fleet/coldstart/coldstart.go
@@ -19,8 +19,9 @@
 // Day is one start.
 type Day struct {
 	Copies     int
-	Told       bool // the copies are told how many they are
-	Known      bool // they begin with a list
+	Told       bool          // the copies are told how many they are
+	Known      bool          // they begin with a list
+	Age        time.Duration // of that
 	Services   int
 	Rate       float64       // whole readings a second that each service works off
 	Queue      int           // whole readings that wait at it
@@ -182,7 +183,7 @@
 	if known {
 		c.ready = now
 	}
-	p.next(i, now, c.reads.First(zero.Add(now), known))
+	p.next(i, now, c.reads.First(zero.Add(now), known, p.d.Age))
 }
 
 // next has a copy make its next call.
--- a/internal/membership/catalog/catalog.go
+++ b/internal/membership/catalog/catalog.go
@@ -52,8 +52,9 @@
 	// Reads, where given, decides when to call: the list service is shared by many copies, which is not so where an agent
 	// on the copy's own machine answers. Not with Subscribe.
 	Reads  *start.Reads
-	Known  int64       // with Reads: the version of the list that the copy begins with; negative: it has none
-	Urgent func() bool // with Reads: the copy can't serve, or its backends die, until there is a newer list
+	Known  int64         // with Reads: the version of the list that the copy begins with; negative: it has none
+	Age    time.Duration // with Known: how old it is
+	Urgent func() bool   // with Reads: the copy can't serve, or its backends die, until there is a newer list
 	Log    *slog.Logger
 }
 
@@ -123,7 +124,7 @@
 // pace is Run where package start decides when to call.
 func (d *Client) pace(ctx context.Context, sink membership.Sink) {
 	began, had, index := time.Now(), d.cfg.Known >= 0, d.cfg.Known
-	next := d.cfg.Reads.First(began, had)
+	next := d.cfg.Reads.First(began, had, d.cfg.Age)
 	timer := time.NewTimer(next.After)
 	defer timer.Stop()
 	for calls := 1; ; calls++ {
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"maps"
@@ -17,6 +18,7 @@
 	"fernlanding/internal/core"
 	"fernlanding/internal/membership"
 	"fernlanding/internal/membership/blocking"
+	"fernlanding/internal/membership/cache"
 	"fernlanding/internal/membership/catalog"
 	"fernlanding/internal/membership/file"
 	pace "fernlanding/internal/start"
@@ -48,10 +50,15 @@
 	stop   context.CancelFunc
 	parts  sync.WaitGroup
 
+	listDir  string           // where its list is kept; empty: nowhere
+	recalled *membership.List // that it began with; nil: none
+	age      time.Duration    // of that at the start
+
 	mu     sync.Mutex // held while the source changes
 	from   config.Source
 	unplug context.CancelFunc
 	source sync.WaitGroup
+	keeper *cache.Keeper // of the present source's list; nil: it is not kept
 	over   bool
 }
 
@@ -62,13 +69,18 @@
 	sockets  *shares
 	memory   *shares // nil on the platform
 	memoryMB float64
-	starts   int  // of this sidecar lately, this one not included, as far as is known
-	paced    bool // lists come from a service that all copies share, and not from an agent on this machine
+	starts   int           // of this sidecar lately, this one not included, as far as is known
+	paced    bool          // lists come from a service that all copies share, and not from an agent on this machine
+	stateDir string        // where lists are kept; empty: nowhere
+	listAge  time.Duration // from which on one that was kept is not begun with; 0: none is kept
 }
 
 // newService makes a service; it stands still until start.
 func newService(cfg *config.Service, seed uint64, with parted) (*service, error) {
-	s := &service{cfg: cfg, starts: with.starts}
+	s := &service{cfg: cfg, starts: with.starts, listDir: with.stateDir}
+	if with.listAge == 0 {
+		s.listDir = ""
+	}
 	if with.paced {
 		s.rnd = rand.New(rand.NewPCG(seed, pacedStream))
 	}
@@ -93,10 +105,36 @@
 	s.roster = &roster{pool: s.pool, all: map[string]membership.Endpoint{}}
 	if cfg.Known != nil {
 		s.roster.cached(cfg.Known)
+	} else if s.listDir != "" && keeps(cfg.Source) {
+		s.recall(with)
 	}
 	return s, nil
 }
 
+// keeps tells whether lists from a source are kept in the folder: a file is there anyway, and what stands in the configuration
+// needs no keeping.
+func keeps(from config.Source) bool { return from.Kind == config.Catalog || from.Kind == config.Consul }
+
+// store is where a source's list is kept.
+func (s *service) store(from config.Source) *cache.Store {
+	return cache.In(s.listDir, s.cfg.Name, fmt.Sprintf("%d %s %s", from.Kind, from.Address, from.As))
+}
+
+// recall has the service begin with the list that an earlier process kept.
+func (s *service) recall(with parted) {
+	list, age, err := s.store(s.cfg.Source).Load(time.Now(), with.listAge)
+	log := with.log.With("service", s.cfg.Name)
+	if err != nil {
+		log.Warn("no list is known from before", "error", strings.ReplaceAll(err.Error(), "\n", "; "))
+	}
+	if list == nil {
+		return
+	}
+	log.Info("list from before", "confirmed", age.Round(time.Millisecond), "version", list.Index, "endpoints", len(list.Endpoints))
+	s.recalled, s.age = list, age
+	s.roster.recalled(list)
+}
+
 // start begins the pool's time and follows its list.
 func (s *service) start(log *slog.Logger) {
 	ctx, stop := context.WithCancel(context.Background())
@@ -123,8 +161,10 @@
 	}
 	first := s.unplug == nil && s.cfg.Known != nil // with no list at all nobody says when to ask
 	known := int64(-1)
-	if first && reflect.DeepEqual(from, s.cfg.Source) { // the versions of two sources do not compare
+	if same := reflect.DeepEqual(from, s.cfg.Source); first && same { // the versions of two sources do not compare
 		known = s.cfg.Known.Index
+	} else if s.unplug == nil && s.recalled != nil && same {
+		known = s.recalled.Index
 	}
 	s.from = from
 	ctx, unplug := context.WithCancel(context.Background())
@@ -147,12 +187,18 @@
 			if copies == 1 {
 				copies = 0 // not told
 			}
-			cc.Reads, cc.Known, cc.Urgent = pace.NewReads(pace.ReadsConfig{Copies: copies, Starts: s.starts}, s.rnd), known, s.urgent
+			cc.Reads, cc.Known, cc.Age, cc.Urgent = pace.NewReads(pace.ReadsConfig{Copies: copies, Starts: s.starts}, s.rnd), known, s.age, s.urgent
 		}
 		source = catalog.New(cc)
 		s.starts = 0 // a later source, after a reload, is no start
 	}
-	s.source.Go(func() { source.Run(ctx, s.roster) })
+	var sink membership.Sink = s.roster
+	if s.listDir != "" && keeps(from) {
+		keeper := cache.NewKeeper(sink, s.store(from), s.roster.list, log)
+		s.keeper, sink = keeper, keeper
+		s.source.Go(func() { keeper.Run(ctx) })
+	}
+	s.source.Go(func() { source.Run(ctx, sink) })
 }
 
 // urgent tells whether the service needs a newer list soon: it has none, or many of its backends can't be reached.
@@ -197,6 +243,11 @@
 // drain takes nothing new, and ends when the last request has, at the latest after the longest deadline.
 func (s *service) drain(ctx context.Context) {
 	s.pool.Close()
+	s.mu.Lock()
+	if s.keeper != nil {
+		s.keeper.Retire() // a successor of the same name keeps its own
+	}
+	s.mu.Unlock()
 	left, cancel := context.WithTimeout(ctx, s.cfg.Longest()+time.Second)
 	defer cancel()
 	poll := time.NewTicker(drainPoll)
@@ -261,6 +312,11 @@
 	r.pool.Cached(l)
 }
 
+func (r *roster) recalled(l *membership.List) {
+	r.take(l)
+	r.pool.Recalled(l)
+}
+
 func (r *roster) take(l *membership.List) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -55,7 +55,8 @@
 // New opens the listeners; clients are served from Run on.
 func New(app *config.App, log *slog.Logger) (*Sidecar, error) {
 	s := &Sidecar{log: log, ended: make(chan struct{}), remind: notReadyEvery, services: map[string]*service{}, leaving: map[*service]bool{},
-		with: parted{clock: core.NewClock(), log: log, memoryMB: app.Process.MemoryMB, paced: app.Wording == config.Application}}
+		with: parted{clock: core.NewClock(), log: log, memoryMB: app.Process.MemoryMB, paced: app.Wording == config.Application,
+			stateDir: app.StateDir, listAge: app.ListAge}}
 	s.halt, s.halted = context.WithCancel(context.Background())
 	parts, err := app.Descriptors()
 	if err != nil {
@@ -256,7 +257,7 @@
 	if !reflect.DeepEqual(app.Listeners, s.app.Listeners) {
 		return fmt.Errorf("listeners: %w", errFixed)
 	}
-	if app.Process != s.app.Process || app.StateDir != s.app.StateDir {
+	if app.Process != s.app.Process || app.StateDir != s.app.StateDir || app.ListAge != s.app.ListAge {
 		return fmt.Errorf("process: %w", errFixed)
 	}
 	w, _, err := s.prepare(app)
--- a/internal/start/reads.go
+++ b/internal/start/reads.go
@@ -48,6 +48,7 @@
 const (
 	perCopySpread = 5 * time.Millisecond // the first readings of N copies are spread over N times this: 200 a second
 	leastSpread   = 250 * time.Millisecond
+	oldList       = time.Minute // from this age on a list that a copy begins with costs its service a whole reading
 	mostSpread    = 60 * time.Second
 	perCopyWait   = 20 * time.Millisecond // after a failure N copies are spread over N times this: 50 a second
 	leastWait     = 2 * time.Second
@@ -99,11 +100,16 @@
 	return &Reads{cfg: cfg, rnd: rnd, tell: cfg.Patience, over: cfg.Watch, tokens: watchBurst}
 }
 
-// First is the first call. A copy that has a list, which may be old, serves by it and asks for what is newer. The calls of
-// all copies that start at once are spread by their number; those of one that dies again and again, by its starts.
-func (r *Reads) First(now time.Time, has bool) Call {
+// First is the first call. A copy that has a list of some age serves by it and asks for what is newer, which costs the
+// service little where the list is fresh and a whole reading where it is old. The calls of all copies that start at once are
+// spread by their number and, with a list, by its age; those of one that dies again and again, by its starts.
+func (r *Reads) First(now time.Time, has bool, age time.Duration) Call {
 	r.has, r.filled = has, now
 	spread := min(max(time.Duration(r.cfg.Copies)*perCopySpread, leastSpread), mostSpread)
+	if has {
+		part := min(1, float64(max(age, 0))/float64(oldList))
+		spread = leastSpread + time.Duration(part*float64(spread-leastSpread))
+	}
 	c := Call{After: r.draw(0, spread), Why: "spread over the copies that may start with this one"}
 	if n := r.cfg.Starts; n > 0 {
 		c.After += r.draw(0, min(loopWait<<min(n, 10), mostLoop))
--- a/internal/start/record/record.go
+++ b/internal/start/record/record.go
@@ -6,11 +6,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"io/fs"
 	"os"
 	"path/filepath"
 	"time"
+
+	"fernlanding/internal/durable"
 )
 
 const (
@@ -61,29 +61,28 @@
 func (r *Record) Lasted() error { return r.write(nil) }
 
 func (r *Record) read() ([]int64, error) {
-	f, err := os.Open(filepath.Join(r.dir, file))
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil, nil
-	} else if err != nil {
-		return nil, fmt.Errorf("record of starts: %w", err)
-	}
-	defer f.Close()
-	data, err := io.ReadAll(io.LimitReader(f, maxFile+1))
-	if err != nil {
-		return nil, fmt.Errorf("record of starts: %w", err)
+	data, err := durable.Read(r.path(), maxFile)
+	if err != nil || data == nil {
+		return nil, wrap(err)
 	}
 	all, err := parse(data)
 	if err != nil {
-		return nil, fmt.Errorf("record of starts: %s: %w", f.Name(), err)
+		return nil, wrap(fmt.Errorf("%s: %w", r.path(), err))
 	}
 	return all, nil
 }
 
+func (r *Record) path() string { return filepath.Join(r.dir, file) }
+
+func wrap(err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("record of starts: %w", err)
+}
+
 // parse reads a record.
 func parse(data []byte) ([]int64, error) {
-	if len(data) > maxFile {
-		return nil, fmt.Errorf("more than %d bytes found, that many at most expected", maxFile)
-	}
 	var s state
 	if err := json.Unmarshal(data, &s); err != nil {
 		return nil, fmt.Errorf("a record in JSON expected: %w", err)
@@ -98,30 +97,13 @@
 }
 
 // write replaces the file as a whole, so that a crash leaves the old or the new.
-func (r *Record) write(starts []int64) (err error) {
+func (r *Record) write(starts []int64) error {
 	data, err := json.Marshal(state{version, starts})
-	if err != nil {
-		return fmt.Errorf("record of starts: %w", err)
-	}
-	if err := os.MkdirAll(r.dir, 0o700); err != nil {
-		return fmt.Errorf("record of starts: %w", err)
-	}
-	f, err := os.CreateTemp(r.dir, file+".*")
-	if err != nil {
-		return fmt.Errorf("record of starts: %w", err)
-	}
-	defer func() {
-		if err != nil {
-			os.Remove(f.Name())
-			err = fmt.Errorf("record of starts: %w", err)
-		}
-	}()
-	_, err = f.Write(data)
 	if err == nil {
-		err = f.Sync()
+		err = os.MkdirAll(r.dir, 0o700)
 	}
-	if err = errors.Join(err, f.Close()); err != nil {
-		return err
+	if err == nil {
+		err = durable.Replace(r.path(), data, 0o600, true)
 	}
-	return os.Rename(f.Name(), filepath.Join(r.dir, file))
+	return wrap(err)
 }
--- a/internal/start/start_test.go
+++ b/internal/start/start_test.go
@@ -33,7 +33,7 @@
 	for _, n := range []int{100, 300, 3000} {
 		var at []time.Duration
 		for _, r := range copies(n, n) {
-			c := r.First(zero, false)
+			c := r.First(zero, false, 0)
 			if !c.Whole || c.Hold != 0 || c.Why == "" {
 				t.Fatalf("first call of a copy with no list: %+v", c)
 			}
@@ -44,10 +44,10 @@
 		}
 	}
 	for _, r := range copies(50, 0) {
-		if c := r.First(zero, false); c.After > 250*time.Millisecond {
+		if c := r.First(zero, false, 0); c.After > 250*time.Millisecond {
 			t.Errorf("a copy that is not told of others waits %v", c.After)
 		}
-		if c := r.First(zero, true); c.Whole || c.Hold == 0 {
+		if c := r.First(zero, true, 0); c.Whole || c.Hold == 0 {
 			t.Errorf("a copy with a list asks for the whole: %+v", c)
 		}
 	}
@@ -59,7 +59,7 @@
 	all := copies(n, n)
 	at := make([]time.Duration, n)
 	for i, r := range all {
-		at[i] = r.First(zero, false).After
+		at[i] = r.First(zero, false, 0).After
 	}
 	for end := time.Duration(0); end < 2*time.Minute; end += time.Second {
 		var came []time.Duration
@@ -85,7 +85,7 @@
 func TestNextCalls(t *testing.T) {
 	fresh := func(has bool) *start.Reads {
 		r := start.NewReads(start.ReadsConfig{}, rand.New(rand.NewPCG(1, 2)))
-		r.First(zero, has)
+		r.First(zero, has, 0)
 		return r
 	}
 	at := func(s float64) time.Time { return zero.Add(time.Duration(s * float64(time.Second))) }
@@ -164,7 +164,7 @@
 	t.Run("who starts again and again waits longer", func(t *testing.T) {
 		sum := func(starts int) (d time.Duration) {
 			for i := range uint64(200) {
-				d += start.NewReads(start.ReadsConfig{Starts: starts}, rand.New(rand.NewPCG(i, 2))).First(zero, false).After
+				d += start.NewReads(start.ReadsConfig{Starts: starts}, rand.New(rand.NewPCG(i, 2))).First(zero, false, 0).After
 			}
 			return d / 200
 		}
--- a/logic/api.go
+++ b/logic/api.go
@@ -110,6 +110,9 @@
 	Full                   // the whole list
 	Cached                 // the whole list as last known, maybe old
 	Failed                 // a call or the subscription failed; the old list stands
+	// Recalled is the whole list as an earlier process knew it: an address may be another service's by now. Until
+	// a list comes, what may not be repeated goes only to servers that have served a call.
+	Recalled
 )
 
 // Request is a request that a client has handed to this proxy.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -255,13 +255,13 @@
 		b.asked = false
 		return
 	}
-	if kind != Delta {
-		for _, s := range b.byID {
+	for _, s := range b.byID {
+		if s.doubtful = false; kind != Delta { // any list comes from a source that knows better
 			s.State = Gone // unless listed below
 		}
 	}
 	for _, e := range entries {
-		b.enter(e)
+		b.enter(e).doubtful = kind == Recalled
 	}
 	if kind == Delta {
 		b.amend(entries)
@@ -277,7 +277,7 @@
 }
 
 // enter takes one entry of a list. What was learned of a server is dropped when its process restarts.
-func (b *Balancer) enter(e Server) {
+func (b *Balancer) enter(e Server) *server {
 	s := b.byID[e.ID]
 	if s == nil {
 		s = &server{hash: hash(e.ID)}
@@ -287,6 +287,13 @@
 		s.forget(len(b.classes))
 	}
 	s.Server = e
+	return s
+}
+
+// Doubts tells whether a server may be another service's by now: see Recalled.
+func (b *Balancer) Doubts(id string) bool {
+	s := b.byID[id]
+	return s != nil && s.doubtful
 }
 
 // relist forgets gone servers and gathers the ready ones. Rule 3 holds with no grace used: a server is
@@ -591,9 +598,13 @@
 }
 
 // mayGo keeps rule 2 for a further attempt: once one may have run, an unsafe request goes nowhere, and a
-// keyed one only to the group that drops its repeats, while that remembers it.
+// keyed one only to the group that drops its repeats, while that remembers it. An unsafe one goes to no server
+// that may be another service's by now.
 func (b *Balancer) mayGo(now int64, q *request, s *server) bool {
 	k := b.s.Classes[q.Class]
+	if s.doubtful && k.Repeat == Unsafe {
+		return false
+	}
 	for _, a := range q.attempts {
 		if !a.mayRun || k.Repeat == Safe {
 			continue
@@ -647,6 +658,7 @@
 	a.mayRun = o.Status != ConnectFailed && o.Status != Moot && (o.Status != FullUp || b.s.FullMayRun)
 	q.out--
 	a.srv.inflight--
+	a.srv.doubtful = a.srv.doubtful && o.Status != OK
 	b.tier.threads--
 	b.classes[q.Class].rule.threads--
 	b.learn(now, q, a, o)
--- /dev/null
+++ b/logic/recalled_test.go
@@ -0,0 +1,63 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+)
+
+// Servers of a list that an earlier process knew get nothing that may not be repeated until they have served a call, and all of
+// them do once any list has come.
+func TestRecalledServersAreDoubted(t *testing.T) {
+	const safe, unsafe = 0, 2
+	for _, kind := range []ListKind{Full, Delta} {
+		b, h := mustNew(t, testSettings()), &recorder{}
+		b.List(start, h, Recalled, fleet(3))
+		now := int64(start)
+		one := func(class int) (server string) {
+			now += 1000
+			id := fmt.Sprint(now)
+			ask(b, h, now, id, class)
+			if q := b.reqs[id]; q != nil {
+				server = q.attempts[0].srv.ID
+				b.Outcome(now+1, h, Outcome{ID: id, Status: OK, Took: 1, Closed: true})
+			}
+			return server
+		}
+		if got := one(unsafe); got != "" {
+			t.Errorf("a doubtful server, %s, got an unsafe call", got)
+		}
+		shown := one(safe)
+		if shown == "" || b.Doubts(shown) {
+			t.Fatalf("%q is doubted though it has served", shown)
+		}
+		for range 20 {
+			if got := one(unsafe); got != shown {
+				t.Errorf("an unsafe call went to %q, %q alone has served", got, shown)
+			}
+		}
+		doubted := 0
+		for _, s := range fleet(3) {
+			if b.Doubts(s.ID) {
+				doubted++
+			}
+		}
+		if doubted != 2 {
+			t.Errorf("%d of three doubted, two expected", doubted)
+		}
+		if kind == Full {
+			b.List(now, h, Full, fleet(3))
+		} else {
+			b.List(now, h, Delta, nil)
+		}
+		for _, s := range fleet(3) {
+			if b.Doubts(s.ID) {
+				t.Errorf("%s is doubted after a list", s.ID)
+			}
+		}
+	}
+	b, h := mustNew(t, testSettings()), &recorder{}
+	b.List(start, h, Cached, fleet(3))
+	if b.Doubts("s0") || b.Doubts("none") {
+		t.Error("a list that the configuration names is doubted")
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -108,6 +108,7 @@
 	classes  []health // for the calls of each class
 	inflight int
 	hash     uint64
+	doubtful bool // Recalled, and neither listed nor heard to serve since
 }
 
 // health is what is left of a server's weight, and its running part of failed calls.
