--- a/internal/sidecar/start_test.go
+++ b/internal/sidecar/start_test.go
@@ -150,7 +150,10 @@
 	d.Delete("moved")
 	d.Put(standin.Member{Name: "new", Address: backend(t, standin.Echo).Addr()})
 	d.Down(false)
-	waitUntil(t, func() bool { l := second.services["a"].roster.list(); return l != nil && len(l.Endpoints) == 2 && l.Endpoints[0].Name == "new" })
+	waitUntil(t, func() bool {
+		l := second.services["a"].roster.list()
+		return l != nil && len(l.Endpoints) == 2 && l.Endpoints[0].Name == "new"
+	})
 	waitUntil(t, func() bool { // and that is kept
 		list, _, err := second.services["a"].store(app.Services[0].Source).Load(time.Now(), time.Minute)
 		return err == nil && list != nil && list.Endpoints[0].Name == "new"
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -598,7 +598,7 @@
 }
 
 // mayGo keeps rule 2 for a further attempt: once one may have run, an unsafe request goes nowhere, and a
-// keyed one only to the group that drops its repeats, while that remembers it. An unsafe one goes to no server
+// keyed one only to the group that drops its repeats, while that remembers it. An unsafe one goes to none
 // that may be another service's by now.
 func (b *Balancer) mayGo(now int64, q *request, s *server) bool {
 	k := b.s.Classes[q.Class]
