Play starts that something is wrong with on the rig, and read an empty list again

Seen on the rig: 12 of 12 copies never ready after a list service had been empty for a second at their start, and a pool emptied for good after one in mid-run: it finds its members again under the same version, which no watch from that version shows (catalog.pace took the version of the empty answer and watched from it). Ruled out: the stand-in's watch, which answers as it should. Change: an empty whole list is watched on and the whole read again within 20 ms for each copy (2 s at least). The rig has a fault moved (an address becomes another service's) with a check of its own, strays; sidecars.skew, backends.accepts and .backlog.

--- a/internal/membership/catalog/catalog.go
+++ b/internal/membership/catalog/catalog.go
@@ -148,6 +148,9 @@
 			d.cfg.Reads.Doubt()
 		}
 		outcome, after := judge(err)
+		if err == nil && list.Full && len(list.Endpoints) == 0 {
+			d.cfg.Reads.Emptied(time.Now())
+		}
 		switch {
 		case err == nil && !had && len(list.Endpoints) == 0:
 			// A copy that took this for its list would say that it can serve, and refuse all that comes.
--- a/internal/rig/actor/actor.go
+++ b/internal/rig/actor/actor.go
@@ -28,6 +28,7 @@
 	Queue      int               `json:"queue,omitempty"`
 	RetryAfter time.Duration     `json:"retry_after,omitempty"`
 	Places     map[string]string `json:"places,omitempty"` // names of sidecars by their addresses
+	Skews      map[string]int64  `json:"skews,omitempty"`  // milliseconds that a sidecar's clock is behind the service's, by address
 
 	// Of backends.
 	Backends []string      `json:"backends,omitempty"`
@@ -65,6 +66,7 @@
 	DoStart   = "start"   // backends: Names start, cold
 	DoChoke   = "choke"   // backends: Names take many times as long, or no longer
 	DoFail    = "fail"    // backends: Names answer 500 at once, or no longer
+	DoMove    = "move"    // backends: Names end and another service has their addresses, or they start again
 	DoLoad    = "load"    // clients: the load begins, or ends
 )
 
--- a/internal/rig/actor/backends.go
+++ b/internal/rig/actor/backends.go
@@ -70,6 +70,13 @@
 			if err := w.start(); err != nil {
 				return err
 			}
+		case DoMove:
+			w.end()
+			w.set(func() { w.moved = c.On })
+			w.born = time.Now()
+			if err := w.start(); err != nil {
+				return err
+			}
 		case DoChoke:
 			w.set(func() { w.choked = c.On })
 		case DoFail:
@@ -99,6 +106,7 @@
 	until  time.Time // it stays slow
 	choked bool
 	fails  bool
+	moved  bool // its address is another service's
 }
 
 func (w *worker) set(f func()) {
@@ -186,8 +194,13 @@
 func (w *worker) handle(c *standin.Call, cores chan struct{}) bool {
 	e := history.Event{Who: w.name, ID: c.Header.Get("Request-Id"), Key: c.Header.Get("Idempotency-Key"), Class: c.Method, Conn: c.Conn.RemoteAddr().String(), N: int64(c.OnConn), Pod: w.pod}
 	w.mu.Lock()
-	fails := w.fails
+	fails, moved := w.fails, w.moved
 	w.mu.Unlock()
+	if moved {
+		e.Kind = history.Strayed
+		w.t.tell(e)
+		return c.Reply(http.StatusNotFound, "", nil) == nil
+	}
 	if fails {
 		return c.Reply(http.StatusInternalServerError, "", nil) == nil
 	}
--- a/internal/rig/actor/lists.go
+++ b/internal/rig/actor/lists.go
@@ -21,6 +21,12 @@
 			_, port, _ := strings.Cut(m.Address, ":")
 			return net.JoinHostPort(caller, port)
 		},
+		Since: func(caller string, m standin.Member) int64 {
+			if m.SinceMs == 0 {
+				return 0
+			}
+			return m.SinceMs + s.Skews[caller]
+		},
 		Report: func(c standin.DiscoveryCall) {
 			host, _, _ := net.SplitHostPort(c.Caller)
 			e := history.Event{At: t.clock.Now(), Kind: history.Call, Who: s.Name, To: s.Places[host], Conn: c.Caller, N: c.From, Status: c.Status,
--- a/internal/rig/check/check.go
+++ b/internal/rig/check/check.go
@@ -30,12 +30,13 @@
 	Effects   = "effects"    // no effect happens twice
 	Drains    = "drains"     // nothing new goes to a backend later than 250 ms after its end could be read
 	Cold      = "cold"       // no cold backend is pushed over
+	Strays    = "strays"     // what may not be repeated does not go to what has become another service's address
 	Processes = "processes"  // no process ends by itself, and none is left
 	Bounds    = "bounds"     // what the scenario holds the run to
 )
 
 // Names are the names of all checks.
-func Names() []string { return []string{OneAnswer, Effects, Drains, Cold, Processes, Bounds} }
+func Names() []string { return []string{OneAnswer, Effects, Drains, Cold, Strays, Processes, Bounds} }
 
 const (
 	second = 1_000_000
@@ -50,7 +51,7 @@
 // Run judges a history, sorted by time.
 func Run(sc *scenario.Scenario, all []history.Event) (out []Verdict) {
 	r := read(all)
-	for _, f := range []func(*scenario.Scenario, *record) []Verdict{answers, effects, drains, cold, processes, bounds} {
+	for _, f := range []func(*scenario.Scenario, *record) []Verdict{answers, effects, drains, cold, strays, processes, bounds} {
 		v := f(sc, r)
 		if n := len(v); n > mostOfCheck {
 			v = append(v[:mostOfCheck:mostOfCheck], Verdict{v[0].Check, v[mostOfCheck].At, fmt.Sprintf("and %d more", n-mostOfCheck)})
@@ -297,6 +298,29 @@
 	return out
 }
 
+// strays judges lives that began after the address had changed hands and the list had said so: whoever was there before may
+// have sent in the same moment.
+func strays(_ *scenario.Scenario, r *record) (out []Verdict) {
+	gone := map[string]int64{}  // backends, since the list lacks them
+	began := map[string]int64{} // sidecars' present lives
+	for _, e := range r.all {
+		switch e.Kind {
+		case history.Member:
+			if delete(gone, e.Who); e.Why == "DELETED" {
+				gone[e.Who] = e.At
+			}
+		case history.Started:
+			began[e.Who] = e.At
+		case history.Strayed:
+			s, ok := r.sent[sending{e.Conn, e.N}]
+			if at, out2 := gone[e.Who]; ok && out2 && e.Class == "POST" && e.Key == "" && at < began[s.Who] {
+				out = append(out, Verdict{Strays, e.At, fmt.Sprintf("%s, started %d ms after the list lost %s, sent it request %s, which may not be repeated", s.Who, (began[s.Who]-at)/1000, e.Who, e.ID)})
+			}
+		}
+	}
+	return out
+}
+
 func processes(_ *scenario.Scenario, r *record) (out []Verdict) {
 	ended := false
 	for _, e := range r.all {
--- a/internal/rig/check/check_test.go
+++ b/internal/rig/check/check_test.go
@@ -47,6 +47,15 @@
 	return history.Event{At: at * ms, Kind: kind, Who: who, To: who}
 }
 
+// lost is a backend that leaves the list, stray a request at the service that has its address.
+func lost(at int64) history.Event {
+	return history.Event{At: at * ms, Kind: history.Member, Who: "backend-1", Why: "DELETED"}
+}
+
+func stray(at int64, key string) history.Event {
+	return history.Event{At: at * ms, Kind: history.Strayed, Class: "POST", Who: "backend-1", ID: "r", Key: key}
+}
+
 // Each check finds what it is for, and lets the near miss beside it pass.
 func TestChecks(t *testing.T) {
 	window := actor.Window.Milliseconds()
@@ -87,6 +96,11 @@
 		{"by one that was stopped", "", []history.Event{call(0, "", "backend-1"), delivered(10, 0), on(20, history.Stopped, "sidecar-1"), on(3000, history.Continued, "sidecar-1"), sent(3200)}},
 		{"by one that was stopped, later", check.Drains, []history.Event{call(0, "", "backend-1"), delivered(10, 0), on(20, history.Stopped, "sidecar-1"), on(3000, history.Continued, "sidecar-1"), sent(3400)}},
 
+		{"a stray by a life that began after the list had lost the address", check.Strays, []history.Event{lost(0), on(10, history.Started, "sidecar-1"), sent(20), stray(21, "")}},
+		{"a stray that may be repeated", "", []history.Event{lost(0), on(10, history.Started, "sidecar-1"), sent(20), stray(21, "k")}},
+		{"a stray by a life that was there before", "", []history.Event{on(0, history.Started, "sidecar-1"), lost(10), sent(20), stray(21, "")}},
+		{"a stray while the list has the address", "", []history.Event{on(0, history.Started, "sidecar-1"), sent(20), stray(21, ""), lost(30)}},
+
 		{"a cold backend pushed over", check.Cold, []history.Event{{At: 1, Kind: history.Pushed, Who: "backend-1", N: 1}, {At: 2, Kind: history.Pushed, Who: "backend-1"}}},
 		{"a process that ends by itself", check.Processes, []history.Event{{At: 1, Kind: history.Gone, Who: "sidecar-1", Why: "by itself: ended"}}},
 		{"a process that fails at its end", check.Processes, []history.Event{{At: 1, Kind: history.Gone, Who: "sidecar-1", Why: "exit status 1"}}},
--- a/internal/rig/history/history.go
+++ b/internal/rig/history/history.go
@@ -38,9 +38,10 @@
 	Opened    Kind = "opened"    // a relay took a connection from Who to To
 	Sent      Kind = "sent"      // a relay took the first byte of the Nth request on Conn, from Who to To
 
-	Ran    Kind = "ran"    // a backend (Who) began the request ID; N is its number on Conn, Pod drops its repeats
-	Full   Kind = "full"   // a backend turned a request away
-	Pushed Kind = "pushed" // a cold backend holds more than it bears (N 1), or no longer (N 0)
+	Ran     Kind = "ran"     // a backend (Who) began the request ID; N is its number on Conn, Pod drops its repeats
+	Full    Kind = "full"    // a backend turned a request away
+	Strayed Kind = "strayed" // another service, which has the backend's (Who) address, got the request ID; N is its number on Conn
+	Pushed  Kind = "pushed"  // a cold backend holds more than it bears (N 1), or no longer (N 0)
 
 	Quiet Kind = "quiet" // a client process's load has ended, and all its requests
 	Asked Kind = "asked" // a client sent request ID to To and had Status after Took; 0: none, and Why
--- a/internal/rig/link/net.go
+++ b/internal/rig/link/net.go
@@ -79,6 +79,8 @@
 	To func(dialled Place) (e Ends, address string, ok bool)
 	// Deliveries: what comes back is reported to the watcher.
 	Deliveries bool
+	Accepts    float64 // connections a second that are taken from the queue; 0: as they come
+	Backlog    int     // length of that queue, beyond which no connection comes up; 0: the system's own
 }
 
 const (
@@ -93,6 +95,12 @@
 	if err != nil {
 		return err
 	}
+	if r.Backlog > 0 {
+		if err := shorten(l.(*net.TCPListener), r.Backlog); err != nil {
+			l.Close()
+			return err
+		}
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.listeners = append(n.listeners, l)
@@ -102,12 +110,32 @@
 			if err != nil {
 				return
 			}
+			if r.Accepts > 0 {
+				select {
+				case <-time.After(time.Duration(float64(time.Second) / r.Accepts)):
+				case <-n.done:
+				}
+			}
 			n.all.Go(func() { n.take(c.(*net.TCPConn), r) })
 		}
 	})
 	return nil
 }
 
+// shorten gives a listener a queue of its own length: connections beyond it get no answer until there is room. listen(2) may be
+// called again on a socket that listens.
+func shorten(l *net.TCPListener, backlog int) error {
+	c, err := l.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("relay: %w", err)
+	}
+	var failed error
+	if err := c.Control(func(fd uintptr) { failed = unix.Listen(int(fd), backlog) }); err != nil {
+		return fmt.Errorf("relay: %w", err)
+	}
+	return failed
+}
+
 // Loopback listens on one port of all loopback addresses, and of no other. It needs no privilege (Linux from 5.7 on).
 func Loopback(port int) (net.Listener, error) {
 	cfg := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
--- a/internal/rig/play.go
+++ b/internal/rig/play.go
@@ -91,6 +91,15 @@
 		return func() error { return r.backends(actor.Command{Do: do, Names: f.Names}) }, r.backends(actor.Command{Do: do, Names: f.Names, On: true})
 	case scenario.Replace:
 		return r.replace(ctx, f)
+	case scenario.Moved:
+		r.later(ctx, noticeAfter, func() { r.state("DELETED", f.Names...) })
+		return func() error {
+			if err := r.backends(actor.Command{Do: actor.DoMove, Names: f.Names}); err != nil {
+				return err
+			}
+			r.state("SERVING", f.Names...)
+			return nil
+		}, r.backends(actor.Command{Do: actor.DoMove, Names: f.Names, On: true})
 	}
 	return none, fmt.Errorf("no such fault: %s", f.Kind)
 }
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -47,6 +48,7 @@
 	freePart    = 0.8 // of the machine's free memory that a run may take
 
 	measureAfter = 100 * time.Millisecond // a process's start, when its runtime stands
+	skewStream   = 9                      // of the seed
 )
 
 // run is one run.
@@ -170,7 +172,7 @@
 		}})
 	}
 	for _, backend := range r.workers {
-		relays = append(relays, link.Relay{Group: scenario.OnSidecars + "-" + scenario.OnBackends, To: func(at link.Place) (link.Ends, string, bool) {
+		relays = append(relays, link.Relay{Group: scenario.OnSidecars + "-" + scenario.OnBackends, Accepts: r.sc.Backends.Accepts, Backlog: r.sc.Backends.Backlog, To: func(at link.Place) (link.Ends, string, bool) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			name, ok := names[at]
@@ -267,11 +269,15 @@
 // startList starts one list service, and tells it the members as they now are.
 func (r *run) startList(ctx context.Context, i int) error {
 	l := r.sc.Lists
-	places := map[string]string{}
+	places, skews := map[string]string{}, map[string]int64{}
+	rnd := rand.New(rand.NewPCG(r.sc.Seed, skewStream))
 	for n, name := range r.sidecars {
 		places[r.places[n].String()] = name
+		if skew := r.sc.Sidecars.Skew.Milliseconds(); skew > 0 {
+			skews[r.places[n].String()] = rnd.Int64N(2*skew+1) - skew
+		}
 	}
-	hello, err := r.actor(ctx, actor.Spec{Name: r.lists[i], Group: scenario.OnLists, Rate: l.Rate, Queue: l.Queue, RetryAfter: l.RetryAfter, Places: places})
+	hello, err := r.actor(ctx, actor.Spec{Name: r.lists[i], Group: scenario.OnLists, Rate: l.Rate, Queue: l.Queue, RetryAfter: l.RetryAfter, Places: places, Skews: skews})
 	if err != nil {
 		return err
 	}
@@ -389,6 +395,9 @@
 	}
 	each := resident(r.procs.pid(r.sidecars[0]))
 	r.procs.kill(r.sidecars[0])
+	if err := os.RemoveAll(r.folder(0)); err != nil { // that life does not count
+		return err
+	}
 	free := available()
 	if need := each * int64(len(r.sidecars)); free > 0 && float64(need) > freePart*float64(free) {
 		return fmt.Errorf("sidecars.count: %d processes of %d MB take %d MB; %d MB at most expected on this machine", len(r.sidecars), each>>20, need>>20, int64(freePart*float64(free))>>20)
@@ -410,6 +419,9 @@
 	return r.procs.start(p)
 }
 
+// folder is the one that outlives a sidecar, where it has one.
+func (r *run) folder(i int) string { return filepath.Join(r.dir, r.sidecars[i]) }
+
 func (r *run) config(i int) string { return filepath.Join(r.dir, r.sidecars[i]+".toml") }
 
 // file is a sidecar's configuration.
@@ -419,7 +431,7 @@
 	var t strings.Builder
 	fmt.Fprintf(&t, "version = 2\nname = %q\n\n[process]\nmemory_mb = %g\nsockets = %d\n\n[[listeners]]\naddress = %q\n\n", r.sidecars[i], s.MemoryMB, s.Sockets, net.JoinHostPort(at, strconv.Itoa(r.port)))
 	if s.State { // of the process table, which stands before the listeners
-		return strings.Replace(t.String(), "[process]\n", fmt.Sprintf("[process]\nstate_dir = %q\n", filepath.Join(r.dir, r.sidecars[i])), 1) + r.service(i)
+		return strings.Replace(t.String(), "[process]\n", fmt.Sprintf("[process]\nstate_dir = %q\n", r.folder(i)), 1) + r.service(i)
 	}
 	return t.String() + r.service(i)
 }
--- a/internal/rig/scenario/scenario.go
+++ b/internal/rig/scenario/scenario.go
@@ -46,7 +46,8 @@
 	Start    time.Duration // they are started within this; 0: together
 	MemoryMB float64
 	Sockets  int
-	State    bool // each has a folder that outlives its process
+	State    bool          // each has a folder that outlives its process
+	Skew     time.Duration // their clocks and that of the list services differ by up to this, either way
 }
 
 // Lists are the stand-in list services, one process each. Sidecars are dealt out to them in turn.
@@ -69,6 +70,8 @@
 	Bears     float64       // a cold one bears this many times its present capacity at once
 	Fresh     bool          // all of them have just started when the run begins
 	Conns     int           // connections that each holds; further ones are closed; 0: any number
+	Accepts   float64       // connections a second that each takes from its queue; 0: as they come
+	Backlog   int           // length of that queue; a connection beyond it does not come up; 0: the system's own
 }
 
 // Clients send the load.
@@ -114,6 +117,7 @@
 	Stop    Kind = "stop"    // processes are stopped, and let go on when it ends
 	Term    Kind = "term"    // processes are told to end, and started again when it ends
 	Replace Kind = "replace" // backends drain, end, and come back fresh when it ends
+	Moved   Kind = "moved"   // backends end, and until it ends their addresses are another service's
 
 	ListDown   Kind = "down"      // list services answer 503
 	ListSilent Kind = "silent"    // they take calls and answer none
@@ -157,7 +161,7 @@
 var kinds = map[Kind]family{Cut: ofLinks, OneWay: ofLinks, Delay: ofLinks, Hold: ofLinks, Reset: ofLinks, Half: ofLinks, Slow: ofLinks,
 	Kill: ofProcesses, Stop: ofProcesses, Term: ofProcesses,
 	ListDown: ofLists, ListSilent: ofLists, ListHalf: ofLists, ListEmpty: ofLists, ListOlder: ofLists,
-	Replace: ofBackends, Choke: ofBackends, Fail: ofBackends}
+	Replace: ofBackends, Moved: ofBackends, Choke: ofBackends, Fail: ofBackends}
 
 // Fault is one fault. A drawn one names all that it acts on.
 type Fault struct {
@@ -223,7 +227,8 @@
 	}
 	v := s.Sub("sidecars")
 	x.Sidecars = Sidecars{Count: int(v.Whole("count", 1, 1, MaxSidecars)), Sites: v.Texts("sites"), Told: v.Flag("told"), Start: v.Span("start", 0, 0, MaxFor),
-		MemoryMB: v.Number("memory_mb", 64, 16, 1<<16), Sockets: int(v.Whole("sockets", 512, 64, 1<<16)), State: v.Flag("state")}
+		MemoryMB: v.Number("memory_mb", 64, 16, 1<<16), Sockets: int(v.Whole("sockets", 512, 64, 1<<16)), State: v.Flag("state"),
+		Skew: v.Span("skew", 0, 0, MaxFor)}
 	if len(x.Sidecars.Sites) == 0 {
 		x.Sidecars.Sites = []string{"a"}
 	}
@@ -236,7 +241,7 @@
 	x.Backends = Backends{Count: int(v.Whole("count", 4, 1, MaxBackends)), Processes: int(v.Whole("processes", 1, 1, maxActors)), Cores: int(v.Whole("cores", 4, 1, 1024)),
 		Waiting: int(v.Whole("waiting", 32, 0, 1e6)), Work: v.Span("work", 5*time.Millisecond, 0, time.Minute), Cold: v.Span("cold", 0, 0, MaxFor),
 		Part: v.Number("start_capacity", 1, 0.01, 1), Bears: v.Number("cold_multiple", 3, 1, 100), Conns: int(v.Whole("connections", 0, 0, 1e6)),
-		Fresh: v.Flag("fresh")}
+		Fresh: v.Flag("fresh"), Accepts: v.Number("accepts", 0, 0, 1e6), Backlog: int(v.Whole("backlog", 0, 0, 1<<16))}
 	if x.Backends.Processes > x.Backends.Count {
 		v.Bad(rules.Range, "processes", "1 to the %d backends expected", x.Backends.Count)
 	}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -45,6 +45,8 @@
 	RetryAfter time.Duration // that it says with a 503; 0: none
 	// Address, where given, is the address of a member as a caller is told it; caller is the IP address it calls from.
 	Address func(caller string, m Member) string
+	// Since, where given, is when a member started as a caller is told it, in Unix milliseconds.
+	Since func(caller string, m Member) int64
 	// Report, where given, takes each call's end.
 	Report func(DiscoveryCall)
 }
@@ -270,9 +272,14 @@
 }
 
 func (d *Discovery) write(w http.ResponseWriter, r *http.Request, call *DiscoveryCall, list *reply, mode Mode) {
-	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil && d.cfg.Address != nil {
+	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
 		for i, m := range list.Endpoints {
-			list.Endpoints[i].Address = d.cfg.Address(host, m)
+			if d.cfg.Address != nil {
+				list.Endpoints[i].Address = d.cfg.Address(host, m)
+			}
+			if d.cfg.Since != nil {
+				list.Endpoints[i].SinceMs = d.cfg.Since(host, m)
+			}
 		}
 	}
 	text, err := json.Marshal(list)
--- a/internal/start/reads.go
+++ b/internal/start/reads.go
@@ -139,10 +139,7 @@
 		// The service may have come back with an older state whose versions then pass ours; no watch shows that.
 		r.whole = now.Add(r.draw(reconcileFirst, reconcileFirst+reconcileSpan))
 	}
-	most := unknownWait
-	if r.cfg.Copies > 0 {
-		most = min(max(time.Duration(r.cfg.Copies)*perCopyWait, leastWait), mostWait)
-	}
+	most := r.most()
 	if !urgent {
 		most *= calmTimes
 	}
@@ -158,6 +155,18 @@
 	return r.call(c, now.Add(c.After))
 }
 
+// most is the bound of a wait of a copy that can't serve, by which all copies come back at a rate that a service bears.
+func (r *Reads) most() time.Duration {
+	if r.cfg.Copies == 0 {
+		return unknownWait
+	}
+	return min(max(time.Duration(r.cfg.Copies)*perCopyWait, leastWait), mostWait)
+}
+
+// Emptied takes the news that the list is empty, before Next. The service may have lost its members and find them again under the
+// same version, which no watch shows; so the copy watches on, and reads the whole list again before long.
+func (r *Reads) Emptied(now time.Time) { r.whole = now.Add(r.draw(firstWait, r.most())) }
+
 // Doubt has the next call ask for the whole list: what the copy has does not go together with what it was told.
 func (r *Reads) Doubt() { r.has = false }
 
@@ -181,6 +190,9 @@
 	}
 	c.Patience = r.over
 	c.Hold = r.cfg.Hold + time.Duration((2*r.rnd.Float64()-1)*holdJitter*float64(r.cfg.Hold))
+	if !r.whole.IsZero() { // which is due then
+		c.Hold = min(c.Hold, max(r.whole.Sub(at), 0))
+	}
 	return c
 }
 
--- a/internal/start/start_test.go
+++ b/internal/start/start_test.go
@@ -53,6 +53,21 @@
 	}
 }
 
+// The older a list that a copy begins with, the wider its first call is spread: it costs its service more.
+func TestFirstCallsWithAListAreSpreadByItsAge(t *testing.T) {
+	last := time.Duration(0)
+	for _, age := range []time.Duration{-time.Second, time.Second, 10 * time.Second, time.Minute, time.Hour} {
+		most := time.Duration(0)
+		for _, r := range copies(1000, 1000) {
+			most = max(most, r.First(zero, true, age).After)
+		}
+		if most < last || age < 0 && most > 250*time.Millisecond || age > time.Minute && (most < 4*time.Second || most > 5*time.Second) {
+			t.Errorf("age %v: up to %v, %v for a younger one", age, most, last)
+		}
+		last = most
+	}
+}
+
 // After any number of failures the copies come as spread as after a few: no second has more than twice its part.
 func TestWaitsStaySpreadOverALongOutage(t *testing.T) {
 	const n, bound = 400, 8 * time.Second // 400 times 20 ms
@@ -142,6 +157,19 @@
 			t.Errorf("%d whole readings after a break", whole)
 		}
 	})
+	t.Run("an empty list is watched, and soon read again", func(t *testing.T) {
+		for range 50 {
+			r, now := fresh(false), 0.0
+			r.Emptied(at(now))
+			c := r.Next(at(now), start.Answered, true, 0)
+			for ; !c.Whole; c = r.Next(at(now), start.Answered, true, 0) {
+				now += (c.After + max(c.Hold, time.Millisecond)).Seconds()
+			}
+			if now < 0.2 || now > 4.1 {
+				t.Fatalf("the whole list is read again after %.1f s", now)
+			}
+		}
+	})
 	t.Run("doubt asks for the whole list", func(t *testing.T) {
 		r := fresh(true)
 		r.Doubt()
