--- a/internal/rig/actor/actor.go
+++ b/internal/rig/actor/actor.go
@@ -44,6 +44,7 @@
 
 	// Of clients.
 	Sidecars map[string]string `json:"sidecars,omitempty"` // addresses by name
+	Own      []string          `json:"own,omitempty"`      // those of its own site, which it prefers; empty: all are
 	Load     float64           `json:"load,omitempty"`     // requests a second
 	Poll     time.Duration     `json:"poll,omitempty"`
 	Seed     uint64            `json:"seed,omitempty"`
--- a/internal/rig/actor/clients.go
+++ b/internal/rig/actor/clients.go
@@ -28,13 +28,14 @@
 	Share     float64
 	Objective time.Duration
 	Deadline  time.Duration
+	Worth     float64
 }
 
 // classes are those of every run.
 var classes = []Class{
-	{"tariff-lookup", "safe", "GET", "/tariffs", 0.6, 300 * time.Millisecond, time.Second},
-	{"usage-rate", "keyed", "POST", "/usage", 0.25, 500 * time.Millisecond, 2 * time.Second},
-	{"charge-post", "unsafe", "POST", "/charges", 0.15, 700 * time.Millisecond, 2 * time.Second},
+	{"tariff-lookup", "safe", "GET", "/tariffs", 0.6, 300 * time.Millisecond, time.Second, 1},
+	{"usage-rate", "keyed", "POST", "/usage", 0.25, 500 * time.Millisecond, 2 * time.Second, 3},
+	{"charge-post", "unsafe", "POST", "/charges", 0.15, 700 * time.Millisecond, 2 * time.Second, 10},
 }
 
 // Classes are the classes of every run.
@@ -134,7 +135,7 @@
 		before := c.ready[name]
 		c.ready[name] = healthy
 		c.mu.Unlock()
-		if healthy && !before {
+		if healthy && !before && c.owns(name) { // one client process for each tells of it
 			c.t.tell(history.Event{Kind: history.Ready, Who: c.spec.Name, To: name})
 		}
 		if healthy {
@@ -145,6 +146,10 @@
 	}
 }
 
+func (c *clients) owns(name string) bool {
+	return len(c.spec.Own) == 0 || slices.Contains(c.spec.Own, name)
+}
+
 func (c *clients) healthy(name string) bool {
 	conn, err := net.DialTimeout("tcp4", c.spec.Sidecars[name], pollWithin)
 	if err != nil {
@@ -167,7 +172,14 @@
 func (c *clients) play(ctx context.Context) {
 	rnd := rand.New(rand.NewPCG(c.spec.Seed, loadStream))
 	held := make(chan struct{}, mostHeld)
-	names := slices.Sorted(maps.Keys(c.spec.Sidecars))
+	var own, others []string
+	for _, n := range slices.Sorted(maps.Keys(c.spec.Sidecars)) {
+		if c.owns(n) {
+			own = append(own, n)
+		} else {
+			others = append(others, n)
+		}
+	}
 	var all sync.WaitGroup
 	defer all.Wait()
 	next := time.Now()
@@ -180,10 +192,12 @@
 			wait.Stop()
 			return
 		}
-		class, first, subject := pick(rnd), rnd.IntN(len(names)), rnd.IntN(spread)
-		name := c.choose(names, first)
+		class, first, subject := pick(rnd), rnd.IntN(len(c.spec.Sidecars)), rnd.IntN(spread)
+		name := c.choose(own, first)
 		if name == "" {
-			continue
+			if name = c.choose(others, first); name == "" {
+				continue
+			}
 		}
 		select {
 		case held <- struct{}{}:
--- a/internal/rig/check/figures.go
+++ b/internal/rig/check/figures.go
@@ -40,7 +40,8 @@
 	Attempts  int     `json:"attempts"`
 	EarlyPart float64 `json:"early_served"` // part of those asked in the first 30 s that was served
 
-	ListBack []float64 `json:"list_back_s"` // from the end of each fault of list services until all sidecars were ready; -1: never
+	Losses   []Loss    `json:"losses,omitempty"` // of sites
+	ListBack []float64 `json:"list_back_s"`      // from the end of each fault of list services until all sidecars were ready; -1: never
 }
 
 // Rate is calls a second over seconds.
@@ -195,6 +196,7 @@
 		at := func(q float64) float64 { return f.Ready[min(len(f.Ready)-1, int(q*float64(len(f.Ready))))] }
 		f.ReadyP50, f.ReadyP95, f.ReadyAll = at(0.5), at(0.95), f.Ready[len(f.Ready)-1]
 	}
+	f.Losses = losses(sc, r)
 	f.ListBack = listBack(sc, r, firstReady)
 	return f
 }
--- a/internal/rig/link/net.go
+++ b/internal/rig/link/net.go
@@ -189,6 +189,9 @@
 	if f.Link != group {
 		return false
 	}
+	if f.Across {
+		return slices.Contains(f.Names, e.From) != slices.Contains(f.Names, e.To)
+	}
 	return len(f.Names) == 0 || slices.Contains(f.Names, e.From) || slices.Contains(f.Names, e.To)
 }
 
--- a/internal/rig/play.go
+++ b/internal/rig/play.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"fernlanding/internal/rig/actor"
@@ -115,8 +116,9 @@
 // away ends processes, and starts them again when the fault ends.
 func (r *run) away(ctx context.Context, f scenario.Fault) (func() error, error) {
 	names := r.processes(f)
-	if f.On == scenario.OnBackends { // they leave the list a while after
-		r.later(ctx, noticeAfter, func() { r.state("DELETED", r.workers...) })
+	lost := r.workersOf(names)
+	if len(lost) > 0 && !f.Unnoticed { // they leave the list a while after
+		r.later(ctx, noticeAfter, func() { r.state("DELETED", lost...) })
 	}
 	if f.Kind == scenario.Kill {
 		for _, n := range names {
@@ -129,10 +131,10 @@
 		for _, n := range names {
 			r.procs.kill(n) // those that have not ended yet
 			var err error
-			switch i := number(n); f.On {
-			case scenario.OnSidecars:
+			switch i := scenario.Number(n); {
+			case strings.HasPrefix(n, "sidecar-"):
 				err = r.startSidecar(i)
-			case scenario.OnLists:
+			case strings.HasPrefix(n, "list-"):
 				err = r.startList(ctx, i)
 			default:
 				err = r.startBackends(ctx, i, true)
@@ -141,21 +143,21 @@
 				return err
 			}
 		}
-		if f.On == scenario.OnBackends {
-			r.state("SERVING", r.workers...)
+		if len(lost) > 0 {
+			r.state("SERVING", lost...)
 		}
 		return nil
 	}, nil
 }
 
-// number is the number of a process by its name, from 0.
-func number(name string) (n int) {
-	for _, c := range name {
-		if c >= '0' && c <= '9' {
-			n = 10*n + int(c-'0')
+// workersOf are the backends of those processes that have any.
+func (r *run) workersOf(names []string) (out []string) {
+	for i, w := range r.workers {
+		if slices.Contains(names, r.backs[i%len(r.backs)]) {
+			out = append(out, w)
 		}
 	}
-	return n - 1
+	return out
 }
 
 // replace drains backends, ends them a while after, and starts them again, cold, when the fault ends.
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -297,12 +297,17 @@
 	c := r.sc.Clients
 	for i, name := range r.clients {
 		at := map[string]string{}
+		var own []string
 		for n, sidecar := range r.sidecars {
-			if n%len(r.clients) == i {
+			mine := n%len(r.clients) == i
+			if c.Roam && mine {
+				own = append(own, sidecar)
+			}
+			if mine || c.Roam {
 				at[sidecar] = net.JoinHostPort(r.places[n].String(), strconv.Itoa(r.relay))
 			}
 		}
-		if _, err := r.actor(ctx, actor.Spec{Name: name, Group: scenario.OnClients, Sidecars: at, Load: c.Rate / float64(len(r.clients)), Poll: c.Poll, Seed: r.sc.Seed + uint64(i)}); err != nil {
+		if _, err := r.actor(ctx, actor.Spec{Name: name, Group: scenario.OnClients, Sidecars: at, Own: own, Load: c.Rate / float64(len(r.clients)), Poll: c.Poll, Seed: r.sc.Seed + uint64(i)}); err != nil {
 			return err
 		}
 	}
@@ -458,6 +463,9 @@
 	}
 	for _, c := range actor.Classes() {
 		fmt.Fprintf(&t, "[services.rating.classes.%s]\nrepeat = %q\nobjective = %q\ndeadline = %q\n", c.Name, c.Repeat, c.Objective, c.Deadline)
+		if r.sc.Clients.Worth {
+			fmt.Fprintf(&t, "worth = %g\n", c.Worth)
+		}
 		if c.Repeat == "keyed" {
 			fmt.Fprintf(&t, "key = \"Idempotency-Key\"\ndedup_scope = \"cell\"\ndedup_window = %q\n", actor.Window)
 		}
--- a/internal/rig/scenario/scenario.go
+++ b/internal/rig/scenario/scenario.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -80,6 +81,8 @@
 	Processes int
 	Quota     float64       // requests a second that sidecars are told to be inside the one tenant's share; 0: no tenant
 	Poll      time.Duration // between two looks at whether a sidecar is ready
+	Roam      bool          // who finds no sidecar of its own site ready goes to another site's; otherwise it asks nothing
+	Worth     bool          // sidecars are told what classes are worth; otherwise they are alike
 }
 
 // Bounds are what a run is held to beyond the rules; 0: not.
@@ -135,6 +138,7 @@
 	OnLists    = "lists"
 	OnBackends = "backends"
 	OnClients  = "clients"
+	OnSites    = "sites" // all processes of one site: sidecars, list services, backends
 )
 
 // Directions of a link.
@@ -165,19 +169,21 @@
 
 // Fault is one fault. A drawn one names all that it acts on.
 type Fault struct {
-	At    time.Duration
-	For   time.Duration
-	Kind  Kind
-	Link  string   // of a fault of links: the two groups
-	Way   string   // the direction, of those that have one
-	On    string   // the group of which Names are members
-	Names []string // of those that it acts on; empty: all that Site and Share say
-	Site  string   // only those of this site
-	Share float64  // only this part of them, drawn from the seed; 0: all
-	Delay time.Duration
-	More  time.Duration // jitter
-	Bytes int           // of Hold: that still come
-	Rate  int           // of Slow: bytes a second
+	At        time.Duration
+	For       time.Duration
+	Kind      Kind
+	Link      string   // of a fault of links: the two groups
+	Way       string   // the direction, of those that have one
+	On        string   // the group of which Names are members
+	Names     []string // of those that it acts on; empty: all that Site and Share say
+	Site      string   // only those of this site
+	Across    bool     // of a fault of links: only those that cross the border of Site
+	Unnoticed bool     // of Kill: the lists go on saying that the backends serve
+	Share     float64  // only this part of them, drawn from the seed; 0: all
+	Delay     time.Duration
+	More      time.Duration // jitter
+	Bytes     int           // of Hold: that still come
+	Rate      int           // of Slow: bytes a second
 }
 
 // Name is how the history names a fault; i is its number in the schedule.
@@ -232,6 +238,11 @@
 	if len(x.Sidecars.Sites) == 0 {
 		x.Sidecars.Sites = []string{"a"}
 	}
+	for i, site := range x.Sidecars.Sites {
+		if site == "" || slices.Contains(x.Sidecars.Sites[:i], site) {
+			v.Bad(rules.Range, "sites", "%q stands twice or is empty; names that differ expected", site)
+		}
+	}
 	v.Done()
 	v = s.Sub("lists")
 	x.Lists = Lists{Count: int(v.Whole("count", 1, 1, MaxLists)), Rate: v.Number("rate", 0, 0, 1e6), Queue: int(v.Whole("queue", 100, 0, 1e6)),
@@ -248,7 +259,11 @@
 	v.Done()
 	v = s.Sub("clients")
 	x.Clients = Clients{Rate: v.Number("rate", 0, 0, MaxRate), Processes: int(v.Whole("processes", 1, 1, maxActors)),
-		Quota: v.Number("quota", 0, 0, 1e9), Poll: v.Span("poll", 200*time.Millisecond, 10*time.Millisecond, time.Minute)}
+		Quota: v.Number("quota", 0, 0, 1e9), Poll: v.Span("poll", 200*time.Millisecond, 10*time.Millisecond, time.Minute),
+		Roam: v.Flag("roam"), Worth: v.Flag("worth")}
+	if x.Clients.Roam && x.Clients.Processes%len(x.Sidecars.Sites) != 0 {
+		v.Bad(rules.Range, "processes", "as many for each of the %d sites expected with roam, %d found", len(x.Sidecars.Sites), x.Clients.Processes)
+	}
 	v.Done()
 	v = s.Sub("bounds")
 	x.Bounds = Bounds{Reads: v.Number("reads_per_s", 0, 0, 1e9), Connects: v.Number("connects_per_s", 0, 0, 1e9), ReadyFor: v.Number("ready_part", 0, 0, 1),
@@ -302,7 +317,7 @@
 	f = Fault{At: v.Span("at", 0, 0, MaxFor), For: v.Span("for", 0, 0, MaxFor), Kind: Kind(v.Word("kind", "", KindNames()...)),
 		Site: v.Text("site", ""), Share: v.Number("share", 0, 0, 1), Names: v.Texts("names"),
 		Delay: v.Span("delay", 0, 0, time.Minute), More: v.Span("jitter", 0, 0, time.Minute), Bytes: int(v.Whole("bytes", 100, 0, 1<<20)),
-		Rate: int(v.Whole("rate", 0, 0, 1<<30))}
+		Rate: int(v.Whole("rate", 0, 0, 1<<30)), Across: v.Flag("across"), Unnoticed: v.Flag("unnoticed")}
 	if f.At+f.For > x.For {
 		v.Bad(rules.Range, "for", "the fault to end by the run's end, %v, expected; it ends at %v", x.For, f.At+f.For)
 	}
@@ -323,8 +338,14 @@
 		if f.Kind == Slow && f.Rate == 0 {
 			v.Bad(rules.Missing, "rate", "bytes a second expected")
 		}
+		if f.Across && (f.Site == "" || f.Link == links[0]) {
+			v.Bad(rules.Missing, "across", "a site expected beside it, and a link between processes that have one")
+		}
 	case ofProcesses:
-		f.On = v.Word("on", OnSidecars, OnSidecars, OnLists, OnBackends)
+		f.On = v.Word("on", OnSidecars, OnSidecars, OnLists, OnBackends, OnSites)
+		if n := len(x.Sidecars.Sites); f.On == OnSites && (f.Site == "" || x.Backends.Processes%n != 0 || x.Lists.Count%n != 0) {
+			v.Bad(rules.Missing, "site", "one of the sites expected, and as many list services and processes of backends for each")
+		}
 		if f.On == OnBackends && (f.Share > 0 || f.Site != "" || len(f.Names) > 0) && f.Kind != Stop {
 			v.Bad(rules.Exclusive, "on", "backends share processes: all of them, or single ones by kind = %q, expected", Replace)
 		}
@@ -352,6 +373,12 @@
 
 // Names are the members of a group, in order.
 func (x *Scenario) Names(group string) (out []string) {
+	if group == OnSites {
+		for i := range x.Backends.Processes {
+			out = append(out, fmt.Sprintf("%s-%d", OnBackends, i+1))
+		}
+		return slices.Concat(out, x.Names(OnLists), x.Names(OnSidecars))
+	}
 	n := map[string]int{OnSidecars: x.Sidecars.Count, OnLists: x.Lists.Count, OnBackends: x.Backends.Count, OnClients: x.Clients.Processes}[group]
 	for i := range n {
 		out = append(out, fmt.Sprintf("%s-%d", single(group), i+1))
@@ -359,5 +386,26 @@
 	return out
 }
 
+// Number is the number of a process or a backend by its name, from 0.
+func Number(name string) int {
+	n, _ := strconv.Atoi(name[strings.LastIndexByte(name, '-')+1:])
+	return n - 1
+}
+
+// SiteOf is the site of a process by its name, or of a backend.
+func (x *Scenario) SiteOf(name string) string { return x.Site(Number(name)) }
+
 // Site is the site of the nth member of a group, from 0.
 func (x *Scenario) Site(n int) string { return x.Sidecars.Sites[n%len(x.Sidecars.Sites)] }
+
+// Room is how many requests a second the backends of each site can serve once they are warm.
+func (x *Scenario) Room() map[string]float64 {
+	room := map[string]float64{}
+	if x.Backends.Work <= 0 {
+		return room
+	}
+	for i := range x.Backends.Count {
+		room[x.Site(i)] += float64(x.Backends.Cores) / x.Backends.Work.Seconds()
+	}
+	return room
+}
--- a/internal/rig/scenario/schedule.go
+++ b/internal/rig/scenario/schedule.go
@@ -38,8 +38,12 @@
 	if len(f.Names) > 0 {
 		return f.Names
 	}
-	for i, n := range x.Names(f.On) {
-		if f.Site == "" || x.Site(i) == f.Site || f.On == OnLists {
+	group := x.Names(f.On)
+	if f.Across {
+		group = slices.Concat(x.Names(OnSidecars), x.Names(OnBackends), x.Names(OnLists))
+	}
+	for _, n := range group {
+		if f.Site == "" || x.SiteOf(n) == f.Site || f.On == OnLists {
 			out = append(out, n)
 		}
 	}
@@ -104,6 +108,15 @@
 		if len(names) > 0 {
 			fmt.Fprintf(&b, "names = [%s]\n", strings.Join(names, ", "))
 		}
+		if f.Across {
+			fmt.Fprintf(&b, "site = %q\nacross = true\n", f.Site)
+		}
+		if f.On == OnSites {
+			fmt.Fprintf(&b, "site = %q\n", f.Site)
+		}
+		if f.Unnoticed {
+			b.WriteString("unnoticed = true\n")
+		}
 		if f.Delay+f.More > 0 {
 			fmt.Fprintf(&b, "delay = %q\njitter = %q\n", f.Delay, f.More)
 		}
