Give a cold server no better chance for being empty than warm ones have

Ruled out by measurement: home preference (spill at 1 - the home's warmth: 17.9 and 16.9 s pushed over against 18.4 and 16.8). Cause: weigh() divided by (1 + calls held)^8 (heldPower) after the warmth: as soon as warm servers hold a call of each copy, an empty cold one outweighs them 256 times, whatever its warmth of 0.15 says. Copies together then send it a quarter of all calls (test: 0.23 to 0.26 of them to servers with 0.11 of the capacity). Change: a cold server's factor for what it holds is at most the mean factor of warm ones; in a crowd it is loaded evenly for its capacity, else spared as before. Warm servers' weights are untouched, and nothing changes where all or none are cold.

--- a/logic/cold_test.go
+++ b/logic/cold_test.go
@@ -12,6 +12,7 @@
 	quota                 float64 // requests a second that all tenants may ask for
 	asked                 float64 // requests a second over all copies
 	stage                 int
+	lasts                 float64 // seconds that a call is out; 0: none is while others are sent
 }
 
 // play asks for some seconds and returns the parts of the calls that went to cold servers and that were refused.
@@ -44,13 +45,26 @@
 	}
 	n, sent, left := int(d.asked*seconds), 0, 0
 	now := start
+	type call struct {
+		at int64
+		b  *Balancer
+		id string
+	}
+	var out []call
+	end := func(c call) {
+		c.b.Outcome(c.at, &recorder{}, Outcome{ID: c.id, Status: OK, Took: 250_000, Closed: true})
+	}
 	for i := range n {
 		now += int64(rnd.ExpFloat64() / d.asked * 1e6)
+		for len(out) > 0 && out[0].at <= now {
+			end(out[0])
+			out = out[1:]
+		}
 		b, h := all[rnd.IntN(len(all))], &recorder{}
 		id := fmt.Sprint(i)
 		b.Request(now, h, Request{ID: id, GiveUp: now + 2_000_000})
 		if len(h.sends) == 0 {
-			if left++; b.Cause() != ByCold && b.Cause() != ByTenant {
+			if left++; d.lasts == 0 && b.Cause() != ByCold && b.Cause() != ByTenant {
 				t.Fatalf("refused by %v", b.Cause())
 			}
 			continue
@@ -58,7 +72,7 @@
 		if isCold[h.sends[0].server] {
 			sent++
 		}
-		b.Outcome(now, h, Outcome{ID: id, Status: OK, Took: 250_000, Closed: true}) // at once: what counts here is how many are sent
+		out = append(out, call{now + int64(d.lasts*1e6), b, id})
 	}
 	return float64(sent) / float64(n), float64(left) / float64(n)
 }
@@ -73,15 +87,19 @@
 		seconds                          float64
 		leastCold, mostCold, mostRefused float64
 	}{
-		{"all cold, ten copies", coldDay{10, 20, 0, 2000, 2000, 0}, 3, 0.15, 0.3, 0.85},
-		{"all cold, a hundred", coldDay{100, 20, 0, 2000, 2000, 0}, 3, 0.15, 0.3, 0.85},
-		{"all cold, three hundred", coldDay{300, 60, 0, 6000, 6000, 0}, 3, 0.15, 0.3, 0.85},
-		{"all cold, more than is in the shares", coldDay{100, 20, 0, 2000, 4000, 0}, 3, 0.07, 0.2, 0.93},
-		{"all cold, a tenth is asked for", coldDay{100, 20, 0, 2000, 200, 0}, 3, 0.65, 1, 0.35},
-		{"the same for longer", coldDay{100, 20, 0, 2000, 200, 0}, 15, 0.9, 1, 0.1},
-		{"half are warm", coldDay{100, 20, 10, 2000, 2000, 0}, 3, 0.05, 0.2, 0.01},
-		{"one is warm: by its weight", coldDay{100, 20, 1, 2000, 2000, 0}, 3, 0.5, 0.8, 0.01},
-		{"a late tier", coldDay{100, 20, 0, 2000, 2000, 1}, 3, 0.99, 1, 0},
+		{"all cold, ten copies", coldDay{10, 20, 0, 2000, 2000, 0, 0}, 3, 0.15, 0.3, 0.85},
+		{"all cold, a hundred", coldDay{100, 20, 0, 2000, 2000, 0, 0}, 3, 0.15, 0.3, 0.85},
+		{"all cold, three hundred", coldDay{300, 60, 0, 6000, 6000, 0, 0}, 3, 0.15, 0.3, 0.85},
+		{"all cold, more than is in the shares", coldDay{100, 20, 0, 2000, 4000, 0, 0}, 3, 0.07, 0.2, 0.93},
+		{"all cold, a tenth is asked for", coldDay{100, 20, 0, 2000, 200, 0, 0}, 3, 0.65, 1, 0.35},
+		{"the same for longer", coldDay{100, 20, 0, 2000, 200, 0, 0}, 15, 0.9, 1, 0.1},
+		{"half are warm", coldDay{100, 20, 10, 2000, 2000, 0, 0}, 3, 0.05, 0.2, 0.01},
+		{"one is warm: by its weight", coldDay{100, 20, 1, 2000, 2000, 0, 0}, 3, 0.5, 0.8, 0.01},
+		{"a late tier", coldDay{100, 20, 0, 2000, 2000, 1, 0}, 3, 0.99, 1, 0},
+		// A third are cold: 0.11 of the calls are as much for their capacity as the others get.
+		{"warm ones hold a call of each copy", coldDay{36, 24, 16, 2000, 1500, 0, 0.25}, 3, 0.03, 0.13, 0.1},
+		{"warm ones hold some", coldDay{12, 24, 16, 2000, 1500, 0, 0.25}, 3, 0.03, 0.13, 0.1},
+		{"calls are few", coldDay{100, 24, 16, 2000, 200, 0, 0.25}, 3, 0.02, 0.12, 0.1},
 	} {
 		cold, refused := c.day.play(t, c.seconds)
 		if cold < c.leastCold || cold > c.mostCold || refused > c.mostRefused {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -53,7 +53,6 @@
 	slowGain    = 0.1  // how far one finish moves a server's slowness
 	firstWorth  = 4.0  // finishes that a fresh copy's first guess at a mean is worth
 	slowMost    = 5.0  // times the mean: a single finish says no more than this
-	heldPower   = 8.0  // how sharply a weight falls with the calls of this copy that its server holds
 	healthFloor = 0.05 // health left to a failing server, for trials
 	failing     = 0.25 // a server with less health than this gets trials only, while there are others
 	trialEvery  = 16   // calls from one trial to the next
@@ -498,6 +497,7 @@
 func (b *Balancer) draw(now int64, q *request) *server {
 	b.weights = b.weights[:0]
 	total, best, room, warm, allCold := 0.0, 0, b.subset(now), 0.0, true
+	b.free = b.warmRoom(now, int(room)+1)
 	for _, s := range b.ready {
 		if room <= 0 && total > 0 {
 			break
@@ -573,10 +573,16 @@
 }
 
 // weigh is a server's weight in the draw: its size, what was learned of it, its age, its zone, and the calls
-// of this copy that it already holds.
+// of this copy that it already holds. That a cold one holds fewer than others is no sign of room: it has no
+// better chance by it than warm ones have in the mean. Otherwise, once each warm one holds a call of each
+// copy, nearly all further calls of all copies would go to the cold ones.
 func (b *Balancer) weigh(now int64, s *server, class int) float64 {
-	w := max(healthFloor, s.healthFor(class)) / (s.slowness * s.slowness) * b.warmth(now, s)
-	w /= math.Pow(float64(1+s.inflight), heldPower)
+	part, free := b.warmth(now, s), roomy(float64(s.inflight))
+	if part < 1 {
+		free = min(b.free, roomy(float64(s.inflight)/part))
+		part *= 1 + (1/coldMargin-1)*(1-b.free) // in a crowd it is loaded as they are, and not spared
+	}
+	w := max(healthFloor, s.healthFor(class)) / (s.slowness * s.slowness) * part * free
 	if b.s.SizeHints && s.Size > 0 {
 		w *= s.Size
 	}
@@ -586,6 +592,29 @@
 	return w
 }
 
+// roomy is how a weight falls with the calls that a server holds: sharply, by the eighth power.
+func roomy(held float64) float64 {
+	x := 1 / (1 + held)
+	x *= x
+	x *= x
+	return x * x
+}
+
+// warmRoom is the mean of roomy over the warm servers among the first n; 1 if there is none.
+func (b *Balancer) warmRoom(now int64, n int) float64 {
+	sum, warm := 0.0, 0.0
+	for _, s := range b.ready[:min(n, len(b.ready))] {
+		if b.warmth(now, s) == 1 {
+			sum += roomy(float64(s.inflight))
+			warm++
+		}
+	}
+	if warm == 0 {
+		return 1
+	}
+	return sum / warm
+}
+
 // warmth guards against pushing a cold server over (rule 4): its weight is under the least capacity that
 // a server of its age has.
 func (b *Balancer) warmth(now int64, s *server) float64 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -243,6 +243,7 @@
 	shareMost float64
 	shareBad  float64 // what a bad round leaves of share at most
 	shareEv   round
+	free      float64 // mean factor of a warm server's weight for the calls that it holds, at the present draw
 	spill     float64 // weight of servers in other zones
 	spillEv   round
 	errs      float64  // running part of failed calls over all servers
