Call a silent agent ten times a second, whatever became of the calls before

Traced in the logs of all 297 proxies: the agent is silent from 2 s to 11.02 s and has the release's first drains when it speaks again; each proxy has a call under way that it made at 10.27 s, which is never answered, gives it up at 11.27 s and waits half a second more. What the agent has counts as told at once (PROTOCOL, lists pushed). Cause: catalog.Client.Run, one call at a time with a patience of 1 s (pushPatience) and up to 0.5 s between two (retryMost). Change: after a failure an agent is called every 100 ms without waiting for the calls before; the first answer that makes sense is taken, the others are cut off. Calls to an agent cost nothing; at most ten hang. Only where lists are pushed: a service that all copies share is spared as before.

--- a/internal/membership/catalog/catalog.go
+++ b/internal/membership/catalog/catalog.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"fernlanding/internal/membership"
@@ -25,9 +26,13 @@
 
 	pushPatience = time.Second             // for an answer that need not wait, and beyond a watch's wait
 	askPatience  = 1500 * time.Millisecond // the same where calls wait in turn
-	retryFirst   = 50 * time.Millisecond   // after a failed call
-	retryMost    = 500 * time.Millisecond  // at most
-	maxList      = 4 << 20
+	// Where the list is pushed, what the agent has counts as told, and a call that it got while it was silent is never
+	// answered. So a silent agent is called this often, whatever became of the calls before: within the time in which what
+	// drains may still be sent to.
+	insistEvery = 100 * time.Millisecond
+	sayEvery    = time.Second // a line in the log while it is silent
+	mostCalls   = 2 + int(pushPatience/insistEvery)
+	maxList     = 4 << 20
 
 	mostRetryAfter = time.Hour // beyond which what a service asks for is no wait
 )
@@ -65,7 +70,7 @@
 		hold, patience = askHold, askPatience
 	}
 	return &Client{addr: cfg.Address, hold: hold, patience: patience, log: cfg.Log, cfg: cfg, stale: staleness.New(),
-		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true}}}
+		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: mostCalls, DisableCompression: true}}}
 }
 
 // Health implements membership.Source.
@@ -73,7 +78,8 @@
 
 // Run implements membership.Source: it watches until the context ends. The next watch follows its answer at once, lest changes in between
 // count as told late. After a call that failed in a way that leaves the version in doubt, it begins with
-// the full list. With Subscribe the module says when to ask, after a failure and, with First, at the start.
+// the full list. With Subscribe the module says when to ask, after a failure and, with First, at the start; otherwise it
+// insists after a failure.
 func (d *Client) Run(ctx context.Context, sink membership.Sink) {
 	defer d.client.CloseIdleConnections()
 	if d.cfg.Reads != nil {
@@ -81,7 +87,7 @@
 		return
 	}
 	subscribe, first := d.cfg.Subscribe, d.cfg.Subscribe && d.cfg.First
-	index, wait := int64(-1), retryFirst
+	index := int64(-1)
 	for subscribed := !first; ctx.Err() == nil; {
 		if subscribe && !subscribed {
 			select {
@@ -108,19 +114,65 @@
 				sink.Missed() // the module says when to ask again
 				continue
 			}
-			select {
-			case <-time.After(wait):
-			case <-ctx.Done():
+			if list = d.insist(ctx, index); list == nil {
+				return
 			}
-			wait = min(2*wait, retryMost)
-			continue
 		}
-		index, wait, subscribed = list.Index, retryFirst, true
+		index, subscribed = list.Index, true
 		sink.Listed(list)
 		d.stale.Confirmed(index, 0)
 	}
 }
 
+// insist calls, again and again and without waiting for the calls before to end, until one is answered with sense, and returns that
+// answer; nil: the context has ended. It goes on from a version, or asks for the whole list.
+func (d *Client) insist(ctx context.Context, index int64) *membership.List {
+	ctx, cancel := context.WithCancel(ctx)
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	defer cancel()
+	lists := make(chan *membership.List)
+	failed := make(chan error)
+	tick := time.NewTicker(insistEvery)
+	defer tick.Stop()
+	for said := time.Now(); ; {
+		select {
+		case <-tick.C:
+			from := index
+			calls.Go(func() {
+				list, err := d.call(ctx, from, 0, d.patience)
+				if err == nil && !list.Full && list.Index < from {
+					err = fmt.Errorf("version went back from %d to %d", from, list.Index)
+				}
+				if err == nil {
+					select {
+					case lists <- list:
+					case <-ctx.Done():
+					}
+					return
+				}
+				select {
+				case failed <- err:
+				case <-ctx.Done():
+				}
+			})
+		case list := <-lists:
+			return list
+		case err := <-failed:
+			d.stale.Failed()
+			if outcome, _ := judge(err); outcome != start.Busy {
+				index = -1
+			}
+			if now := time.Now(); now.Sub(said) >= sayEvery {
+				said = now
+				d.log.Warn("discovery", "error", err)
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // pace is Run where package start decides when to call.
 func (d *Client) pace(ctx context.Context, sink membership.Sink) {
 	began, had, index := time.Now(), d.cfg.Known >= 0, d.cfg.Known
--- a/internal/membership/catalog/contract_test.go
+++ b/internal/membership/catalog/contract_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -142,3 +146,45 @@
 		t.Errorf("asked again %v after 503 with Retry-After 0.4", gap)
 	}
 }
+
+// An agent that was silent answers no call that it got meanwhile, and what it has when it speaks again counts as told at once. So
+// it is called again and again though no call has ended: this one speaks only while two calls hang.
+func TestASilentAgentIsCalledAgainBeforeItsCallsEnd(t *testing.T) {
+	var mu sync.Mutex
+	hanging, calls := 0, 0
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		calls++
+		first, speaks := calls == 1, hanging >= 2
+		if !first && !speaks {
+			hanging++
+		}
+		mu.Unlock()
+		switch {
+		case first: // the watch that falls silent, cut short
+			w.WriteHeader(http.StatusBadGateway)
+		case speaks:
+			_, _ = io.WriteString(w, `{"index":7,"snapshot":true,"endpoints":[{"name":"a","address":"127.0.0.1:1","status":"DRAINING"}]}`)
+		default:
+			<-r.Context().Done()
+			mu.Lock()
+			hanging--
+			mu.Unlock()
+		}
+	}))
+	defer agent.Close()
+	src := New(Config{Address: strings.TrimPrefix(agent.URL, "http://"), Log: slog.New(slog.DiscardHandler)})
+	ctx, stop := context.WithCancel(context.Background())
+	lists, ended := make(listed, 100), make(chan struct{})
+	go func() { defer close(ended); src.Run(ctx, lists) }()
+	select {
+	case l := <-lists:
+		if l.Index != 7 || !src.Health().Silent.IsZero() {
+			t.Errorf("%+v, %+v", l, src.Health())
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("no list: the agent is not called while a call hangs")
+	}
+	stop()
+	<-ended
+}
