--- a/internal/membership/cache/cache_test.go
+++ b/internal/membership/cache/cache_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"reflect"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,20 +140,14 @@
 
 // pool is a Sink that holds a whole list.
 type pool struct {
-	list   *membership.List
-	before func() // Listed returns
-	read   func() // whole returns
+	list atomic.Pointer[membership.List]
+	read func() // whole returns
 }
 
-func (p *pool) Listed(l *membership.List) {
-	p.list = l
-	if p.before != nil {
-		p.before()
-	}
-}
-func (p *pool) Missed() {}
+func (p *pool) Listed(l *membership.List) { p.list.Store(l) }
+func (p *pool) Missed()                   {}
 func (p *pool) whole() *membership.List {
-	l := p.list
+	l := p.list.Load()
 	if p.read != nil {
 		p.read()
 	}
@@ -209,7 +204,7 @@
 		step(settle+time.Millisecond, "[b]")
 		for range 30 {
 			k.Listed(&membership.List{Index: 2})
-			p.list = whole(2, "b")
+			p.list.Store(whole(2, "b"))
 			step(time.Second, "[b]")
 			if _, age, _ := s.Load(time.Now(), time.Hour); age > confirmEvery+2*time.Second {
 				t.Errorf("last confirmed %v ago", age)
@@ -232,7 +227,7 @@
 		t.Fatal(got)
 	}
 	k.Listed(&membership.List{Index: 2, Endpoints: []membership.Endpoint{{Name: "c", Address: "127.0.0.1:1"}}})
-	p.list = whole(2, "a", "b", "c")
+	p.list.Store(whole(2, "a", "b", "c"))
 	p.read = func() { p.read = nil; k.Listed(whole(3, "b", "c")) } // the writer holds what stood before
 	k.write()
 	if got := names(t, s); got != "none" {
