--- a/internal/sidecar/app_test.go
+++ b/internal/sidecar/app_test.go
@@ -202,6 +202,7 @@
 // A service whose discovery never answers holds up neither the others nor the health check; its requests are refused at
 // once, with when to come back.
 func TestADeadDiscoveryHoldsUpNobodyElse(t *testing.T) {
+	t.Parallel()
 	d, err := standin.NewDiscovery()
 	if err != nil {
 		t.Fatal(err)
@@ -229,6 +230,7 @@
 
 // A service is taken out while a charge is on its way to it: the charge gets its one answer, and nothing new goes there.
 func TestAServiceThatIsTakenOutEndsWithItsLastAnswer(t *testing.T) {
+	t.Parallel()
 	release := make(chan struct{})
 	old, kept := backend(t, held(release)), backend(t, standin.Echo)
 	keeps := svc{"kept", safeClass, at(kept.Addr()), ""}
@@ -298,6 +300,7 @@
 // The weights of a split change between a keyed request and the client's retry of it: the retry goes to the service that
 // holds the record of its key, whatever the weights now say. Where that service is on the route no more, it is refused.
 func TestAKeyedRetryStaysWithItsRecord(t *testing.T) {
+	t.Parallel()
 	a, b := backend(t, standin.Echo), backend(t, standin.Echo)
 	sa, sb := svc{"a", keyedClass, at(a.Addr()), ""}, svc{"b", keyedClass, at(b.Addr()), ""}
 	p := start(t, decode(t, 200, splitTo(90, 10), sa, sb))
@@ -343,6 +346,7 @@
 // Beyond its bound the memory of keys is lost in part. Then a key that an earlier split dealt elsewhere is refused, and
 // one that all splits deal alike goes on.
 func TestLostPinsAreOwnedUpTo(t *testing.T) {
+	t.Parallel()
 	a, b := backend(t, standin.Echo), backend(t, standin.Echo)
 	sa, sb := svc{"a", keyedClass, at(a.Addr()), ""}, svc{"b", keyedClass, at(b.Addr()), ""}
 	p := start(t, decode(t, 200, splitTo(50, 50), sa, sb))
--- a/internal/sidecar/rules_test.go
+++ b/internal/sidecar/rules_test.go
@@ -36,6 +36,7 @@
 
 // A class that its owner lets nobody send again is sent once, whatever its repeat rule, unless nothing has run.
 func TestNeverResentMeansOnce(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		class string
 		want  int // attempts
@@ -91,6 +92,7 @@
 // Early data may be a replay (RFC 8470): a class that is not safe is answered 425 at once and no backend sees it; a safe
 // one goes on, unless its owner says otherwise.
 func TestEarlyDataOfUnsafeClassesIsTooEarly(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		class string
 		want  int
@@ -114,6 +116,7 @@
 
 // The sidecar's own answers have the codes that the service states.
 func TestOwnAnswersHaveTheStatedCodes(t *testing.T) {
+	t.Parallel()
 	codes := "answers = { refused = 429, failed = 500, expired = 500 }"
 	a := backend(t, breaks)
 	p := start(t, decode2(t, to("a"), svc{"a", unsafeClass, at(a.Addr()), codes}))
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -279,6 +279,7 @@
 // What makes no sense is answered at once and the connection ends; nothing is passed on, neither the request
 // nor what stands in its body or behind it. Bodies that never come were waited for without end.
 func TestBadRequestsGoNoFurther(t *testing.T) {
+	t.Parallel()
 	p, b := serving(t, says(served, true))
 	for name, c := range map[string]struct {
 		text string
@@ -333,6 +334,7 @@
 
 // A connection that says nothing, or begins and never ends, is closed in time.
 func TestUnfinishedRequestsEnd(t *testing.T) {
+	t.Parallel()
 	p, b := serving(t, says(served, true))
 	var all sync.WaitGroup
 	for name, text := range map[string]string{"silent": "", "half a head": "GET /look/k HTTP/1.1\r\nHos",
@@ -355,6 +357,7 @@
 
 // The deadline of the body ends with it; kept, it ended requests that were still in work.
 func TestASlowAnswerOutlivesTheDeadlineOfTheBody(t *testing.T) {
+	t.Parallel()
 	p, _ := serving(t, func(w io.Writer, _ *http.Request, _ int) bool {
 		time.Sleep(3*time.Second + 200*time.Millisecond)
 		_, _ = io.WriteString(w, served)
@@ -369,6 +372,7 @@
 
 // A backend that turns a request away as nonsense says nothing against itself, and no other is asked.
 func TestNonsenseThatABackendSeesIsTheClients(t *testing.T) {
+	t.Parallel()
 	p, b := serving(t, func(w io.Writer, r *http.Request, _ int) bool {
 		if r.URL.RawQuery != "" {
 			_, _ = io.WriteString(w, "HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n")
@@ -409,6 +413,7 @@
 }
 
 func TestAHungBackendCostsTheClientNoAnswer(t *testing.T) {
+	t.Parallel()
 	p, b := serving(t, hang(t))
 	c := connect(t, p)
 	start := time.Now()
@@ -590,6 +595,7 @@
 // A connection to discovery fell silent; the proxy waited 13 s for it and sent to backends that drained. The
 // fake holds the watch and never answers: the next call is one for the whole list, on another connection.
 func TestASilentDiscoveryIsAskedAgain(t *testing.T) {
+	t.Parallel()
 	a := startBackend(t, says(served, true))
 	d := startDiscovery(t)
 	p := startProxy(t, d.addr, 200, "")
@@ -611,6 +617,7 @@
 // A new configuration names another discovery: its whole list replaces the old one, whatever their versions,
 // the old watch ends, and what the old address says later is not heard. The old list stands until then.
 func TestANewDiscoveryReplacesTheOldOne(t *testing.T) {
+	t.Parallel()
 	a, b := startBackend(t, says(served, true)), startBackend(t, says(served, true))
 	ds := []*fakeDiscovery{startDiscovery(t), startDiscovery(t)}
 	p := startProxy(t, ds[0].addr, 200, "")
@@ -677,6 +684,7 @@
 // it was there for two seconds more, and for as long clients found nobody. After SIGTERM they are served on the
 // connections they have, and on new ones; at the last call each answer brings a close.
 func TestSIGTERMUnderLoadLosesNothing(t *testing.T) {
+	t.Parallel()
 	release := make(chan struct{})
 	p, b := serving(t, holds(release))
 	idle := connect(t, p)
@@ -758,6 +766,7 @@
 
 // SIGKILL follows: what a hung backend holds is failed before it comes.
 func TestSIGTERMEndsWhatHangs(t *testing.T) {
+	t.Parallel()
 	p, b := serving(t, hang(t))
 	c := connect(t, p)
 	c.send(t, look("1", 8000))
--- a/internal/sidecar/start_test.go
+++ b/internal/sidecar/start_test.go
@@ -52,6 +52,7 @@
 // A sidecar that is not ready says why, again and again, and says when it is; where it has a folder it knows how often it has
 // started lately, and another configuration can't take the folder away.
 func TestAStartIsTold(t *testing.T) {
+	t.Parallel()
 	b := backend(t, standin.Echo)
 	d, err := standin.NewDiscovery()
 	if err != nil {
