--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -96,8 +96,10 @@
 		uc.Memory, uc.Free = make(slots, max(leastLarge, int(with.memoryMB)/largeMB)), platformIn
 	}
 	s.up = upstream.New(uc)
+	settings := cfg.Logic
+	settings.ColdEvenly = with.paced
 	var err error
-	s.pool, err = core.New(core.Config{Settings: cfg.Logic, Seed: seed, Zones: cfg.Zones, Upstream: s.up, Clock: with.clock,
+	s.pool, err = core.New(core.Config{Settings: settings, Seed: seed, Zones: cfg.Zones, Upstream: s.up, Clock: with.clock,
 		Log: with.log.With("service", cfg.Name)})
 	if err != nil {
 		return nil, err
--- a/logic/api.go
+++ b/logic/api.go
@@ -79,6 +79,8 @@
 	Cold          int64   // a server is warm after this at the latest
 
 	ByWork bool // worth is counted for each unit of work, not for each request
+
+	ColdEvenly bool // that a cold server holds fewer calls than warm ones gives it no better chance
 }
 
 // State is what the list says of a server.
--- a/logic/cold_test.go
+++ b/logic/cold_test.go
@@ -27,7 +27,7 @@
 		}
 		servers = append(servers, s)
 	}
-	set := Settings{Siblings: d.copies, Zones: 1, MaxAttempts: 1, StartCapacity: 0.25, Cold: 1e9, Stage: d.stage,
+	set := Settings{Siblings: d.copies, Zones: 1, MaxAttempts: 1, StartCapacity: 0.25, Cold: 1e9, Stage: d.stage, ColdEvenly: d.lasts > 0,
 		Classes: []Class{{Aim: 1e6, Deadline: 2e6, Worth: 1}}, Tenants: []Tenant{{Portion: 1, Quota: d.quota}}}
 	isCold := map[string]bool{}
 	for _, s := range servers {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -497,7 +497,9 @@
 func (b *Balancer) draw(now int64, q *request) *server {
 	b.weights = b.weights[:0]
 	total, best, room, warm, allCold := 0.0, 0, b.subset(now), 0.0, true
-	b.free = b.warmRoom(now, int(room)+1)
+	if b.s.ColdEvenly {
+		b.free = b.warmRoom(now, int(room)+1)
+	}
 	for _, s := range b.ready {
 		if room <= 0 && total > 0 {
 			break
@@ -573,12 +575,12 @@
 }
 
 // weigh is a server's weight in the draw: its size, what was learned of it, its age, its zone, and the calls
-// of this copy that it already holds. That a cold one holds fewer than others is no sign of room: it has no
-// better chance by it than warm ones have in the mean. Otherwise, once each warm one holds a call of each
-// copy, nearly all further calls of all copies would go to the cold ones.
+// of this copy that it already holds. That a cold one holds fewer than others is no sign of room: with
+// ColdEvenly it has no better chance by it than warm ones have in the mean. Otherwise, once each warm one
+// holds a call of each copy, nearly all further calls of all copies would go to the cold ones.
 func (b *Balancer) weigh(now int64, s *server, class int) float64 {
 	part, free := b.warmth(now, s), roomy(float64(s.inflight))
-	if part < 1 {
+	if part < 1 && b.s.ColdEvenly {
 		free = min(b.free, roomy(float64(s.inflight)/part))
 		part *= 1 + (1/coldMargin-1)*(1-b.free) // in a crowd it is loaded as they are, and not spared
 	}
