--- a/internal/rig/check/check.go
+++ b/internal/rig/check/check.go
@@ -350,5 +350,9 @@
 	hold(b.Connects == 0 || f.Connects <= b.Connects, "%.0f connections to a backend in a second, %.0f at most expected", f.Connects, b.Connects)
 	hold(b.ReadyIn == 0 || f.ReadyWithin(b.ReadyIn) >= b.ReadyFor, "%.3f of the sidecars ready within %v, %.3f expected", f.ReadyWithin(b.ReadyIn), b.ReadyIn, b.ReadyFor)
 	hold(b.ServedMin == 0 || f.Served >= b.ServedMin*float64(f.Asked), "%.0f of %d requests served, a part of %.3f expected", f.Served, f.Asked, b.ServedMin)
+	for _, l := range f.Losses {
+		hold(b.LossIn == 0 || l.Within >= 0 && l.Within <= b.LossIn.Seconds(), "%s: 95%% of what can be served after %.1f s (-1: never), %v at most expected", l.Fault, l.Within, b.LossIn)
+		hold(l.Back >= b.BackMin, "%s: %.3f of the worth served from its end on, %.3f expected", l.Fault, l.Back, b.BackMin)
+	}
 	return out
 }
--- a/internal/rig/check/check_test.go
+++ b/internal/rig/check/check_test.go
@@ -148,3 +148,45 @@
 		}
 	}
 }
+
+// A site that is away for four seconds: what is served of what can be, when, of which class, and over whose border.
+func TestLossesOfSites(t *testing.T) {
+	x, err := scenario.Read("s.toml", []byte("name = \"x\"\nfor = \"20s\"\n[sidecars]\ncount = 2\nsites = [\"a\", \"b\"]\n[lists]\ncount = 2\n[backends]\ncount = 2\nprocesses = 2\ncores = 1\nwork = \"100ms\"\n"+
+		"[[faults]]\nat = \"4s\"\nfor = \"8s\"\nkind = \"kill\"\non = \"sites\"\nsite = \"a\"\n[bounds]\nloss_within = \"2s\"\nback_part = 0.9\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fault := func(at, n int64) history.Event {
+		return history.Event{At: at * ms, Kind: history.Fault, ID: "1-kill", N: n}
+	}
+	all := []history.Event{on(0, history.Started, "sidecar-1"), fault(4000, 1), fault(12000, 0)}
+	for at := int64(0); at < 20000; at += 50 { // twenty a second, as both sites can serve; one site can serve ten
+		e := asked(at, 10, 200, "")
+		if lost := at >= 4000 && at < 12000; lost && (at < 5000 || at%100 != 0) {
+			e.Status, e.Class = 503, "tariff-lookup"
+		}
+		to := history.Event{At: at * ms, Kind: history.Sent, Who: "sidecar-1", To: "backend-2"}
+		if e.Status == 503 {
+			to.Who = "sidecar-2"
+		}
+		all = append(all, e, to)
+	}
+	all = append(all, history.Event{At: 20_000_000, Kind: history.Ended})
+	history.Sort(all)
+	f := check.Measure(x, all)
+	if len(f.Losses) != 1 {
+		t.Fatalf("%+v", f.Losses)
+	}
+	l := f.Losses[0]
+	if l.Site != "a" || l.Within != 1 || l.Again != 0 || l.Back != 1 || l.Cheap != 1 || l.Over != 2 || l.Served < 0.49 || l.Served > 0.51 ||
+		l.Refused["charge-post"] != 0 || l.Refused["tariff-lookup"] != 1 || l.Before != 1 || l.Across > 0.5 || l.First < 0.8 || l.First > 0.92 {
+		t.Errorf("%+v", l)
+	}
+	if v := check.Run(x, all); len(v) != 0 {
+		t.Errorf("%v", v)
+	}
+	x.Bounds.LossIn, x.Bounds.BackMin = 500*time.Millisecond, 1.1
+	if v := check.Run(x, all); len(v) != 2 {
+		t.Errorf("%v", v)
+	}
+}
--- a/internal/rig/naive_test.go
+++ b/internal/rig/naive_test.go
@@ -24,6 +24,7 @@
 type naiveProxy struct {
 	bug    string
 	list   string
+	kept   string // file of the last list, which the bug "strays" begins with
 	client *http.Client
 
 	mu      sync.Mutex
@@ -47,6 +48,11 @@
 	defer stop()
 	p := &naiveProxy{bug: bug, list: app.Services[0].Source.Address, held: map[string]int{},
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	if p.kept = file + ".members"; bug == "strays" {
+		if data, err := os.ReadFile(p.kept); err == nil {
+			_ = json.Unmarshal(data, &p.members)
+		}
+	}
 	go p.follow(ctx)
 	l, err := net.Listen("tcp", app.Listeners[0].Address)
 	if err != nil {
@@ -98,6 +104,11 @@
 			p.members[m.Name] = m
 		}
 	}
+	if p.bug == "strays" {
+		if data, err := json.Marshal(p.members); err == nil {
+			_ = os.WriteFile(p.kept, data, 0o600)
+		}
+	}
 }
 
 // choose draws a backend. A cold one is spared, but for the bug.
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -178,6 +178,20 @@
 %s
 `
 	const drain = "[[faults]]\nat = \"300ms\"\nfor = \"1200ms\"\nkind = \"replace\"\nnames = [\"backend-1\", \"backend-2\"]\n"
+	const away = `[[faults]]
+at = "250ms"
+for = "1200ms"
+kind = "down"
+[[faults]]
+at = "300ms"
+for = "1100ms"
+kind = "moved"
+names = ["backend-1", "backend-2", "backend-3"]
+[[faults]]
+at = "500ms"
+for = "400ms"
+kind = "kill"
+`
 	for _, c := range []struct{ bug, more, check string }{
 		{"", "", ""},
 		{"", drain, ""},
@@ -186,6 +200,7 @@
 		{"twice", "", check.Effects},
 		{"drains", drain, check.Drains},
 		{"cold", "[[faults]]\nat = \"300ms\"\nfor = \"300ms\"\nkind = \"replace\"\nnames = [\"backend-1\"]\n", check.Cold},
+		{"strays", away, check.Strays},
 		{"crash", "", check.Processes},
 		{"reads", "[bounds]\nreads_per_s = 50\n", check.Bounds},
 	} {
--- a/internal/rig/scenario/scenario.go
+++ b/internal/rig/scenario/scenario.go
@@ -92,6 +92,8 @@
 	ReadyFor  float64       // part of the sidecars that are ready...
 	ReadyIn   time.Duration // ...this soon after their start
 	ServedMin float64       // part of the requests that is served
+	LossIn    time.Duration // after the beginning of each loss of a site 95% of what can be served is
+	BackMin   float64       // part of the worth that is served in the 30 s from its end
 }
 
 // Random are faults that are drawn from the seed.
@@ -267,7 +269,8 @@
 	v.Done()
 	v = s.Sub("bounds")
 	x.Bounds = Bounds{Reads: v.Number("reads_per_s", 0, 0, 1e9), Connects: v.Number("connects_per_s", 0, 0, 1e9), ReadyFor: v.Number("ready_part", 0, 0, 1),
-		ReadyIn: v.Span("ready_within", 0, 0, MaxFor), ServedMin: v.Number("served_part", 0, 0, 1)}
+		ReadyIn: v.Span("ready_within", 0, 0, MaxFor), ServedMin: v.Number("served_part", 0, 0, 1),
+		LossIn: v.Span("loss_within", 0, 0, MaxFor), BackMin: v.Number("back_part", 0, 0, 1)}
 	v.Done()
 	x.random(s.Sub("random"))
 	list := s.List("faults")
