Do not have a start wait for the disk to note it

Cause: record.Begin synced its file (fsync) before the listeners open, 210 at once on one disk. Ruled out: the lists (36 calls a second), the list that is kept, which is not synced. Change: the record is replaced without a sync: it has to outlive the process; after the machine's crash a lost count costs nothing.

--- a/internal/start/record/record.go
+++ b/internal/start/record/record.go
@@ -103,7 +103,8 @@
 		err = os.MkdirAll(r.dir, 0o700)
 	}
 	if err == nil {
-		err = durable.Replace(r.path(), data, 0o600, true)
+		// Not synced: it has to outlive the process, and hundreds that start together would wait for the disk.
+		err = durable.Replace(r.path(), data, 0o600, false)
 	}
 	return wrap(err)
 }
