Measure an empty history of a scenario that loses a site without a crash

Found while the change was read again: check.losses asked for the last event of a history that may have none (rig report on an empty file), which panicked. An empty history ends at 0 now, with a case in the test that panicked without it; two loops over the sites' room are one. Nothing the sidecar runs is touched.

--- a/internal/rig/check/check_test.go
+++ b/internal/rig/check/check_test.go
@@ -177,6 +177,9 @@
 	if len(f.Losses) != 1 {
 		t.Fatalf("%+v", f.Losses)
 	}
+	if f := check.Measure(x, nil); len(f.Losses) != 0 {
+		t.Errorf("losses in an empty history: %+v", f.Losses)
+	}
 	l := f.Losses[0]
 	if l.Site != "a" || l.Within != 1 || l.Again != 0 || l.Back != 1 || l.Cheap != 1 || l.Over != 2 || l.Served < 0.49 || l.Served > 0.51 ||
 		l.Refused["charge-post"] != 0 || l.Refused["tariff-lookup"] != 1 || l.Before != 1 || l.Across > 0.5 || l.First < 0.8 || l.First > 0.92 {
--- a/internal/rig/check/sites.go
+++ b/internal/rig/check/sites.go
@@ -65,16 +65,12 @@
 		l := Loss{Fault: f.Name(i), Site: f.Site, Refused: map[string]float64{}}
 		gone := f.On == scenario.OnSites
 		room := sc.Room()
-		all := 0.0
+		all, full := 0.0, 0.0
 		for site, n := range room {
-			if !gone || site != f.Site {
+			if full += n; !gone || site != f.Site {
 				all += n
 			}
 		}
-		full := 0.0
-		for _, n := range room {
-			full += n
-		}
 		l.Within = r.reaches(from, to, all)
 		l.Again = r.reaches(to, r.end(), full)
 		l.First = r.part(from, min(to, from+lossFirst), worth)
@@ -107,7 +103,13 @@
 	return out
 }
 
-func (r *record) end() int64 { return r.all[len(r.all)-1].At }
+// end is when the history ends; 0 for one in which nothing has happened.
+func (r *record) end() int64 {
+	if len(r.all) == 0 {
+		return 0
+	}
+	return r.all[len(r.all)-1].At
+}
 
 // part is the part of the worth that was asked in a time and served; worth nil: all requests are alike.
 func (r *record) part(from, to int64, worth map[string]float64) float64 {
