--- a/internal/membership/catalog/catalog.go
+++ b/internal/membership/catalog/catalog.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -20,12 +22,21 @@
 const (
 	// How long a watch may wait for news. A connection to discovery can fall silent, and nothing shows it but
 	// an answer that is overdue: what was to be told meanwhile counts as told 2 s after the wait. Where the list
-	// is pushed, asking costs nothing; where it is asked, all proxies share one service.
-	pushHold = 2 * time.Second
-	askHold  = 10 * time.Second
+	// is pushed, asking costs nothing; where it is asked, all proxies share one service, and watches that fall
+	// silent together are opened anew as far apart as their waits end. Changes end all waits at once, so each is
+	// drawn anew.
+	pushHold     = 2 * time.Second
+	leastAskHold = 6 * time.Second
+	mostAskHold  = 14 * time.Second
 
 	pushPatience = time.Second             // for an answer that need not wait, and beyond a watch's wait
 	askPatience  = 1500 * time.Millisecond // the same where calls wait in turn
+	// A watch whose answer is overdue by this is silent, or waits its turn. Another is opened beside it at once: the 2 s are for
+	// that one's answer, which may have to wait its turn as well.
+	overdueAfter = 500 * time.Millisecond
+	// A connection to discovery that is not up by then is given up. The library lets it go on when its call is given up, for as long as
+	// the kernel tries, and counts it: a dozen calls into a cut link would bar all others for two minutes.
+	dialTimeout = time.Second
 	// Where the list is pushed, what the agent has counts as told, and a call that it got while it was silent is never
 	// answered. So a silent agent is called this often, whatever became of the calls before: within the time in which what
 	// drains may still be sent to.
@@ -40,8 +51,9 @@
 // Client keeps a watch on the list and hands each answer on.
 type Client struct {
 	addr     string
-	hold     time.Duration
 	patience time.Duration
+	hold     func() time.Duration // of the next watch
+	dial     func(ctx context.Context, network, addr string) (net.Conn, error)
 	log      *slog.Logger
 	client   *http.Client
 	cfg      Config
@@ -54,6 +66,7 @@
 	Subscribe bool            // the list is asked for, at the module's word; otherwise it is pushed and the watch stands by itself
 	First     bool            // with Subscribe: the module's word is needed at the start too
 	Asked     <-chan struct{} // with Subscribe: the module's word
+	Rand      *rand.Rand      // with Subscribe: draws how long each watch waits; for Run alone
 	// Reads, where given, decides when to call: the list service is shared by many copies, which is not so where an agent
 	// on the copy's own machine answers. Not with Subscribe.
 	Reads  *start.Reads
@@ -65,12 +78,23 @@
 
 // New returns a client of a discovery.
 func New(cfg Config) *Client {
-	hold, patience := pushHold, pushPatience
+	d := &Client{addr: cfg.Address, patience: pushPatience, hold: func() time.Duration { return pushHold },
+		dial: (&net.Dialer{KeepAlive: -1}).DialContext, log: cfg.Log, cfg: cfg, stale: staleness.New()}
 	if cfg.Subscribe {
-		hold, patience = askHold, askPatience
+		d.patience = askPatience
+		d.hold = func() time.Duration {
+			return leastAskHold + time.Duration(cfg.Rand.Int64N(int64(mostAskHold-leastAskHold)))
+		}
 	}
-	return &Client{addr: cfg.Address, hold: hold, patience: patience, log: cfg.Log, cfg: cfg, stale: staleness.New(),
-		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: mostCalls, DisableCompression: true}}}
+	d.client = &http.Client{Transport: &http.Transport{DialContext: d.connect, MaxConnsPerHost: mostCalls, DisableCompression: true}}
+	return d
+}
+
+// connect opens a connection, or gives it up. The context is not that of the call, and has no end.
+func (d *Client) connect(ctx context.Context, network, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return d.dial(ctx, network, addr)
 }
 
 // Health implements membership.Source.
@@ -79,7 +103,7 @@
 // Run implements membership.Source: it watches until the context ends. The next watch follows its answer at once, lest changes in between
 // count as told late. After a call that failed in a way that leaves the version in doubt, it begins with
 // the full list. With Subscribe the module says when to ask, after a failure and, with First, at the start; otherwise it
-// insists after a failure.
+// insists at the start and after a failure.
 func (d *Client) Run(ctx context.Context, sink membership.Sink) {
 	defer d.client.CloseIdleConnections()
 	if d.cfg.Reads != nil {
@@ -96,12 +120,23 @@
 				return
 			}
 		}
-		list, err := d.call(ctx, index, d.hold, d.patience)
+		var list *membership.List
+		var err error
+		switch {
+		case subscribe:
+			list, err = d.watch(ctx, index)
+		case index >= 0:
+			list, err = d.call(ctx, index, d.hold(), d.patience)
+		default: // what the agent has counts as told from the first moment on
+			if list = d.insist(ctx, index); list == nil {
+				return
+			}
+		}
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil && !list.Full && list.Index < index {
-			err = fmt.Errorf("version went back from %d to %d", index, list.Index)
+		if err == nil {
+			err = wentBack(list, index)
 		}
 		if err != nil {
 			d.log.Warn("discovery", "error", err)
@@ -124,6 +159,55 @@
 	}
 }
 
+// wentBack is the fault of changes up to an older version than the one they follow.
+func wentBack(list *membership.List, index int64) error {
+	if !list.Full && list.Index < index {
+		return fmt.Errorf("version went back from %d to %d", index, list.Index)
+	}
+	return nil
+}
+
+// watch asks for what is newer than index, where all proxies share the service, or for the whole list if that is negative. A watch
+// that is overdue stays open for as long as calls are waited for, and another is opened beside it: whichever answers.
+func (d *Client) watch(ctx context.Context, index int64) (*membership.List, error) {
+	if index < 0 {
+		return d.call(ctx, index, 0, d.patience)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	defer cancel()
+	type end struct {
+		number int
+		list   *membership.List
+		err    error
+	}
+	ends := make(chan end)
+	overdue := time.NewTimer(0)
+	defer overdue.Stop()
+	for opened := 0; ; {
+		select {
+		case <-overdue.C:
+			opened++
+			number, hold := opened, d.hold()
+			calls.Go(func() {
+				list, err := d.call(ctx, index, hold, d.patience)
+				select {
+				case ends <- end{number, list, err}:
+				case <-ctx.Done():
+				}
+			})
+			overdue.Reset(hold + overdueAfter)
+		case e := <-ends:
+			if e.err == nil || e.number == opened { // an older one has had its time, and the newest stands
+				return e.list, e.err
+			}
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
 // insist calls, again and again and without waiting for the calls before to end, until one is answered with sense, and returns that
 // answer; nil: the context has ended. It goes on from a version, or asks for the whole list.
 func (d *Client) insist(ctx context.Context, index int64) *membership.List {
@@ -133,16 +217,17 @@
 	defer cancel()
 	lists := make(chan *membership.List)
 	failed := make(chan error)
-	tick := time.NewTicker(insistEvery)
-	defer tick.Stop()
+	next := time.NewTimer(0)
+	defer next.Stop()
 	for said := time.Now(); ; {
 		select {
-		case <-tick.C:
+		case <-next.C:
+			next.Reset(insistEvery)
 			from := index
 			calls.Go(func() {
 				list, err := d.call(ctx, from, 0, d.patience)
-				if err == nil && !list.Full && list.Index < from {
-					err = fmt.Errorf("version went back from %d to %d", from, list.Index)
+				if err == nil {
+					err = wentBack(list, from)
 				}
 				if err == nil {
 					select {
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -35,6 +35,7 @@
 	mostToken  = 4 << 10 // bytes of a registry's token
 
 	pacedStream = 31 // of the seed: what spreads calls for lists
+	watchStream = 37 // of the seed: how long watches wait where lists are asked for
 	dyingPart   = 8  // one of so many backends that can't be reached makes a newer list urgent
 )
 
@@ -44,6 +45,7 @@
 	cfg    *config.Service // does not change; where the list comes from does
 	starts int             // of the sidecar lately
 	rnd    *rand.Rand      // nil: the list service is not shared, and calls to it need no spreading; only plug draws from it
+	waits  *rand.Rand      // where the list is asked for at the module's word; drawn from by the one source that runs
 	pool   *core.Pool
 	up     *upstream.Upstream
 	roster *roster
@@ -81,6 +83,7 @@
 	if with.listAge == 0 {
 		s.listDir = ""
 	}
+	s.waits = rand.New(rand.NewPCG(seed, watchStream))
 	if with.paced {
 		s.rnd = rand.New(rand.NewPCG(seed, pacedStream))
 	}
@@ -183,7 +186,7 @@
 	case config.Consul:
 		source = blocking.New(blocking.Config{Address: from.Address, Service: from.As, Token: token(from.TokenFile, log), Log: log})
 	default:
-		cc := catalog.Config{Address: from.Address, Subscribe: s.cfg.Logic.Subscribe, First: first, Asked: s.pool.Asked(), Log: log}
+		cc := catalog.Config{Address: from.Address, Subscribe: s.cfg.Logic.Subscribe, First: first, Asked: s.pool.Asked(), Rand: s.waits, Log: log}
 		if s.rnd != nil && !cc.Subscribe {
 			copies := s.cfg.Logic.Siblings
 			if copies == 1 {
