--- a/internal/front/http1/clients.go
+++ b/internal/front/http1/clients.go
@@ -2,14 +2,13 @@
 
 import (
 	"container/list"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
-
-	"fernlanding/internal/sock"
 )
 
 // Quota is the clients' part of the process's descriptors.
@@ -25,8 +24,11 @@
 
 	// A connection that has said nothing for this long is no client about to ask.
 	silentGrace = 250 * time.Millisecond
-	// Bytes that came this lately may be a request that net/http has not yet reported.
+	// The rest of a head of which a part came this lately may be on its way.
 	justHeard = 100 * time.Millisecond
+
+	lookFor  = 20 * time.Millisecond // for connections in the kernel's queue, before it is closed
+	lookMost = time.Second
 )
 
 // clients accepts the connections of clients and knows which of them carry a request. It goes on accepting
@@ -36,35 +38,39 @@
 	net.Listener
 	quota Quota // of open connections
 
+	looking atomic.Bool // Accept is to tell of the next connection, or that none waits
+	found   chan bool
+
 	mu     sync.Mutex
 	conns  map[net.Conn]*clientConn
 	silent *list.List // of *clientConn that have never asked, the longest first
 	idle   *list.List // of *clientConn between two requests, the longest first
 }
 
-// clientConn is one client's connection. While it carries no request it has a place in one of the lists.
-type clientConn struct {
-	net.Conn
-	of    *clients
-	came  time.Time
-	since time.Time    // of its place
-	heard atomic.Int64 // when bytes last came, in Unix nanoseconds
-	asked atomic.Bool  // a request has been answered on it
-	list  *list.List   // nil while a request is open
-	place *list.Element
-}
-
 func newClients(l net.Listener, quota Quota) *clients {
-	return &clients{Listener: l, quota: quota, conns: map[net.Conn]*clientConn{}, silent: list.New(), idle: list.New()}
+	return &clients{Listener: l, quota: quota, found: make(chan bool, 1), conns: map[net.Conn]*clientConn{}, silent: list.New(), idle: list.New()}
 }
 
-// Accept returns the next connection for which there is room.
+// Accept returns the next connection for which there is room. After a last look that has found none it returns net.ErrClosed.
 func (l *clients) Accept() (net.Conn, error) {
-	for {
+	for again := false; ; {
 		nc, err := l.Listener.Accept()
-		if err != nil {
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded) && !again:
+			again = true // the time may have been up before it was known what had come; a new call looks first and then waits
+			l.acceptUntil(time.Now().Add(lookFor))
+			continue
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			l.found <- false
+			return nil, net.ErrClosed
+		case err != nil:
 			return nil, err
 		}
+		if l.looking.CompareAndSwap(true, false) {
+			l.acceptUntil(time.Time{})
+			again = false
+			l.found <- true
+		}
 		if c := l.admit(nc); c != nil {
 			return c, nil
 		}
@@ -72,7 +78,32 @@
 	}
 }
 
+// acceptUntil has Accept end then; a listener that can't is closed.
+func (l *clients) acceptUntil(then time.Time) {
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); !ok || d.SetDeadline(then) != nil {
+		l.Close()
+	}
+}
+
+// lastLook tells whether a connection comes that the kernel has accepted; otherwise Accept has ended. It is for one caller.
+func (l *clients) lastLook() (came bool) {
+	l.acceptUntil(time.Now().Add(lookFor))
+	l.looking.Store(true)
+	never := time.NewTimer(lookMost) // where nobody accepts
+	defer never.Stop()
+	select {
+	case came = <-l.found:
+	case <-never.C:
+	}
+	return came
+}
+
+// admit counts a connection in; nil: there is no room for it.
 func (l *clients) admit(nc net.Conn) *clientConn {
+	c, err := newClientConn(nc, l)
+	if err != nil {
+		return nil
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for tries := 0; !l.quota.Take(); tries++ {
@@ -80,7 +111,6 @@
 			return nil
 		}
 	}
-	c := &clientConn{Conn: nc, of: l, came: time.Now()}
 	l.conns[c] = c
 	l.rest(c, l.silent)
 	return c
@@ -96,13 +126,10 @@
 	return l.evictFrom(l.idle, now) || l.evictFrom(l.silent, now)
 }
 
-// evictFrom spares connections on which something has come that net/http has not reported yet: closing them
-// would cost a request.
+// evictFrom spares connections on which a request has come, or the part of one just now: closing them would cost it.
 func (l *clients) evictFrom(from *list.List, now time.Time) bool {
 	for e := from.Front(); e != nil; e = e.Next() {
-		c := e.Value.(*clientConn)
-		heard := time.Unix(0, c.heard.Load())
-		if !(heard.After(c.since) && now.Sub(heard) < justHeard) && sock.Quiet(c) {
+		if c := e.Value.(*clientConn); c.shutQuiet(now.Add(-justHeard)) {
 			l.remove(c)
 			c.Conn.Close()
 			return true
@@ -146,9 +173,10 @@
 	}
 	switch s {
 	case http.StateActive:
+		c.begin()
 		l.rest(c, nil)
 	case http.StateIdle:
-		c.asked.Store(true)
+		c.end()
 		l.rest(c, l.idle)
 	case http.StateClosed, http.StateHijacked:
 		l.remove(c)
@@ -162,6 +190,13 @@
 	return len(l.conns)
 }
 
+// open tells how many connections carry a request.
+func (l *clients) open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns) - l.silent.Len() - l.idle.Len()
+}
+
 // lines tells how many connections clients have that have brought a request, and how many of them are free for
 // the next.
 func (l *clients) lines() (all, free int) {
@@ -176,7 +211,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.conns {
-		if (c.list == l.idle || c.list == l.silent && time.Since(c.since) > newFor) && sock.Quiet(c) {
+		if (c.list == l.idle || c.list == l.silent && time.Since(c.since) > newFor) && c.shutQuiet(time.Time{}) {
 			l.remove(c)
 			c.Conn.Close()
 		} else {
@@ -185,20 +220,3 @@
 	}
 	return busy
 }
-
-// Read notes when bytes came.
-func (c *clientConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.heard.Store(time.Now().UnixNano())
-	}
-	return n, err
-}
-
-// CloseWrite lets net/http end its side first, so that a client that is still sending reads its error.
-func (c *clientConn) CloseWrite() error { return c.Conn.(*net.TCPConn).CloseWrite() }
-
-// SyscallConn lets sock.Quiet look at the socket.
-func (c *clientConn) SyscallConn() (syscall.RawConn, error) {
-	return c.Conn.(syscall.Conn).SyscallConn()
-}
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -139,6 +139,9 @@
 		}
 		ans := f.pass(r, came, &dest, body)
 		if ans.Verdict != core.NotTaken || tries == mostTries {
+			if c, ok := r.Context().Value(clientKey{}).(*clientConn); ok && c.last() {
+				w.Header().Set("Connection", "close")
+			}
 			f.reply(w, ans)
 			return
 		}
@@ -255,7 +258,7 @@
 		return nil, nil
 	}
 	until := time.Now().Add(headPatience)
-	if c, ok := r.Context().Value(clientKey{}).(*clientConn); ok && !c.asked.Load() {
+	if c, ok := r.Context().Value(clientKey{}).(*clientConn); ok && c.first() {
 		until = c.came.Add(firstPatience)
 	}
 	c := http.NewResponseController(w)
@@ -301,11 +304,12 @@
 // connections: new ones stop coming soon, but a client uses those that it has while they stay open. What else
 // it has is not known here: other proxies may restart close behind each other, and for seconds this one may be
 // the last, while the successor comes no sooner for an early end. Then connections are closed as they fall
-// idle, until none is left or the cutoff has come.
+// idle, until none is left or the cutoff has come. What is taken has its answer by then, but for the time that it takes to
+// write it; Drain waits for that until the end, and closes nothing under an answer before.
 //
 // This also covers other proxies that have crashed and a front that is slow to take a new one in. It hurts where
 // a supervisor starts the successor only when this process has ended: that is then seconds later.
-func (f *Front) Drain(lastCall, cutoff time.Time) {
+func (f *Front) Drain(lastCall, cutoff, end time.Time) {
 	told := time.Now()
 	f.draining.Store(true)
 	for since := time.Duration(0); since < acceptAfter ||
@@ -314,12 +318,19 @@
 		time.Sleep(drainStep)
 	}
 	f.closing.Store(true)
-	f.clients.Close()
-	for f.clients.closeIdle(acceptAfter) > 0 && time.Now().Before(cutoff) {
-		time.Sleep(drainStep)
+	// The listener stays to the last: closing it resets the connections that the kernel has accepted and this process has not, with
+	// the requests on them.
+	for accepting := true; ; {
+		for f.clients.closeIdle(acceptAfter) > 0 && time.Now().Before(cutoff) {
+			time.Sleep(drainStep)
+		}
+		for f.clients.open() > 0 && time.Now().Before(end) {
+			time.Sleep(drainStep)
+		}
+		if !accepting || !time.Now().Before(end) {
+			break
+		}
+		accepting = f.clients.lastLook()
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), cutoff.Add(drainStep))
-	defer cancel()
-	_ = f.server.Shutdown(ctx)
-	_ = f.server.Close()
+	_ = f.server.Close() // Shutdown would drop a request that has just been read
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -29,6 +29,8 @@
 	notReadyEvery = 5 * time.Second        // says a sidecar that is not ready why
 	readyPoll     = 50 * time.Millisecond  // looks it whether it is
 
+	answerTime = time.Second // beyond the cutoff, for answers to be written by a process that is stalled or slow
+
 	servePart = 0.7 // of the time between: requests are taken; the rest is for their answers
 )
 
@@ -328,7 +330,7 @@
 			if err != nil { // one listener has failed: the rest end at once
 				f.Close()
 			} else {
-				f.Drain(told.Add(time.Duration(servePart*float64(window))), cutoff)
+				f.Drain(told.Add(time.Duration(servePart*float64(window))), cutoff, cutoff.Add(answerTime))
 			}
 		})
 	}
