--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -258,7 +258,7 @@
 		MaxRetryAfter: micros(s.Span("retry_after", time.Second, 0, MaxDeadline)),
 		DrainGrace:    micros(s.Span("drain_grace", MaxDrainGrace, 0, time.Minute)),
 		Cold:          micros(s.Span("cold", 0, 0, 10*time.Minute)), StartCapacity: s.Number("start_capacity", 1, 0.01, 1),
-		SizeHints: s.Flag("weighted"),
+		SizeHints: s.Flag("weighted"), Lag: micros(v.DialTimeout),
 	}
 	if l.Zone < 0 {
 		s.Bad(rules.UnknownZone, "zone", "one of zones expected: %s", strings.Join(v.Zones, ", "))
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -40,6 +40,7 @@
 type Attempt struct {
 	*Request
 	Deadline time.Time
+	Begin    time.Time // its first byte leaves by then, or it is not sent; zero: by the deadline
 	server   string
 	number   int
 	sent     int64 // when the module decided
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -33,6 +33,8 @@
 	upstream Upstream
 	zones    zones
 	log      *slog.Logger
+	lag      int64         // of Settings
+	classes  []logic.Class // the same
 	asked    chan struct{} // the module's word to subscribe
 	listed   chan struct{} // closed when there is a list
 
@@ -66,7 +68,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	return &Pool{clock: cfg.Clock, upstream: cfg.Upstream, zones: newZones(cfg.Zones), log: cfg.Log,
+	return &Pool{clock: cfg.Clock, upstream: cfg.Upstream, zones: newZones(cfg.Zones), log: cfg.Log, lag: cfg.Settings.Lag, classes: cfg.Settings.Classes,
 		asked: make(chan struct{}, 1), listed: make(chan struct{}), traced: make(chan struct{}, 1), bal: bal, reqs: map[string]*Request{},
 		alarm: time.NewTimer(farAway)}, nil
 }
@@ -380,6 +382,9 @@
 		until = min(until, now+timeout)
 	}
 	a := &Attempt{Request: r, server: server, number: r.sends, sent: now, Deadline: h.clock.Time(until)}
+	if r.sends > 0 && h.lag > 0 && h.classes[r.Class].Repeat == logic.Keyed { // it may rest on what its backend recalls
+		a.Begin = h.clock.Time(now + h.lag)
+	}
 	r.sends++
 	if !r.over && r.out == nil { // never two attempts of a request at once
 		a.way = h.upstream.Open(server)
--- a/internal/core/pool_test.go
+++ b/internal/core/pool_test.go
@@ -184,3 +184,20 @@
 		t.Errorf("left behind: %+v", s)
 	}
 }
+
+// A keyed repeat rests on what its backend recalls: it is told by when it has to leave. A first try has until its end.
+func TestAKeyedRepeatHasATimeToBegin(t *testing.T) {
+	up := newScripted(func(*Attempt) Result { return Result{Status: logic.Error} })
+	p, err := New(Config{Settings: logic.Settings{Siblings: 1, Zones: 1, MaxAttempts: 2, StartCapacity: 1, Lag: 1e6,
+		Classes: []logic.Class{{Aim: 4e6, Deadline: 8e6, Worth: 1, Repeat: logic.Keyed, Window: 8e6}}}, Seed: 1, Upstream: up, Clock: NewClock(),
+		Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Listed(&membership.List{Full: true, Endpoints: []membership.Endpoint{{Name: "a"}}})
+	p.Do(newRequest(p, "1", 0, patience))
+	first, second := wait(t, "first try", up.begun), wait(t, "repeat", up.begun)
+	if !first.Begin.IsZero() || second.Begin.IsZero() || second.Begin.After(time.Now().Add(time.Second)) {
+		t.Errorf("first %v, repeat %v", first.Begin, second.Begin)
+	}
+}
--- a/internal/upstream/http1/exchange.go
+++ b/internal/upstream/http1/exchange.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httputil"
 	"strconv"
+	"syscall"
 	"time"
 
 	"fernlanding/internal/core"
@@ -41,8 +42,11 @@
 			keep = false
 		}
 	}()
-	if _, err := c.Write(c.encode(a)); err != nil {
+	if err := w.send(a, c, c.encode(a)); err != nil {
 		// The last byte was not written, so the backend cannot have begun.
+		if errors.Is(err, errMoved) || a.Stopped() {
+			return core.Result{Status: logic.Moot}, false // no fault of the backend's
+		}
 		return core.Result{Status: logic.ConnectFailed}, false
 	}
 	res, keep, err := w.read(a, c)
@@ -57,6 +61,41 @@
 	return core.Result{Status: logic.Reset}, false
 }
 
+// send writes a whole request, if the list says of the backend what it said when it was chosen and it is not too late to begin. That
+// look and the first write are one step as Apply sees it: once Apply has returned, nothing begins that it would not have.
+func (w *way) send(a *core.Attempt, c *conn, text []byte) error {
+	n, err := 0, error(nil)
+	late := func() bool { return w.backend.epoch != w.epoch || !a.Begin.IsZero() && time.Now().After(a.Begin) }
+	if c.raw == nil {
+		w.backend.begins.RLock()
+		defer w.backend.begins.RUnlock()
+		if late() {
+			return errMoved
+		}
+		_, err = c.Write(text)
+		return err
+	}
+	begin := func(fd uintptr) bool {
+		w.backend.begins.RLock()
+		defer w.backend.begins.RUnlock()
+		if late() {
+			err = errMoved
+			return true
+		}
+		for n, err = syscall.Write(int(fd), text); errors.Is(err, syscall.EINTR); {
+			n, err = syscall.Write(int(fd), text)
+		}
+		return !errors.Is(err, syscall.EAGAIN)
+	}
+	if rawErr := c.raw.Write(begin); rawErr != nil {
+		return rawErr
+	}
+	if err == nil && n < len(text) {
+		_, err = c.Write(text[n:])
+	}
+	return err
+}
+
 // encode writes the whole request into one buffer, so that one write tells whether its last byte went out.
 func (c *conn) encode(a *core.Attempt) []byte {
 	r, b := a.Request, c.out[:0]
--- a/internal/upstream/http1/upstream.go
+++ b/internal/upstream/http1/upstream.go
@@ -9,6 +9,7 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"fernlanding/internal/core"
@@ -71,8 +72,9 @@
 	addr    string
 	started int64
 	ready   bool
-	epoch   int     // goes up when what the list says of it changes: drained, gone, restarted or moved
-	idle    []*conn // the most recently used last
+	epoch   int          // goes up when what the list says of it changes: drained, gone, restarted or moved; see begins
+	begins  sync.RWMutex // held to read while a request begins, and together with Upstream.mu to change the epoch
+	idle    []*conn      // the most recently used last
 
 	unreachable bool          // the last connection has not come up
 	dials       start.Dials   // with Config.Paced
@@ -90,6 +92,7 @@
 // conn is a connection to a backend; it carries one request at a time.
 type conn struct {
 	net.Conn
+	raw   syscall.RawConn // nil: it has none
 	r     *bufio.Reader
 	out   []byte // for the next request
 	of    *backend
@@ -157,7 +160,9 @@
 
 // turn begins a new epoch of a backend.
 func (p *Upstream) turn(b *backend) {
+	b.begins.Lock() // what has been seen to be current has begun by now
 	b.epoch++
+	b.begins.Unlock()
 	b.unreachable = false
 	b.dials.Forget()
 	b.wake()
@@ -243,6 +248,12 @@
 		return nil, errNoSockets
 	}
 	nc, err := p.dialer(ctx, "tcp", addr)
+	var raw syscall.RawConn
+	if sc, ok := nc.(syscall.Conn); ok && err == nil {
+		if raw, err = sc.SyscallConn(); err != nil {
+			nc.Close()
+		}
+	}
 	p.mu.Lock()
 	if b.epoch == epoch {
 		b.unreachable = err != nil && ctx.Err() == nil
@@ -255,7 +266,7 @@
 		p.cfg.Quota.Give()
 		return nil, fmt.Errorf("dial %s: %w", b.name, err)
 	}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, answerHead), of: b, epoch: epoch}, nil
+	return &conn{Conn: nc, raw: raw, r: bufio.NewReaderSize(nc, answerHead), of: b, epoch: epoch}, nil
 }
 
 // reserve counts a connection in. At the limit the one that has been idle longest makes room.
@@ -366,7 +377,7 @@
 		}
 		return core.Result{Status: logic.ConnectFailed}
 	}
-	// A dial takes time. What has ended, drained or gone meanwhile gets nothing new.
+	// A dial takes time. What has ended, drained or gone meanwhile gets nothing new; send looks again.
 	if a.Stopped() || a.Late() || !w.pool.current(w.backend, w.epoch) {
 		w.pool.keep(c)
 		return core.Result{Status: logic.Moot}
--- a/logic/api.go
+++ b/logic/api.go
@@ -71,6 +71,8 @@
 	BudgetFree  float64
 	BudgetShare float64
 
+	Lag int64 // from a repeat's Send to its leaving at most: a connection may have to come up; 0: it leaves at once
+
 	MaxRetryAfter int64 // the longest hint that a client heeds; 0: hints are not heeded
 	DrainGrace    int64 // sends to a draining or gone server must have stopped by then
 	AskEvery      int64 // with Subscribe: the longest time without a subscription or a call
@@ -182,6 +184,7 @@
 		{s.Ordinal < 0, "Ordinal: negative"},
 		{s.Stage < 0, "Stage: negative"},
 		{s.MaxAttempts < 1, "MaxAttempts: fewer than one"},
+		{s.Lag < 0, "Lag: negative"},
 		{s.MaxRetryAfter < 0, "MaxRetryAfter: negative"},
 		{s.OrderSettle < 0, "OrderSettle: negative"},
 		{s.BudgetSpan < 0, "BudgetSpan: negative"},
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -629,8 +629,8 @@
 }
 
 // mayGo keeps rule 2 for a further attempt: once one may have run, an unsafe request goes nowhere, and a
-// keyed one only to the group that drops its repeats, while that remembers it. An unsafe one goes to none
-// that may be another service's by now.
+// keyed one only to the group that drops its repeats, while that remembers it: also when the repeat leaves
+// as late as it may. An unsafe one goes to none that may be another service's by now.
 func (b *Balancer) mayGo(now int64, q *request, s *server) bool {
 	k := b.s.Classes[q.Class]
 	if s.doubtful && k.Repeat == Unsafe {
@@ -640,7 +640,7 @@
 		if !a.mayRun || k.Repeat == Safe {
 			continue
 		}
-		if k.Repeat == Unsafe || now-a.sent >= k.Window ||
+		if k.Repeat == Unsafe || now+b.s.Lag-a.sent >= k.Window ||
 			k.Group == GroupZone && a.zone != s.Zone || k.Group == GroupCell && a.cell != s.Cell {
 			return false
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1037,3 +1037,18 @@
 		t.Errorf("given up after %d us of an aim of 500,000", last)
 	}
 }
+
+// A repeat may have to wait for a connection. It is chosen only where it still leaves while its group recalls the first.
+func TestAKeyedRepeatLeavesWhileItIsRecalled(t *testing.T) {
+	s := testSettings()
+	s.Lag = 20_000
+	window := s.Classes[1].Window
+	for after, want := range map[int64]string{window - s.Lag: "fail r", window - s.Lag - 1: "send"} {
+		b, h := with(t, s, 8)
+		ask(b, h, start, "r", 1)
+		b.Outcome(start+after, h, Outcome{ID: "r", Status: Error, Took: after})
+		if want == "send" && len(h.sends) != 2 || want != "send" && h.last() != want {
+			t.Errorf("after %d of %d: got %q, want %s", after, window, h.last(), want)
+		}
+	}
+}
