--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -32,7 +32,7 @@
 const patience = 20 * time.Second // for what must happen
 
 // wait takes what must come from a channel.
-func wait[T any](t *testing.T, what string, c <-chan T) T {
+func wait[T any](t testing.TB, what string, c <-chan T) T {
 	t.Helper()
 	select {
 	case v := <-c:
@@ -52,7 +52,7 @@
 	closed   chan struct{} // one for each connection that has ended
 }
 
-func startBackend(t *testing.T, reply func(w io.Writer, r *http.Request, n int) bool) *fakeBackend {
+func startBackend(t testing.TB, reply func(w io.Writer, r *http.Request, n int) bool) *fakeBackend {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -103,7 +103,7 @@
 	return func(io.Writer, *http.Request, int) bool { <-over; return false }
 }
 
-func waitUntil(t *testing.T, ok func() bool) {
+func waitUntil(t testing.TB, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
@@ -120,7 +120,7 @@
 	over  chan struct{} // ends the held calls
 }
 
-func startDiscovery(t *testing.T) *fakeDiscovery {
+func startDiscovery(t testing.TB) *fakeDiscovery {
 	t.Helper()
 	d := &fakeDiscovery{say: make(chan string, 10), calls: make(chan string, 1000), over: make(chan struct{})}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -168,12 +168,12 @@
 	_ = r.Reload(&app)
 }
 
-func startProxy(t *testing.T, discovery string, sockets int, known string) *running {
+func startProxy(t testing.TB, discovery string, sockets int, known string) *running {
 	t.Helper()
 	return startWith(t, discovery, sockets, known, false)
 }
 
-func startWith(t *testing.T, discovery string, sockets int, known string, trusted bool) *running {
+func startWith(t testing.TB, discovery string, sockets int, known string, trusted bool) *running {
 	t.Helper()
 	text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":%q,"seed":"7","limits":{"sockets":%d},"settings":%s}`, discovery, sockets, siteText)
 	app, err := config.DecodePlatform("test", []byte(text), "", "")
@@ -189,7 +189,7 @@
 	return start(t, app)
 }
 
-func start(t *testing.T, app *config.App) *running {
+func start(t testing.TB, app *config.App) *running {
 	t.Helper()
 	p, err := New(app, slog.New(slog.DiscardHandler))
 	if err != nil {
@@ -204,7 +204,7 @@
 }
 
 // serving starts a proxy that knows one backend.
-func serving(t *testing.T, reply func(io.Writer, *http.Request, int) bool) (*running, *fakeBackend) {
+func serving(t testing.TB, reply func(io.Writer, *http.Request, int) bool) (*running, *fakeBackend) {
 	t.Helper()
 	b := startBackend(t, reply)
 	return startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, "SERVING"))), b
@@ -216,7 +216,7 @@
 	r *bufio.Reader
 }
 
-func connect(t *testing.T, p *running) *client {
+func connect(t testing.TB, p *running) *client {
 	t.Helper()
 	c, err := net.Dial("tcp", p.Addr())
 	if err != nil {
@@ -227,14 +227,14 @@
 	return &client{c, bufio.NewReader(c)}
 }
 
-func (c *client) send(t *testing.T, text string) {
+func (c *client) send(t testing.TB, text string) {
 	t.Helper()
 	if _, err := io.WriteString(c, text); err != nil {
 		t.Fatal(err)
 	}
 }
 
-func (c *client) answer(t *testing.T) (*http.Response, string) {
+func (c *client) answer(t testing.TB) (*http.Response, string) {
 	t.Helper()
 	resp, err := http.ReadResponse(c.r, nil)
 	if err != nil {
@@ -469,7 +469,7 @@
 }
 
 // crowded starts a proxy with room for few connections of clients.
-func crowded(t *testing.T, reply func(io.Writer, *http.Request, int) bool) (p *running, most int) {
+func crowded(t testing.TB, reply func(io.Writer, *http.Request, int) bool) (p *running, most int) {
 	t.Helper()
 	b := startBackend(t, reply)
 	p = startProxy(t, startDiscovery(t).addr, 80, listText(1, true, listed("a", b.addr, "SERVING")))
