--- a/internal/sidecar/departure_test.go
+++ b/internal/sidecar/departure_test.go
@@ -148,3 +148,29 @@
 		})
 	}
 }
+
+// Many clients that send much and go cost the others nothing, and leave nothing behind.
+func TestManyThatSendMuchAndGoLeaveNothing(t *testing.T) {
+	p, _ := serving(t, func(w io.Writer, r *http.Request, _ int) bool {
+		if r.Header.Get("Request-Id") == "usual" {
+			_, err := io.WriteString(w, served)
+			return err == nil
+		}
+		_, _ = w.(net.Conn).Read(make([]byte, 1)) // until the attempt is ended
+		return false
+	})
+	for round := range 5 {
+		for i := range 20 {
+			c := connect(t, p)
+			c.send(t, look(fmt.Sprint(round, "-", i), 8000)+strings.Repeat(look("more", 8000), 100*(i%3)))
+			c.Close()
+		}
+		usual := connect(t, p)
+		usual.send(t, look("usual", 8000))
+		if resp, body := usual.answer(t); resp.StatusCode != 200 || body != "ok" {
+			t.Errorf("round %d: got %s", round, resp.Status)
+		}
+		usual.Close()
+		waitUntil(t, func() bool { return p.stats().Open == 0 && p.tier().pool.Stats().Requests == 0 })
+	}
+}
