--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bytes"
 	"container/list"
 	"errors"
 	"io"
@@ -46,12 +47,20 @@
 	flood  int64 // bytes that came ahead of the present answer
 	heard  time.Time
 	head   headEnd // of the next head, while none is open
+
+	// Of the one read that is under way, for take: a closure for each read would cost an allocation.
+	into []byte
+	got  int
+	err  error
+	take func(fd uintptr) bool
 }
 
 var (
 	errShut  = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
 	errFlood = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("a client that sends on and on while its request waits")}
 
+	emptyLine = []byte("\r\n\r\n")
+
 	chunks = sync.Pool{New: func() any { return new([aheadChunk]byte) }}
 )
 
@@ -64,7 +73,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{Conn: nc, raw: raw, of: of, came: time.Now()}, nil
+	c := &clientConn{Conn: nc, raw: raw, of: of, came: time.Now()}
+	c.take = c.receive
+	return c, nil
 }
 
 // Read implements net.Conn. While a request is open and its body has been read, net/http reads one byte, to see the client go, and looks
@@ -91,31 +102,33 @@
 	if watching {
 		return 0, c.watch()
 	}
-	var got error
-	take := func(fd uintptr) bool {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.shut {
-			got = errShut
-			return true
-		}
-		n, got = receive(fd, b)
-		if n > 0 {
-			c.note(b[:n])
-		}
-		return !errors.Is(got, syscall.EAGAIN)
-	}
-	if err = c.raw.Read(take); errors.Is(err, os.ErrDeadlineExceeded) {
+	c.into, c.got, c.err = b, 0, nil
+	defer func() { c.into = nil }()
+	if err = c.raw.Read(c.take); errors.Is(err, os.ErrDeadlineExceeded) {
 		// What came before the time was up, and was not read for want of time, is the client's request all the same.
-		_ = c.raw.Control(func(fd uintptr) { take(fd) })
-		if n > 0 {
-			return n, nil
+		_ = c.raw.Control(func(fd uintptr) { c.receive(fd) })
+		if c.got > 0 {
+			return c.got, nil
 		}
 	}
 	if err == nil {
-		err = got
+		err = c.err
+	}
+	return c.got, readError(err)
+}
+
+// receive reads into c.into what is there; false: nothing is.
+func (c *clientConn) receive(fd uintptr) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.shut {
+		c.err = errShut
+		return true
 	}
-	return n, readError(err)
+	if c.got, c.err = receive(fd, c.into); c.got > 0 {
+		c.note(c.into[:c.got])
+	}
+	return !errors.Is(c.err, syscall.EAGAIN)
 }
 
 // watch reads what a client sends ahead until it goes.
@@ -244,6 +257,10 @@
 
 // take takes the next bytes.
 func (h *headEnd) take(b []byte) {
+	if h.n += len(b); h.whole || bytes.Contains(b, emptyLine) {
+		h.whole = true
+		return
+	}
 	for _, x := range b {
 		switch x {
 		case '\n':
@@ -254,5 +271,4 @@
 			h.empty = false
 		}
 	}
-	h.n += len(b)
 }
