--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -38,15 +38,16 @@
 	list  *list.List // nil while a request is open
 	place *list.Element
 
-	mu     sync.Mutex
-	shut   bool // closed by clients: nothing more is read
-	open   bool // a head has been reported: what comes is its body, and then what the client sends ahead
-	asked  bool // a request has been answered
-	ahead  []byte
-	thrown bool  // some of what came ahead is lost
-	flood  int64 // bytes that came ahead of the present answer
-	heard  time.Time
-	head   headEnd // of the next head, while none is open
+	mu        sync.Mutex
+	shut      bool // closed by clients: nothing more is read
+	open      bool // a head has been reported: what comes is its body, and then what the client sends ahead
+	asked     bool // a request has been answered
+	answering bool // the answer to the open request is being written
+	ahead     []byte
+	thrown    bool  // some of what came ahead is lost
+	flood     int64 // bytes that came ahead of the present answer
+	heard     time.Time
+	head      headEnd // of the next head, while none is open
 
 	// Of the one read that is under way, for take: a closure for each read would cost an allocation.
 	into []byte
@@ -144,6 +145,9 @@
 				got = errShut
 				return true
 			}
+			if c.answering {
+				return false // net/http calls this read off when the answer is out
+			}
 			var n int
 			if n, got = receive(fd, b[:]); got != nil {
 				return !errors.Is(got, syscall.EAGAIN)
@@ -214,15 +218,17 @@
 func (c *clientConn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.open, c.asked = false, true
+	c.open, c.asked, c.answering = false, true, false
 	c.head = headEnd{}
 	c.head.take(c.ahead)
 }
 
-// last tells whether the present answer has to be the connection's last.
-func (c *clientConn) last() bool {
+// answer is for just before an answer is written, and tells whether it has to be the connection's last. From then on nothing is read
+// ahead: a client has an answer before its handler has ended, and may send its next request at once, of whatever size.
+func (c *clientConn) answer() (last bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.answering = true
 	return c.thrown
 }
 
--- a/internal/front/http1/crossings_test.go
+++ b/internal/front/http1/crossings_test.go
@@ -36,6 +36,7 @@
 	took, gone chan string // the ids of requests
 	gate       chan struct{}
 	left       chan *core.Request
+	release    func() // of each reply; nil: none
 }
 
 func newGated() *gated {
@@ -49,7 +50,7 @@
 	for {
 		select {
 		case <-g.gate:
-			return core.Answer{Verdict: core.Served, Reply: &core.Reply{Code: http.StatusOK, Body: []byte(r.ID)}}
+			return core.Answer{Verdict: core.Served, Reply: &core.Reply{Code: http.StatusOK, Body: []byte(r.ID), Release: g.release}}
 		case x := <-g.left:
 			if x == r {
 				g.gone <- r.ID
@@ -226,6 +227,34 @@
 	}
 }
 
+// A client has its answer before the handler has ended, and sends its next request at once: none of it is taken for what came ahead.
+func TestTheNextRequestMayComeUnderTheAnswer(t *testing.T) {
+	pool, l := newGated(), listen(t)
+	ended := make(chan struct{})
+	pool.release = func() { <-ended }
+	f := serving(t, l, pool)
+	conn, r := dial(t, l)
+	id := strings.Repeat("1", 8<<10) // goes out in its first write
+	send(t, conn, get(id))
+	wait(t, "request", pool.took)
+	pool.gate <- struct{}{}
+	answered(t, r, id)
+	send(t, conn, fmt.Sprintf("POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", 60<<10, strings.Repeat("b", 60<<10)))
+	until(t, func() bool {
+		f.clients.mu.Lock()
+		defer f.clients.mu.Unlock()
+		for _, c := range f.clients.conns {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.thrown || !sock.Quiet(c.Conn)
+		}
+		return true
+	})
+	close(pool.gate)
+	close(ended)
+	answered(t, r, "2")
+}
+
 func until(t *testing.T, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) { // the kernel has no channel
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -109,7 +109,9 @@
 // ServeHTTP answers health checks and takes requests.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	came := time.Now()
+	conn, _ := r.Context().Value(clientKey{}).(*clientConn)
 	if r.URL.Path == "/_health" {
+		conn.answer()
 		f.health(w)
 		return
 	}
@@ -139,7 +141,7 @@
 		}
 		ans := f.pass(r, came, &dest, body)
 		if ans.Verdict != core.NotTaken || tries == mostTries {
-			if c, ok := r.Context().Value(clientKey{}).(*clientConn); ok && c.last() {
+			if conn.answer() {
 				w.Header().Set("Connection", "close")
 			}
 			f.reply(w, ans)
