--- a/internal/front/http1/clients.go
+++ b/internal/front/http1/clients.go
@@ -100,7 +100,7 @@
 
 // admit counts a connection in; nil: there is no room for it.
 func (l *clients) admit(nc net.Conn) *clientConn {
-	c, err := newClientConn(nc, l)
+	c, err := newClientConn(nc)
 	if err != nil {
 		return nil
 	}
--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -30,7 +30,6 @@
 type clientConn struct {
 	net.Conn
 	raw  syscall.RawConn
-	of   *clients
 	came time.Time
 
 	// Of clients.
@@ -48,12 +47,6 @@
 	flood     int64 // bytes that came ahead of the present answer
 	heard     time.Time
 	head      headEnd // of the next head, while none is open
-
-	// Of the one read that is under way, for take: a closure for each read would cost an allocation.
-	into []byte
-	got  int
-	err  error
-	take func(fd uintptr) bool
 }
 
 var (
@@ -65,7 +58,7 @@
 	chunks = sync.Pool{New: func() any { return new([aheadChunk]byte) }}
 )
 
-func newClientConn(nc net.Conn, of *clients) (*clientConn, error) {
+func newClientConn(nc net.Conn) (*clientConn, error) {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return nil, errors.New("no socket")
@@ -74,9 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &clientConn{Conn: nc, raw: raw, of: of, came: time.Now()}
-	c.take = c.receive
-	return c, nil
+	return &clientConn{Conn: nc, raw: raw, came: time.Now()}, nil
 }
 
 // Read implements net.Conn. While a request is open and its body has been read, net/http reads one byte, to see the client go, and looks
@@ -103,33 +94,33 @@
 	if watching {
 		return 0, c.watch()
 	}
-	c.into, c.got, c.err = b, 0, nil
-	defer func() { c.into = nil }()
-	if err = c.raw.Read(c.take); errors.Is(err, os.ErrDeadlineExceeded) {
+	var got error
+	take := func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.shut {
+			got = errShut
+			return true
+		}
+		if n, got = receive(fd, b); n > 0 {
+			c.heard = time.Now()
+			if !c.open {
+				c.head.take(b[:n])
+			}
+		}
+		return !errors.Is(got, syscall.EAGAIN)
+	}
+	if err = c.raw.Read(take); errors.Is(err, os.ErrDeadlineExceeded) {
 		// What came before the time was up, and was not read for want of time, is the client's request all the same.
-		_ = c.raw.Control(func(fd uintptr) { c.receive(fd) })
-		if c.got > 0 {
-			return c.got, nil
+		_ = c.raw.Control(func(fd uintptr) { take(fd) })
+		if n > 0 {
+			return n, nil
 		}
 	}
 	if err == nil {
-		err = c.err
-	}
-	return c.got, readError(err)
-}
-
-// receive reads into c.into what is there; false: nothing is.
-func (c *clientConn) receive(fd uintptr) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.shut {
-		c.err = errShut
-		return true
-	}
-	if c.got, c.err = receive(fd, c.into); c.got > 0 {
-		c.note(c.into[:c.got])
+		err = got
 	}
-	return !errors.Is(c.err, syscall.EAGAIN)
+	return n, readError(err)
 }
 
 // watch reads what a client sends ahead until it goes.
@@ -198,14 +189,6 @@
 	return &net.OpError{Op: "read", Net: "tcp", Err: err}
 }
 
-// note takes bytes that net/http is about to get. The lock is held.
-func (c *clientConn) note(b []byte) {
-	c.heard = time.Now()
-	if !c.open {
-		c.head.take(b)
-	}
-}
-
 // begin notes that a head has been reported.
 func (c *clientConn) begin() {
 	c.mu.Lock()
--- a/internal/front/http1/crossings_test.go
+++ b/internal/front/http1/crossings_test.go
@@ -195,16 +195,7 @@
 	wait(t, "request", pool.took)
 	send(t, conn, get("2")+get("3"))
 	kept := func(n int, thrown bool) func() bool {
-		return func() bool {
-			f.clients.mu.Lock()
-			defer f.clients.mu.Unlock()
-			for _, c := range f.clients.conns {
-				c.mu.Lock()
-				defer c.mu.Unlock()
-				return len(c.ahead) == n && c.thrown == thrown
-			}
-			return false
-		}
+		return ofTheOne(f, func(c *clientConn) bool { return len(c.ahead) == n && c.thrown == thrown })
 	}
 	until(t, kept(len(get("2")+get("3")), false))
 	if f.clients.closeIdle(0) != 1 {
@@ -240,19 +231,24 @@
 	pool.gate <- struct{}{}
 	answered(t, r, id)
 	send(t, conn, fmt.Sprintf("POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", 60<<10, strings.Repeat("b", 60<<10)))
-	until(t, func() bool {
+	until(t, ofTheOne(f, func(c *clientConn) bool { return c.thrown || !sock.Quiet(c.Conn) }))
+	close(pool.gate)
+	close(ended)
+	answered(t, r, "2")
+}
+
+// ofTheOne asks the one connection that a front has, under its lock; false where there is none.
+func ofTheOne(f *Front, is func(*clientConn) bool) func() bool {
+	return func() bool {
 		f.clients.mu.Lock()
 		defer f.clients.mu.Unlock()
 		for _, c := range f.clients.conns {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			return c.thrown || !sock.Quiet(c.Conn)
+			return is(c)
 		}
-		return true
-	})
-	close(pool.gate)
-	close(ended)
-	answered(t, r, "2")
+		return false
+	}
 }
 
 func until(t *testing.T, ok func() bool) {
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -130,7 +130,7 @@
 				}
 				defer dest.Memory.Give(n)
 			}
-			body, fault = f.body(w, r, &dest)
+			body, fault = f.body(w, r, conn, &dest)
 		}
 		if fault != nil {
 			f.turnAway(w, *fault)
@@ -250,7 +250,7 @@
 }
 
 // body reads a body of known length. It grows with what comes: a length alone costs no memory.
-func (f *Front) body(w http.ResponseWriter, r *http.Request, dest *front.Dest) ([]byte, *front.Fault) {
+func (f *Front) body(w http.ResponseWriter, r *http.Request, conn *clientConn, dest *front.Dest) ([]byte, *front.Fault) {
 	switch {
 	case r.ContentLength > dest.MaxBody:
 		return nil, &front.Fault{Status: http.StatusRequestEntityTooLarge, Why: "the body is too large"}
@@ -260,8 +260,8 @@
 		return nil, nil
 	}
 	until := time.Now().Add(headPatience)
-	if c, ok := r.Context().Value(clientKey{}).(*clientConn); ok && c.first() {
-		until = c.came.Add(firstPatience)
+	if conn.first() {
+		until = conn.came.Add(firstPatience)
 	}
 	c := http.NewResponseController(w)
 	_ = c.SetReadDeadline(until)
--- a/internal/upstream/http1/exchange.go
+++ b/internal/upstream/http1/exchange.go
@@ -64,54 +64,36 @@
 // send writes a whole request, if the list says of the backend what it said when it was chosen and it is not too late to begin. That
 // look and the first write are one step as Apply sees it: once Apply has returned, nothing begins that it would not have.
 func (w *way) send(a *core.Attempt, c *conn, text []byte) error {
-	s := &c.start
-	*s = sending{way: w, attempt: a, text: text}
-	defer func() { *s = sending{} }()
-	if c.raw == nil {
+	n, err := 0, error(nil)
+	begin := func(write func() (int, error)) {
 		w.backend.begins.RLock()
 		defer w.backend.begins.RUnlock()
-		if s.late() {
-			return errMoved
+		if w.backend.epoch != w.epoch || !a.Begin.IsZero() && time.Now().After(a.Begin) {
+			err = errMoved
+			return
 		}
-		_, err := c.Write(text)
-		return err
+		n, err = write()
 	}
-	if err := c.raw.Write(c.begin); err != nil {
+	if c.raw == nil {
+		begin(func() (int, error) { return c.Write(text) })
 		return err
 	}
-	if s.err == nil && s.n < len(text) {
-		_, s.err = c.Write(text[s.n:])
-	}
-	return s.err
-}
-
-// sending is a request that is about to begin on a connection.
-type sending struct {
-	way     *way
-	attempt *core.Attempt
-	text    []byte
-	n       int // bytes written
-	err     error
-}
-
-// late tells whether the request may not begin any more. The backend's begins is held.
-func (s *sending) late() bool {
-	begin := s.attempt.Begin
-	return s.way.backend.epoch != s.way.epoch || !begin.IsZero() && time.Now().After(begin)
-}
-
-// write writes what the kernel takes; false: it takes nothing now.
-func (s *sending) write(fd uintptr) bool {
-	s.way.backend.begins.RLock()
-	defer s.way.backend.begins.RUnlock()
-	if s.late() {
-		s.err = errMoved
-		return true
-	}
-	for s.n, s.err = syscall.Write(int(fd), s.text); errors.Is(s.err, syscall.EINTR); {
-		s.n, s.err = syscall.Write(int(fd), s.text)
+	rawErr := c.raw.Write(func(fd uintptr) bool {
+		begin(func() (n int, err error) {
+			for n, err = syscall.Write(int(fd), text); errors.Is(err, syscall.EINTR); {
+				n, err = syscall.Write(int(fd), text)
+			}
+			return n, err
+		})
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+	switch {
+	case rawErr != nil:
+		return rawErr
+	case err == nil && n < len(text):
+		_, err = c.Write(text[n:])
 	}
-	return !errors.Is(s.err, syscall.EAGAIN)
+	return err
 }
 
 // encode writes the whole request into one buffer, so that one write tells whether its last byte went out.
--- a/internal/upstream/http1/upstream.go
+++ b/internal/upstream/http1/upstream.go
@@ -92,9 +92,7 @@
 // conn is a connection to a backend; it carries one request at a time.
 type conn struct {
 	net.Conn
-	raw   syscall.RawConn    // nil: it has none
-	begin func(uintptr) bool // writes what starts; made once, since a closure for each request would cost an allocation
-	start sending
+	raw   syscall.RawConn // nil: it has none
 	r     *bufio.Reader
 	out   []byte // for the next request
 	of    *backend
@@ -268,9 +266,7 @@
 		p.cfg.Quota.Give()
 		return nil, fmt.Errorf("dial %s: %w", b.name, err)
 	}
-	c := &conn{Conn: nc, raw: raw, r: bufio.NewReaderSize(nc, answerHead), of: b, epoch: epoch}
-	c.begin = c.start.write
-	return c, nil
+	return &conn{Conn: nc, raw: raw, r: bufio.NewReaderSize(nc, answerHead), of: b, epoch: epoch}, nil
 }
 
 // reserve counts a connection in. At the limit the one that has been idle longest makes room.
