--- a/internal/membership/catalog/catalog.go
+++ b/internal/membership/catalog/catalog.go
@@ -29,11 +29,7 @@
 	leastAskHold = 6 * time.Second
 	mostAskHold  = 14 * time.Second
 
-	pushPatience = time.Second             // for an answer that need not wait, and beyond a watch's wait
-	askPatience  = 1500 * time.Millisecond // the same where calls wait in turn
-	// A watch whose answer is overdue by this is silent, or waits its turn. Another is opened beside it at once: the 2 s are for
-	// that one's answer, which may have to wait its turn as well.
-	overdueAfter = 500 * time.Millisecond
+	pushPatience = time.Second // for an answer that need not wait, and beyond a watch's wait
 	// A connection to discovery that is not up by then is given up. The library lets it go on when its call is given up, for as long as
 	// the kernel tries, and counts it: a dozen calls into a cut link would bar all others for two minutes.
 	dialTimeout = time.Second
@@ -102,7 +98,7 @@
 
 // Run implements membership.Source: it watches until the context ends. The next watch follows its answer at once, lest changes in between
 // count as told late. After a call that failed in a way that leaves the version in doubt, it begins with
-// the full list. With Subscribe the module says when to ask, after a failure and, with First, at the start; otherwise it
+// the full list. With Subscribe the module says when to ask, after a failure and, with First, at the start (see ask); otherwise it
 // insists at the start and after a failure.
 func (d *Client) Run(ctx context.Context, sink membership.Sink) {
 	defer d.client.CloseIdleConnections()
@@ -110,50 +106,36 @@
 		d.pace(ctx, sink)
 		return
 	}
-	subscribe, first := d.cfg.Subscribe, d.cfg.Subscribe && d.cfg.First
-	index := int64(-1)
-	for subscribed := !first; ctx.Err() == nil; {
-		if subscribe && !subscribed {
-			select {
-			case <-d.cfg.Asked:
-			case <-ctx.Done():
-				return
-			}
-		}
+	if d.cfg.Subscribe {
+		d.ask(ctx, sink)
+		return
+	}
+	for index := int64(-1); ctx.Err() == nil; {
 		var list *membership.List
-		var err error
-		switch {
-		case subscribe:
-			list, err = d.watch(ctx, index)
-		case index >= 0:
-			list, err = d.call(ctx, index, d.hold(), d.patience)
-		default: // what the agent has counts as told from the first moment on
+		if index < 0 { // what the agent has counts as told from the first moment on
 			if list = d.insist(ctx, index); list == nil {
 				return
 			}
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		if err == nil {
-			err = wentBack(list, index)
-		}
-		if err != nil {
-			d.log.Warn("discovery", "error", err)
-			d.stale.Failed()
-			if outcome, _ := judge(err); outcome != start.Busy {
-				index = -1
+		} else {
+			var err error
+			if list, err = d.call(ctx, index, d.hold(), d.patience); ctx.Err() != nil {
+				return
 			}
-			subscribed = false
-			if subscribe {
-				sink.Missed() // the module says when to ask again
-				continue
+			if err == nil {
+				err = wentBack(list, index)
 			}
-			if list = d.insist(ctx, index); list == nil {
-				return
+			if err != nil {
+				d.log.Warn("discovery", "error", err)
+				d.stale.Failed()
+				if outcome, _ := judge(err); outcome != start.Busy {
+					index = -1
+				}
+				if list = d.insist(ctx, index); list == nil {
+					return
+				}
 			}
 		}
-		index, subscribed = list.Index, true
+		index = list.Index
 		sink.Listed(list)
 		d.stale.Confirmed(index, 0)
 	}
@@ -167,47 +149,6 @@
 	return nil
 }
 
-// watch asks for what is newer than index, where all proxies share the service, or for the whole list if that is negative. A watch
-// that is overdue stays open for as long as calls are waited for, and another is opened beside it: whichever answers.
-func (d *Client) watch(ctx context.Context, index int64) (*membership.List, error) {
-	if index < 0 {
-		return d.call(ctx, index, 0, d.patience)
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	var calls sync.WaitGroup
-	defer calls.Wait()
-	defer cancel()
-	type end struct {
-		number int
-		list   *membership.List
-		err    error
-	}
-	ends := make(chan end)
-	overdue := time.NewTimer(0)
-	defer overdue.Stop()
-	for opened := 0; ; {
-		select {
-		case <-overdue.C:
-			opened++
-			number, hold := opened, d.hold()
-			calls.Go(func() {
-				list, err := d.call(ctx, index, hold, d.patience)
-				select {
-				case ends <- end{number, list, err}:
-				case <-ctx.Done():
-				}
-			})
-			overdue.Reset(hold + overdueAfter)
-		case e := <-ends:
-			if e.err == nil || e.number == opened { // an older one has had its time, and the newest stands
-				return e.list, e.err
-			}
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
-}
-
 // insist calls, again and again and without waiting for the calls before to end, until one is answered with sense, and returns that
 // answer; nil: the context has ended. It goes on from a version, or asks for the whole list.
 func (d *Client) insist(ctx context.Context, index int64) *membership.List {
--- a/internal/membership/catalog/silence_test.go
+++ b/internal/membership/catalog/silence_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -84,6 +86,133 @@
 	}
 }
 
+// What a shared service writes counts as told, whether or not its caller still waits: a call whose turn comes late is not given up, and
+// one that has been overtaken by the call beside it is still heard.
+func TestACallWhoseTurnComesLateIsStillHeard(t *testing.T) {
+	second, heard := make(chan struct{}), make(chan struct{})
+	addr := script(t, func(n int, w http.ResponseWriter, r *http.Request) {
+		wait := func(turn <-chan struct{}) {
+			select {
+			case <-turn:
+			case <-r.Context().Done():
+				t.Errorf("call %d, %s, was given up before its turn", n, r.URL)
+			}
+		}
+		switch n {
+		case 1:
+			wait(second)
+			fmt.Fprint(w, oneServes)
+		case 2: // for the whole list, beside the first
+			close(second)
+			wait(heard)
+			fmt.Fprint(w, `{"index":2,"snapshot":true,"endpoints":[{"name":"a","address":"127.0.0.1:1","status":"DRAINING"}]}`)
+		default:
+			<-r.Context().Done()
+		}
+	})
+	d := New(Config{Address: addr, Subscribe: true, Asked: make(chan struct{}), Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler)})
+	lists := make(listed, 10)
+	follow(t, d, lists)
+	if l := next(t, lists, "the list of the call whose turn came late"); l.Index != 1 {
+		t.Errorf("first came %+v", l)
+	}
+	close(heard)
+	if l := next(t, lists, "the list of the call beside it"); l.Index != 2 || l.Endpoints[0].Status != membership.Draining {
+		t.Errorf("then came %+v", l)
+	}
+}
+
+// Of calls beside each other the older may be answered last, with what is older: that is no news. A new watch stands from the first
+// answer on.
+func TestAnOlderAnswerIsNoNews(t *testing.T) {
+	second, watching, over := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	addr := script(t, func(n int, w http.ResponseWriter, r *http.Request) {
+		wait := func(turn <-chan struct{}) {
+			select {
+			case <-turn:
+			case <-r.Context().Done():
+			}
+		}
+		switch n {
+		case 1:
+			wait(second)
+			wait(watching)
+			fmt.Fprint(w, oneServes)
+		case 2:
+			close(second)
+			fmt.Fprint(w, `{"index":2,"snapshot":true,"endpoints":[{"name":"a","address":"127.0.0.1:1","status":"DRAINING"}]}`)
+		case 3:
+			if r.URL.Query().Get("from") != "2" {
+				t.Errorf("the watch is from %s", r.URL)
+			}
+			close(watching)
+			wait(over)
+			fmt.Fprint(w, `{"index":3,"snapshot":false,"endpoints":[{"name":"a","status":"DELETED"}]}`)
+		default:
+			<-r.Context().Done()
+		}
+	})
+	d := New(Config{Address: addr, Subscribe: true, Asked: make(chan struct{}), Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler)})
+	ended := make(chan struct{}, 10)
+	d.client.Transport = tell{d.client.Transport, ended}
+	lists := make(listed, 10)
+	follow(t, d, lists)
+	next(t, lists, "the second call's list")
+	for range 2 { // also the older answer has been read
+		select {
+		case <-ended:
+		case <-time.After(20 * time.Second):
+			t.Fatal("the older answer was not read within 20 s")
+		}
+	}
+	close(over)
+	if l := next(t, lists, "the watch's change"); l.Index != 3 {
+		t.Errorf("after version 2 came %+v", l)
+	}
+}
+
+// tell tells of each answer whose body has been closed.
+type tell struct {
+	http.RoundTripper
+	ended chan<- struct{}
+}
+
+func (t tell) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.RoundTripper.RoundTrip(r)
+	if err == nil {
+		resp.Body = closing{resp.Body, t.ended}
+	}
+	return resp, err
+}
+
+type closing struct {
+	io.ReadCloser
+	ended chan<- struct{}
+}
+
+func (c closing) Close() error {
+	defer func() { c.ended <- struct{}{} }()
+	return c.ReadCloser.Close()
+}
+
+// A copy that begins with no list asks again after a call that failed: its module knows of none, and does not ask.
+func TestWithNoListTheFirstCallIsRepeated(t *testing.T) {
+	addr := script(t, func(n int, w http.ResponseWriter, r *http.Request) {
+		switch n {
+		case 1:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 2:
+			fmt.Fprint(w, oneServes)
+		default:
+			<-r.Context().Done()
+		}
+	})
+	d := New(Config{Address: addr, Subscribe: true, Asked: make(chan struct{}), Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler)})
+	lists := make(listed, 10)
+	follow(t, d, lists)
+	next(t, lists, "the first list")
+}
+
 // A connection that doesn't come up is given up, also when its call has been long before: a link that is cut bars no call after it is
 // whole again.
 func TestConnectionsThatHangBarNoOthers(t *testing.T) {
