--- a/internal/front/http1/clients.go
+++ b/internal/front/http1/clients.go
@@ -190,13 +190,6 @@
 	return len(l.conns)
 }
 
-// open tells how many connections carry a request.
-func (l *clients) open() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.conns) - l.silent.Len() - l.idle.Len()
-}
-
 // lines tells how many connections clients have that have brought a request, and how many of them are free for
 // the next.
 func (l *clients) lines() (all, free int) {
@@ -206,17 +199,29 @@
 }
 
 // closeIdle closes the connections that carry no request, and returns how many others there are. One that is
-// newer than newFor, or on which something has just come in, is left alone: closing it would lose a request.
+// newer than newFor, or on which something has come that has not been answered, is left alone: closing it would lose a request.
 func (l *clients) closeIdle(newFor time.Duration) (busy int) {
+	return l.close(func(c *clientConn) bool {
+		return (c.list == l.idle || c.list == l.silent && time.Since(c.since) > newFor) && c.shutQuiet(time.Time{})
+	})
+}
+
+// closeLast is closeIdle at the end of all: also parts of heads, whose rest has not come, are given up.
+func (l *clients) closeLast() (busy int) {
+	return l.close(func(c *clientConn) bool { return c.list != nil && c.shutQuiet(time.Now()) })
+}
+
+// close closes the connections that may be closed, and returns how many others there are.
+func (l *clients) close(may func(*clientConn) bool) (left int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.conns {
-		if (c.list == l.idle || c.list == l.silent && time.Since(c.since) > newFor) && c.shutQuiet(time.Time{}) {
+		if may(c) {
 			l.remove(c)
 			c.Conn.Close()
 		} else {
-			busy++
+			left++
 		}
 	}
-	return busy
+	return left
 }
--- a/internal/front/http1/crossings_test.go
+++ b/internal/front/http1/crossings_test.go
@@ -357,6 +357,43 @@
 	wait(t, "end of the drain", drained)
 }
 
+// A request that has been read at the end of the drain, and that net/http has not reported yet, is waited for: the end closes nothing
+// under it.
+func TestTheEndWaitsForWhatHasBeenRead(t *testing.T) {
+	l := listen(t)
+	f := New(Config{Listener: l, Quota: plenty{}, Log: slog.New(slog.DiscardHandler)})
+	peer, _ := dial(t, l)
+	nc, err := f.clients.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	send(t, peer, get("1"))
+	if n, err := nc.Read(make([]byte, 4096)); n != len(get("1")) || err != nil {
+		t.Fatal(n, err)
+	}
+	looked, drained := make(chan error, 1), make(chan struct{})
+	go func() {
+		_, err := f.clients.Accept()
+		looked <- err
+	}()
+	go func() {
+		defer close(drained)
+		f.Drain(time.Now(), time.Now(), time.Now().Add(patience))
+	}()
+	step := time.NewTimer(acceptAfter + lookMost)
+	defer step.Stop()
+	select {
+	case <-step.C:
+	case <-drained:
+		t.Fatal("the drain ended under a request that had been read")
+	}
+	f.clients.state(nc, http.StateActive)
+	f.clients.state(nc, http.StateClosed)
+	wait(t, "end of the drain", drained)
+	wait(t, "last look", looked)
+}
+
 // An answer that is on its way at the cutoff is not cut off: there is time until SIGKILL.
 func TestAnAnswerAtTheCutoffIsWritten(t *testing.T) {
 	pool, l := newGated(), listen(t)
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -326,7 +326,7 @@
 		for f.clients.closeIdle(acceptAfter) > 0 && time.Now().Before(cutoff) {
 			time.Sleep(drainStep)
 		}
-		for f.clients.open() > 0 && time.Now().Before(end) {
+		for f.clients.closeLast() > 0 && time.Now().Before(end) { // what has been read, or has come, is answered
 			time.Sleep(drainStep)
 		}
 		if !accepting || !time.Now().Before(end) {
