--- a/internal/membership/catalog/ask.go
+++ b/internal/membership/catalog/ask.go
@@ -22,6 +22,11 @@
 	mostWholeOverdue = 6 * time.Second
 	mostAsks         = 8                      // calls that are open at a time
 	firstAgain       = 500 * time.Millisecond // after a first call that failed, where the module knows of no list and so asks for none
+	// A watch goes on if the next call comes within 200 ms of the last answer, also of one that turns it away (PROTOCOL). The module waits
+	// longer, so such a call is repeated sooner for some times. What is turned away costs the service little.
+	leastQuick = 60 * time.Millisecond
+	mostQuick  = 140 * time.Millisecond
+	quickTries = 8
 )
 
 // asking is a Client's work where all proxies ask one service, at the module's word. One goroutine owns it.
@@ -33,13 +38,14 @@
 	ends    chan asked
 	overdue *time.Timer
 
-	index   int64 // the version that stands; negative: there is none, or it is in doubt
-	opened  int   // calls so far; their numbers begin with 1
-	open    int   // those of them that have not ended
-	taken   int   // the one that brought the version that stands
-	watch   int   // the one that watches; 0: none does
-	late    time.Duration
-	waiting bool // for the module's word
+	index   int64         // the version that stands; negative: there is none, or it is in doubt
+	opened  int           // calls so far; their numbers begin with 1
+	open    int           // those of them that have not ended
+	taken   int           // the one that brought the version that stands
+	watch   int           // the one that watches; 0: none does
+	late    time.Duration // after which the next call for the whole list is overdue
+	quick   int           // watches in a row that were turned away and repeated without the module's word
+	waiting bool          // for the module's word
 }
 
 // asked is how a call ended.
@@ -127,11 +133,16 @@
 		a.overdue.Stop()
 		a.waiting = true
 		a.sink.Missed() // the module says when to ask again
-		if a.taken == 0 && !a.cfg.First {
+		switch {
+		case a.index >= 0 && a.quick < quickTries:
+			a.quick++
+			a.overdue.Reset(leastQuick + time.Duration(a.cfg.Rand.Int64N(int64(mostQuick-leastQuick))))
+		case a.taken == 0 && !a.cfg.First:
 			a.overdue.Reset(firstAgain)
 		}
 		return
 	}
+	a.quick = 0
 	// Changes up to a version that stands already are no news, nor is a whole list from before the one that stands was asked for. Any
 	// other whole list is: a service that starts anew counts anew.
 	if e.list.Index >= a.index || e.list.Full && e.number > a.taken {
--- a/internal/membership/catalog/silence_test.go
+++ b/internal/membership/catalog/silence_test.go
@@ -195,6 +195,29 @@
 	return c.ReadCloser.Close()
 }
 
+// A watch that is turned away goes on if it is opened anew within 200 ms: that does not wait for the module, which waits longer.
+func TestAWatchThatIsTurnedAwayGoesOn(t *testing.T) {
+	addr := script(t, func(n int, w http.ResponseWriter, r *http.Request) {
+		switch {
+		case n == 1:
+			fmt.Fprint(w, oneServes)
+		case r.URL.Query().Get("from") != "1":
+			t.Errorf("call %d is %s", n, r.URL)
+		case n < 4:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case n == 4:
+			fmt.Fprint(w, `{"index":1,"snapshot":false,"endpoints":[]}`)
+		default:
+			<-r.Context().Done()
+		}
+	})
+	d := New(Config{Address: addr, Subscribe: true, Asked: make(chan struct{}), Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler)})
+	lists := make(listed, 10)
+	follow(t, d, lists)
+	next(t, lists, "the first list")
+	next(t, lists, "the answer of the watch that was opened anew")
+}
+
 // A copy that begins with no list asks again after a call that failed: its module knows of none, and does not ask.
 func TestWithNoListTheFirstCallIsRepeated(t *testing.T) {
 	addr := script(t, func(n int, w http.ResponseWriter, r *http.Request) {
