--- a/internal/membership/catalog/ask.go
+++ b/internal/membership/catalog/ask.go
@@ -26,7 +26,7 @@
 	// longer, so such a call is repeated sooner for some times. What is turned away costs the service little.
 	leastQuick = 60 * time.Millisecond
 	mostQuick  = 140 * time.Millisecond
-	quickTries = 8
+	quickTries = 40 // some 4 s: such a service takes a call once its queue is short enough
 )
 
 // asking is a Client's work where all proxies ask one service, at the module's word. One goroutine owns it.
@@ -63,7 +63,10 @@
 	defer a.calls.Wait()
 	defer cancel()
 	defer a.overdue.Stop()
+	// A copy that begins with a list begins with a watch from it. The whole list and then a watch are two calls in the same moment, which a service
+	// before which many start does not take: it turns the watch away, and what changes before the next counts as told early.
 	if a.waiting {
+		a.index = d.cfg.Known
 		a.overdue.Stop()
 	}
 	for {
--- a/internal/membership/catalog/catalog.go
+++ b/internal/membership/catalog/catalog.go
@@ -66,7 +66,7 @@
 	// Reads, where given, decides when to call: the list service is shared by many copies, which is not so where an agent
 	// on the copy's own machine answers. Not with Subscribe.
 	Reads  *start.Reads
-	Known  int64         // with Reads: the version of the list that the copy begins with; negative: it has none
+	Known  int64         // with Reads, or Subscribe and First: the version of the list that the copy begins with; negative: it has none, or it is in doubt
 	Age    time.Duration // with Known: how old it is
 	Urgent func() bool   // with Reads: the copy can't serve, or its backends die, until there is a newer list
 	Log    *slog.Logger
--- a/internal/membership/catalog/silence_test.go
+++ b/internal/membership/catalog/silence_test.go
@@ -218,6 +218,40 @@
 	next(t, lists, "the answer of the watch that was opened anew")
 }
 
+// A copy that begins with a list begins with a watch from its version: copies that start together then make one call each, which a service
+// can take at once, and none is turned away for the whole list's sake. Only a version in doubt has the whole list asked for.
+func TestACopyWithAListBeginsWithAWatch(t *testing.T) {
+	addr := script(t, func(n int, w http.ResponseWriter, r *http.Request) {
+		from := r.URL.Query().Get("from")
+		switch {
+		case n == 1 && from == "7": // another service's, which counts anew
+			fmt.Fprint(w, `{"index":3,"snapshot":false,"endpoints":[]}`)
+		case n == 2 && from == "":
+			fmt.Fprint(w, oneServes)
+		case n > 2 && from == "1":
+			<-r.Context().Done()
+		default:
+			t.Errorf("call %d is %s", n, r.URL)
+		}
+	})
+	word := make(chan struct{}, 2) // of the module: at the start, and after the doubt
+	word <- struct{}{}
+	d := New(Config{Address: addr, Subscribe: true, First: true, Known: 7, Asked: word, Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler)})
+	lists := make(listed, 10)
+	follow(t, d, words{lists, word})
+	if l := next(t, lists, "the whole list"); l.Index != 1 {
+		t.Errorf("first came %+v", l)
+	}
+}
+
+// words is a sink whose module asks again at once.
+type words struct {
+	listed
+	word chan<- struct{}
+}
+
+func (s words) Missed() { s.word <- struct{}{} }
+
 // A copy that begins with no list asks again after a call that failed: its module knows of none, and does not ask.
 func TestWithNoListTheFirstCallIsRepeated(t *testing.T) {
 	addr := script(t, func(n int, w http.ResponseWriter, r *http.Request) {
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -186,13 +186,13 @@
 	case config.Consul:
 		source = blocking.New(blocking.Config{Address: from.Address, Service: from.As, Token: token(from.TokenFile, log), Log: log})
 	default:
-		cc := catalog.Config{Address: from.Address, Subscribe: s.cfg.Logic.Subscribe, First: first, Asked: s.pool.Asked(), Rand: s.waits, Log: log}
+		cc := catalog.Config{Address: from.Address, Subscribe: s.cfg.Logic.Subscribe, First: first, Known: known, Asked: s.pool.Asked(), Rand: s.waits, Log: log}
 		if s.rnd != nil && !cc.Subscribe {
 			copies := s.cfg.Logic.Siblings
 			if copies == 1 {
 				copies = 0 // not told
 			}
-			cc.Reads, cc.Known, cc.Age, cc.Urgent = pace.NewReads(pace.ReadsConfig{Copies: copies, Starts: s.starts}, s.rnd), known, s.age, s.urgent
+			cc.Reads, cc.Age, cc.Urgent = pace.NewReads(pace.ReadsConfig{Copies: copies, Starts: s.starts}, s.rnd), s.age, s.urgent
 		}
 		source = catalog.New(cc)
 		s.starts = 0 // a later source, after a reload, is no start
