--- a/internal/membership/catalog/silence_test.go
+++ b/internal/membership/catalog/silence_test.go
@@ -39,6 +39,11 @@
 	t.Cleanup(func() { stop(); <-ended })
 }
 
+// asks is a client of a service that all copies ask; its module never says when to.
+func asks(addr string) *Client {
+	return New(Config{Address: addr, Subscribe: true, Asked: make(chan struct{}), Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler)})
+}
+
 // next is the next list; none in a long time fails the test.
 func next(t *testing.T, lists listed, what string) *membership.List {
 	t.Helper()
@@ -110,9 +115,8 @@
 			<-r.Context().Done()
 		}
 	})
-	d := New(Config{Address: addr, Subscribe: true, Asked: make(chan struct{}), Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler)})
 	lists := make(listed, 10)
-	follow(t, d, lists)
+	follow(t, asks(addr), lists)
 	if l := next(t, lists, "the list of the call whose turn came late"); l.Index != 1 {
 		t.Errorf("first came %+v", l)
 	}
@@ -152,7 +156,7 @@
 			<-r.Context().Done()
 		}
 	})
-	d := New(Config{Address: addr, Subscribe: true, Asked: make(chan struct{}), Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler)})
+	d := asks(addr)
 	ended := make(chan struct{}, 10)
 	d.client.Transport = tell{d.client.Transport, ended}
 	lists := make(listed, 10)
@@ -211,9 +215,8 @@
 			<-r.Context().Done()
 		}
 	})
-	d := New(Config{Address: addr, Subscribe: true, Asked: make(chan struct{}), Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler)})
 	lists := make(listed, 10)
-	follow(t, d, lists)
+	follow(t, asks(addr), lists)
 	next(t, lists, "the first list")
 	next(t, lists, "the answer of the watch that was opened anew")
 }
@@ -264,9 +267,8 @@
 			<-r.Context().Done()
 		}
 	})
-	d := New(Config{Address: addr, Subscribe: true, Asked: make(chan struct{}), Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler)})
 	lists := make(listed, 10)
-	follow(t, d, lists)
+	follow(t, asks(addr), lists)
 	next(t, lists, "the first list")
 }
 
