--- a/internal/rig/link/link_test.go
+++ b/internal/rig/link/link_test.go
@@ -20,11 +20,16 @@
 	mu     sync.Mutex
 	opened int
 	sent   int64
+	when   time.Time // the last request came
 	back   int64
 }
 
-func (s *seen) Opened(link.Ends)                         { s.mu.Lock(); s.opened++; s.mu.Unlock() }
-func (s *seen) Sent(_ link.Ends, _ string, n int64)      { s.mu.Lock(); s.sent = n; s.mu.Unlock() }
+func (s *seen) Opened(link.Ends) { s.mu.Lock(); s.opened++; s.mu.Unlock() }
+func (s *seen) Sent(_ link.Ends, _ string, n int64, at time.Time) {
+	s.mu.Lock()
+	s.sent, s.when = n, at
+	s.mu.Unlock()
+}
 func (s *seen) Delivered(_ link.Ends, _ string, n int64) { s.mu.Lock(); s.back = n; s.mu.Unlock() }
 
 const group = "sidecars-backends"
@@ -191,6 +196,21 @@
 		ask(t, c)
 		answered(t, c)
 	})
+	t.Run("a request on a connection made while its link is cut came when it came", func(t *testing.T) {
+		b := lay(t)
+		end := b.Begin(scenario.Fault{Kind: scenario.Cut, Link: group, Way: scenario.Both})
+		c := b.dial(t)
+		ask(t, c)
+		silent(t, c)
+		whole := time.Now()
+		end()
+		answered(t, c)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if b.sent != 1 || !b.when.Before(whole) {
+			t.Errorf("request %d came %v after its link was whole again", b.sent, b.when.Sub(whole))
+		}
+	})
 	t.Run("what is told", func(t *testing.T) {
 		b := lay(t)
 		c := b.dial(t)
--- a/internal/rig/link/net.go
+++ b/internal/rig/link/net.go
@@ -44,8 +44,8 @@
 type Watcher interface {
 	// Opened: a connection was taken.
 	Opened(e Ends)
-	// Sent: the first byte of the nth request (from 1) was read on the connection that comes out at conn.
-	Sent(e Ends, conn string, n int64)
+	// Sent: the first byte of the nth request (from 1) came at a time, on the connection that comes out at conn.
+	Sent(e Ends, conn string, n int64, at time.Time)
 	// Delivered: the first n bytes of what comes back on the connection have been handed on.
 	Delivered(e Ends, conn string, n int64)
 }
@@ -241,6 +241,8 @@
 	}
 	n.conns[p] = true
 	n.mu.Unlock()
+	var look sync.WaitGroup
+	defer look.Wait()
 	defer func() {
 		n.mu.Lock()
 		delete(n.conns, p)
@@ -250,7 +252,7 @@
 	n.watch.Opened(ends)
 	// A connection that is made while its link is cut has come up for whoever made it, since the kernel has taken it; it stays
 	// silent. While it is reset, it is reset too.
-	for {
+	for looking := false; ; {
 		rules, changed := n.now(p, scenario.There)
 		blocked := slices.ContainsFunc(rules, func(r Rule) bool { return r.Kind == scenario.Cut || r.Kind == scenario.OneWay })
 		if slices.ContainsFunc(rules, func(r Rule) bool { return r.Kind == scenario.Reset }) {
@@ -260,6 +262,10 @@
 		if !blocked {
 			break
 		}
+		if !looking { // what comes now is read later: when it came is what counts
+			looking = true
+			look.Go(p.await)
+		}
 		select {
 		case <-changed:
 		case <-n.done:
--- a/internal/rig/link/pair.go
+++ b/internal/rig/link/pair.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"fernlanding/internal/rig/scenario"
@@ -19,9 +20,10 @@
 	group      string
 	deliveries bool
 	in         *net.TCPConn
-	name       string       // of its far side, as the process there sees it
-	asked      atomic.Int64 // requests so far
-	answered   atomic.Bool  // something has come back since the last request began
+	name       string                    // of its far side, as the process there sees it
+	asked      atomic.Int64              // requests so far
+	answered   atomic.Bool               // something has come back since the last request began
+	came       atomic.Pointer[time.Time] // the first byte, of a connection that was made while its link was cut; nil: not before it was read
 
 	mu   sync.Mutex
 	out  *net.TCPConn
@@ -125,10 +127,30 @@
 		p.answered.Store(true)
 	} else if n := p.asked.Load(); n == 0 || p.answered.Load() {
 		p.answered.Store(false)
-		p.net.watch.Sent(p.ends, p.name, p.asked.Add(1))
+		at := time.Now()
+		if came := p.came.Load(); n == 0 && came != nil {
+			at = *came
+		}
+		p.net.watch.Sent(p.ends, p.name, p.asked.Add(1), at)
 	}
 }
 
+// await notes when the first byte comes from whoever made the connection, and reads none. It ends with the connection.
+func (p *pair) await() {
+	raw, err := p.in.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if now := time.Now(); err == nil && n > 0 {
+			p.came.Store(&now)
+		}
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+}
+
 // write writes what is due.
 func (p *pair) write(way string, ahead <-chan chunk, to *net.TCPConn) {
 	wrote := int64(0)
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -202,9 +202,9 @@
 	(*run)(w).tell(history.Event{Kind: history.Opened, Who: e.From, To: e.To})
 }
 
-func (w *watcher) Sent(e link.Ends, conn string, n int64) {
+func (w *watcher) Sent(e link.Ends, conn string, n int64, at time.Time) {
 	if e.From != scenario.OnClients && !strings.HasPrefix(e.To, "list-") {
-		(*run)(w).tell(history.Event{Kind: history.Sent, Who: e.From, To: e.To, Conn: conn, N: n})
+		(*run)(w).tell(history.Event{Kind: history.Sent, At: (*run)(w).clock.At(at), Who: e.From, To: e.To, Conn: conn, N: n})
 	}
 }
 
