Split the decoder of an application's file into a file for each table

Cause: decode.go had 809 lines and read every table of the format; methods for a service, a class and a source ran over a hundred lines.

Change: decode.go keeps the entry points, and each table has a file of its own (identity, process, listener, service, class, source, route, target). The kinds of membership are a method each. What is refused, and in which words, stays.

The tests of internal/config and internal/check pass.

--- /dev/null
+++ b/internal/config/decode_class.go
@@ -0,0 +1,161 @@
+package config
+
+import (
+	"net/textproto"
+	"slices"
+	"time"
+
+	"fernlanding/internal/doc"
+	"fernlanding/internal/route"
+	"fernlanding/internal/rules"
+	"fernlanding/logic"
+)
+
+// DefaultKey is the field that carries a key in version 1 of the format.
+const DefaultKey = "Idempotency-Key"
+
+// classes reads the classes of a service.
+func (x *decoder) classes(s doc.Scope, v *Service) {
+	names, scopes := s.Each("classes")
+	former := map[string]bool{}
+	for i, c := range scopes {
+		Named(c, "", names[i])
+		k, r := x.class(c)
+		for _, f := range r.Formerly {
+			if former[f] || slices.Contains(names, f) {
+				c.Bad(rules.DoubleName, "formerly", "%q is a name of another class too", doc.Clip(f))
+			}
+			former[f] = true
+		}
+		c.Done()
+		v.Classes = append(v.Classes, names[i])
+		v.Rules = append(v.Rules, r)
+		v.Logic.Classes = append(v.Logic.Classes, k)
+	}
+	if len(names) == 0 {
+		s.Bad(rules.Missing, "classes", "one class at least expected")
+	}
+}
+
+// class reads one class: what the module is told of it, and what its owner states.
+func (x *decoder) class(c doc.Scope) (k logic.Class, r Rule) {
+	k = logic.Class{Aim: micros(c.Span("objective", 500*time.Millisecond, minTime, MaxDeadline)),
+		Deadline:  micros(c.Span("deadline", 2*time.Second, minTime, MaxDeadline)),
+		Worth:     c.Number("worth", 1, 0, 1e9),
+		LateWorth: c.Number("late_worth", 0.5, 0, 1),
+		ByArrival: c.Flag("in_order"),
+	}
+	if k.Aim > k.Deadline {
+		c.Bad(rules.Objective, "objective", "the deadline (%v) expected at most", time.Duration(k.Deadline)*time.Microsecond)
+	}
+	r = x.repeat(c)
+	k.Repeat, k.Group, k.Window = r.Repeat, r.Group, micros(r.Window)
+	if r.Resend == Never { // the module sends again what is proven not to have run, and nothing else
+		k.Repeat, k.Group, k.Window = logic.Unsafe, logic.GroupAll, 0
+	}
+	return k, r
+}
+
+// repeat reads what a class's owner states about running it again.
+func (x *decoder) repeat(c doc.Scope) (r Rule) {
+	x.repeatRule(c, &r)
+	x.deduplication(c, &r)
+	if x.version < 2 {
+		if r.Repeat == logic.Keyed {
+			r.Key = DefaultKey
+		}
+		return r
+	}
+	x.key(c, &r)
+	x.allowances(c, &r)
+	r.Formerly = c.Texts("formerly")
+	for _, f := range r.Formerly {
+		Named(c, "formerly", f)
+	}
+	return r
+}
+
+// repeatRule reads whether a class is safe, keyed or unsafe, and with it the usual allowances.
+func (x *decoder) repeatRule(c doc.Scope, r *Rule) {
+	if !c.Has("repeat") {
+		c.Bad(rules.Missing, "repeat", `"safe", "keyed" or "unsafe" expected: it decides what may be sent again, so there is no default`)
+	}
+	switch c.Word("repeat", "safe", "safe", "keyed", "unsafe") {
+	case "safe":
+		r.Repeat, r.Resend, r.Early = logic.Safe, Any, true
+	case "keyed":
+		r.Repeat, r.Resend = logic.Keyed, InScope
+		if !c.Has("dedup_window") {
+			c.Bad(rules.Missing, "dedup_window", "how long its servers recall a key is expected of a keyed class")
+		}
+	case "unsafe":
+		r.Repeat = logic.Unsafe
+	}
+}
+
+// deduplication reads who drops the repeats of a keyed class, and for how long.
+func (x *decoder) deduplication(c doc.Scope, r *Rule) {
+	r.Window = c.Span("dedup_window", 0, 0, time.Hour)
+	switch c.Word("dedup_scope", "cell", "cell", "zone", "service") {
+	case "zone":
+		r.Group = logic.GroupZone
+	case "cell":
+		r.Group = logic.GroupCell
+	}
+	if r.Repeat == logic.Keyed {
+		return
+	}
+	r.Group, r.Window = logic.GroupAll, 0
+	for _, f := range []string{"dedup_window", "dedup_scope", "key"} {
+		if c.Has(f) && (f != "key" || x.version >= 2) {
+			c.Bad(rules.KeyedFields, f, "only keyed classes are deduplicated")
+		}
+	}
+}
+
+// key reads the field that carries the key of a keyed class.
+func (x *decoder) key(c doc.Scope, r *Rule) {
+	key := textproto.CanonicalMIMEHeaderKey(c.Text("key", ""))
+	if r.Repeat != logic.Keyed {
+		return
+	}
+	r.Key = key
+	switch {
+	case !c.Has("key"):
+		c.Bad(rules.KeyedKey, "key", "the field that carries the key is expected of a keyed class")
+	case !route.IsToken(key):
+		c.Bad(rules.KeyedKey, "key", "the name of a field expected")
+	case slices.Contains(notKeys, key):
+		c.Bad(rules.KeyedKey, "key", "a field that is the client's own expected: %s is made or changed on the way", key)
+	}
+}
+
+// notKeys are fields that a sidecar makes or changes, or that say nothing about a request's identity.
+var notKeys = []string{"Request-Id", "Host", "Connection", "Content-Length", "Content-Type", "Transfer-Encoding", "Te", "Trailer", "Upgrade",
+	"Keep-Alive", "Proxy-Connection", "Date", "Request-Timeout-Ms", "Tenant", "Early-Data", "User-Agent", "Accept"}
+
+// allowances reads what a class is allowed beyond, or not allowed of, what its repeat rule gives.
+func (x *decoder) allowances(c doc.Scope, r *Rule) {
+	usual := r.Resend.String()
+	word := c.Word("resend", usual, "never", "scope", "any")
+	allowed := map[string]Resend{"never": Never, "scope": InScope, "any": Any}[word]
+	switch {
+	case r.Repeat == logic.Unsafe && allowed != Never:
+		c.Bad(rules.UnsafeResend, "resend", `"never" expected of an unsafe class`)
+	case r.Repeat == logic.Keyed && allowed == Any:
+		c.Bad(rules.KeyedScope, "resend", `"scope" or "never" expected of a keyed class`)
+	case r.Repeat == logic.Safe && allowed == InScope:
+		c.Bad(rules.KeyedFields, "resend", `"any" or "never" expected of a safe class: it has no scope`)
+	default:
+		r.Resend = allowed
+	}
+	if c.Flag("hedge") {
+		c.Bad(rules.Hedge, "hedge", "one attempt at a time expected")
+	}
+	if c.Has("early_data") {
+		if r.Early = c.Flag("early_data"); r.Early && r.Repeat != logic.Safe {
+			c.Bad(rules.UnsafeEarly, "early_data", "false expected of a class that is not safe")
+		}
+	}
+	c.Take("early_data", "hedge")
+}
