--- a/internal/pcap/capture/capture.go
+++ b/internal/pcap/capture/capture.go
@@ -46,8 +46,8 @@
 // Unwrap returns the cause.
 func (f *Fault) Unwrap() error { return f.Err }
 
-// Truncated is the cause of a Fault where the file ends within a packet.
-var Truncated = errors.New("the file ends within a packet")
+// ErrTruncated is the cause of a Fault where the file ends within a packet.
+var ErrTruncated = errors.New("the file ends within a packet")
 
 // counter counts what is read.
 type counter struct {
@@ -130,7 +130,7 @@
 	if err != nil {
 		if c.err = io.EOF; !errors.Is(err, io.EOF) {
 			if errors.Is(err, io.ErrUnexpectedEOF) {
-				err = Truncated
+				err = ErrTruncated
 			}
 			c.err = &Fault{c.number + 1, c.in.n, err}
 		}
--- a/internal/pcap/capture/capture_test.go
+++ b/internal/pcap/capture/capture_test.go
@@ -142,7 +142,7 @@
 	if p, err := r.Next(); err != nil || string(p.Data) != "hello" {
 		t.Errorf("got %q, %v", p.Data, err)
 	}
-	if _, err := r.Next(); !errors.Is(err, Truncated) {
+	if _, err := r.Next(); !errors.Is(err, ErrTruncated) {
 		t.Errorf("within the second packet: %v", err)
 	}
 }
--- a/internal/pcap/http/http_test.go
+++ b/internal/pcap/http/http_test.go
@@ -14,8 +14,7 @@
 
 // heard is a Sink that writes down what it is told.
 type heard struct {
-	lines  []string
-	bodies []string
+	lines []string
 }
 
 func (h *heard) note(format string, a ...any)    { h.lines = append(h.lines, fmt.Sprintf(format, a...)) }
--- a/internal/pcap/pcap_test.go
+++ b/internal/pcap/pcap_test.go
@@ -62,10 +62,9 @@
 
 // talk is one made connection.
 type talk struct {
-	conn   *synth.Conn
-	asked  []message
-	told   []message
-	broken bool // some of its messages make no sense
+	conn  *synth.Conn
+	asked []message
+	told  []message
 }
 
 func framed(rnd *rand.Rand, head, body string) string {
--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The whole test suite: formatting, vet, tests, and the size limits of the policy files.
+# The whole test suite: formatting, vet, staticcheck, tests, and the size limits of the policy files.
 set -eu
 cd "$(dirname "$0")"
 
@@ -12,6 +12,7 @@
   exit 1
 fi
 go vet ./...
+go tool -modfile=tools/go.mod staticcheck ./...  # built from the Go module proxy at its first run
 # The rig plays whole fleets in real time and judges when they serve again: what runs beside it on the machine would be judged too.
 rig=fernlanding/internal/rig
 go test -race -timeout 5m $(go list ./... | grep -vx "$rig")
