--- a/internal/distribution/node/node.go
+++ b/internal/distribution/node/node.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	mathrand "math/rand/v2"
 	"sync"
 	"time"
 
@@ -30,6 +31,11 @@
 	sessionRetryAfter = 5 * time.Second
 	// expireEvery is how often sessions that do not read any more are looked for.
 	expireEvery = time.Second
+	// holdTick is of the times at which reads without news are answered, where holds are leastTicks of it at least.
+	holdTick   = 200 * time.Millisecond
+	leastTicks = 5
+	// spreadShare is by how much of its hold the read after an update may be shortened.
+	spreadShare = 0.75
 )
 
 // Config is what a Node is told.
@@ -81,6 +87,8 @@
 	wake   chan struct{}
 	read   uint64
 	urgent time.Time // since when an urgent item has been due to it; zero: none is
+	// updated: the read before was answered with updates.
+	updated bool
 }
 
 // New returns a node without resources.
@@ -193,7 +201,7 @@
 	case req.HoldMs == 0: // a report beside a read
 		return n.answer(session, nil), nil
 	}
-	return n.wait(ctx, session, began.Add(time.Duration(req.HoldMs)*time.Millisecond))
+	return n.wait(ctx, session, n.holdUntil(session, began, time.Duration(req.HoldMs)*time.Millisecond))
 }
 
 // take takes what a follower says.
@@ -251,6 +259,21 @@
 	return false
 }
 
+// holdUntil is when a read without news is answered, after its hold at the latest. Answers that come together in ticks cost
+// a fraction of the same answers one by one. Where an update has gone to many followers at once, their next reads end at
+// times that are drawn over the hold, so that they do not come back together each time.
+func (n *Node) holdUntil(session *distribution.Session, began time.Time, hold time.Duration) time.Time {
+	if w := n.readers[session]; w != nil && w.updated {
+		w.updated = false
+		hold -= time.Duration(float64(hold) * spreadShare * mathrand.Float64())
+	}
+	until := began.Add(hold)
+	if hold < leastTicks*holdTick {
+		return until
+	}
+	return until.Add(-time.Duration(until.UnixNano()) % holdTick)
+}
+
 // wait answers a read with what is due, or with nothing once its hold is over. The lock is held, but while it waits.
 func (n *Node) wait(ctx context.Context, session *distribution.Session, until time.Time) (*httpapi.Answer, error) {
 	w := n.begin(session)
@@ -261,6 +284,7 @@
 		due, _ := n.sessions.Due(session, n.store, now)
 		if len(due) > 0 || !now.Before(until) {
 			n.finish(session, w, now)
+			w.updated = len(due) > 0
 			return n.answer(session, due), nil
 		}
 		n.arm(now)
