Draw the seed of health checks before the reads begin

Cause: a follower's goroutine of health checks drew its seed from the random source that the reading one draws from: a data race, seen by the race detector whenever the first read failed early. Change: the seed is drawn before either begins.

--- a/internal/distribution/follow/follower.go
+++ b/internal/distribution/follow/follower.go
@@ -205,7 +205,8 @@
 	}
 	r := newReader(f, ctx)
 	others.Go(func() { r.reportLoop() })
-	others.Go(func() { r.probeLoop(f.cfg.Rand.Uint64()) })
+	probeSeed := f.cfg.Rand.Uint64() // drawn here: readLoop draws from the same source
+	others.Go(func() { r.probeLoop(probeSeed) })
 	r.readLoop()
 }
 
