Follow lists of backends that a source publishes and relays pass on

Cause: a source that asks on its own costs a connection and a whole list for each service and wait. Change: membership/relayed has all lists of a process over one follower.

--- /dev/null
+++ b/internal/membership/relayed/lists.go
@@ -0,0 +1,81 @@
+package relayed
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"fernlanding/internal/distribution"
+	"fernlanding/internal/distribution/follow"
+	"fernlanding/internal/membership"
+)
+
+// resourcePrefix begins the names of resources that are lists.
+const resourcePrefix = "lists/"
+
+// Resource is the name of the resource that has a list.
+func Resource(list string) string { return resourcePrefix + list }
+
+// Follower follows resources, usually a *follow.Follower.
+type Follower interface {
+	// Subscribe follows a resource from a version on until cancel is called.
+	Subscribe(resource string, has distribution.Version, s follow.Subscriber) (cancel func())
+	// Health is that of the connection to the relays.
+	Health() follow.Health
+}
+
+// Lists are all lists that a process follows, over one follower at a time.
+type Lists struct {
+	log *slog.Logger
+	now func() time.Time
+
+	mu       sync.Mutex
+	follower Follower // nil: none, the lists stand as they are
+	lists    map[string]*list
+}
+
+// NewLists returns one that follows nothing.
+func NewLists(log *slog.Logger) *Lists {
+	return &Lists{log: log, now: time.Now, lists: map[string]*list{}}
+}
+
+// Use follows the lists with another follower; nil: with none. The one before must have ended. Each list goes on from the
+// version that is in force.
+func (l *Lists) Use(f Follower) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.follower = f
+	for _, one := range l.lists {
+		one.follow(f)
+	}
+}
+
+// join has a sink follow the list of a source until leave is called. It is told the list that stands, if there is one.
+func (l *Lists) join(s *Source, sink membership.Sink) (leave func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	one := l.lists[s.name]
+	if one == nil {
+		one = newList(s.name, l.log, l.now)
+		l.lists[s.name] = one
+		one.follow(l.follower)
+	}
+	s.list = one
+	one.add(sink)
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		s.list = nil
+		if left := one.remove(sink); left == 0 {
+			delete(l.lists, s.name)
+			one.follow(nil)
+		}
+	}
+}
+
+// listOf is the list of a source; nil: it does not run.
+func (l *Lists) listOf(s *Source) *list {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return s.list
+}
