Let a service's list come by relays: membership = "relay" with [distribution]

Cause: lists that relays pass on could not be named in an application's file. Change: a table [distribution] with relays and a name, and a service's membership = "relay" with as. One follower a sidecar outlives reloads; other relays resume at the versions in force. Off unless a file has it; the platform's configuration has no word for it. The program is of version 0.4; generated files ask for it only where they name relays. Reports of broken files that name the program or list the words of membership have the new ones.

--- a/internal/catalogue/generate.go
+++ b/internal/catalogue/generate.go
@@ -12,8 +12,12 @@
 	"fernlanding/internal/rules"
 )
 
-// Requires is the oldest program that reads what Generate writes.
-const Requires = "0.3"
+// Requires is the oldest program that reads what Generate writes, and RequiresRelay that which reads it where lists come
+// from relays.
+const (
+	Requires      = "0.3"
+	RequiresRelay = "0.4"
+)
 
 // By is what stands in the head of a generated file.
 const By = "fernctl"
@@ -123,7 +127,7 @@
 	e.line(at, "")
 	e.line(at, "[generated]")
 	e.line(at, "by = %s", quote(By+" "+config.Program))
-	e.line(at, "requires = %s", quote(Requires))
+	e.line(at, "requires = %s", quote(e.requires()))
 	e.line(at, "sources = %s", quote(digest))
 	if environment != "" {
 		e.line(at, "environment = %s", quote(environment))
@@ -131,6 +135,7 @@
 	if p := a.v.Fields["process"]; p != nil {
 		e.table("process", p)
 	}
+	e.distribution()
 	e.listeners()
 	for _, name := range keys(e.needs) {
 		e.service(e.services[name])
@@ -138,6 +143,24 @@
 	e.routes()
 }
 
+// requires is the oldest program that reads the file.
+func (e *emitter) requires() string {
+	if e.relayed() || e.app.v.Fields["distribution"] != nil {
+		return RequiresRelay
+	}
+	return Requires
+}
+
+// relayed tells whether the list of a service in the file comes from relays.
+func (e *emitter) relayed() bool {
+	for name := range e.needs {
+		if m := e.services[name].v.Fields["membership"]; m != nil && m.Text == "relay" {
+			return true
+		}
+	}
+	return false
+}
+
 // need notes the services and classes that a call leads to.
 func (e *emitter) need(c *call) {
 	note := func(service, class string) {
@@ -191,6 +214,19 @@
 	e.fields(v, slices.Sorted(slices.Values(v.Keys))...)
 }
 
+// distribution writes the relays that lists come from. A probe has none of its own, and asks none.
+func (e *emitter) distribution() {
+	if d := e.app.v.Fields["distribution"]; d != nil {
+		e.table("distribution", d)
+		return
+	}
+	if e.probe && e.relayed() {
+		e.line(e.app.v.Place, "")
+		e.line(e.app.v.Place, "[distribution]")
+		e.line(e.app.v.Place, `relays = ["127.0.0.1:1"]`)
+	}
+}
+
 func (e *emitter) listeners() {
 	v := e.app.v.Fields["listeners"]
 	if e.probe {
@@ -226,7 +262,8 @@
 	path := "services." + key(s.name)
 	e.line(s.v.Place, "")
 	e.line(s.v.Place, "[%s]", path)
-	e.fields(s.v, "membership", "discovery", "path", "registered_as", "token_file")
+	e.fields(s.v, "membership")
+	e.fields(s.v, sourceFields...)
 	if s.team != "" {
 		e.line(s.v.Fields["team"].Place, "owner = %s", quote(s.team))
 	}
--- a/internal/catalogue/model.go
+++ b/internal/catalogue/model.go
@@ -22,6 +22,7 @@
 	callFields    = []string{"connections", "max_body", "max_answer", "attempts", "retry_after", "dial_timeout", "cold_multiple"}
 	classFields   = []string{"repeat", "dedup_scope", "dedup_window", "key", "resend", "early_data", "hedge", "objective", "deadline", "worth", "late_worth", "in_order", "formerly"}
 	calledFields  = []string{"resend", "early_data", "hedge"} // that a caller may narrow
+	sourceFields  = []string{"discovery", "path", "registered_as", "token_file", "as"}
 	stated        = []string{"repeat", "dedup_scope", "dedup_window", "key"}
 	matchFields   = []string{"hosts", "prefix", "exact", "template", "methods", "headers", "rewrite_prefix", "listeners", "sticky_header"}
 )
@@ -125,9 +126,9 @@
 	for _, f := range serviceTables {
 		s.Get(f, doc.Table)
 	}
-	switch s.Word("membership", "static", "static", "catalog", "file", "consul") {
-	case "catalog", "file", "consul":
-		s.Take("discovery", "path", "registered_as", "token_file")
+	switch s.Word("membership", "static", "static", "catalog", "file", "consul", "relay") {
+	case "catalog", "file", "consul", "relay":
+		s.Take(sourceFields...)
 		if s.Has("pods") {
 			s.Bad(rules.Exclusive, "pods", `stand in the catalogue where membership is "static"`)
 			s.Take("pods")
@@ -215,6 +216,7 @@
 	a := &application{name: name, v: s.V, serves: s.Texts("serves"), instances: int(s.Whole("instances", 1, 1, 100_000))}
 	s.Take("team", "host", "zone")
 	s.Get("process", doc.Table)
+	s.Get("distribution", doc.Table)
 	s.Get("listeners", doc.Array)
 	for _, of := range a.serves {
 		m.find(s, "serves", of)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -20,7 +20,7 @@
 const Version = 2
 
 // Program is the version of this program: major.minor, raised when a file may ask for what an earlier one lacks.
-const Program = "0.3"
+const Program = "0.4"
 
 // Bounds of a file.
 const (
@@ -56,6 +56,8 @@
 	Listeners []Listener
 	Services  []*Service
 	Routes    []Route
+	// Distribution is off without relays; the platform has none.
+	Distribution Distribution
 }
 
 // Head says where a generated file comes from. It changes nothing in a sidecar.
@@ -73,6 +75,12 @@
 	Sockets  int     // file descriptors
 }
 
+// Distribution says which relays lists come from that are followed with membership = "relay".
+type Distribution struct {
+	Relays []string // host:port; none: distribution is off
+	Name   string   // of this sidecar among all followers; empty: the application's name and the host's
+}
+
 // Listener is where clients connect.
 type Listener struct {
 	Name    string
@@ -139,7 +147,7 @@
 	Kind      SourceKind
 	Address   string // of Catalog and Consul: host:port
 	Path      string // of File
-	As        string // of Consul: the service's name there
+	As        string // of Consul and Relay: the service's or the list's name there
 	TokenFile string // of Consul: holds the token; may be empty
 	Endpoints []membership.Endpoint
 }
@@ -153,6 +161,7 @@
 	Catalog                   // the platform's discovery
 	File                      // a file that somebody keeps up to date
 	Consul                    // blocking reads of a health API
+	Relay                     // what a source of distribution publishes, by the relays of [distribution]
 )
 
 // Route is one rule and what it leads to.
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -10,7 +10,7 @@
 
 // later are the fields that version 1 lacks.
 var later = map[string]int{"team": 2, "host": 2, "serves": 2, "generated": 2, "owner": 2, "answers": 2, "cold_multiple": 2, "share": 2,
-	"path": 2, "registered_as": 2, "token_file": 2, "key": 2, "resend": 2, "early_data": 2, "hedge": 2, "formerly": 2, "for": 2, "state_dir": 2, "list_age": 2}
+	"path": 2, "registered_as": 2, "token_file": 2, "key": 2, "resend": 2, "early_data": 2, "hedge": 2, "formerly": 2, "for": 2, "state_dir": 2, "list_age": 2, "distribution": 2, "as": 2}
 
 // decoder reads one file. Each table of the format has a method of its own, in a file named after the table.
 type decoder struct {
@@ -77,6 +77,7 @@
 func (x *decoder) read(s doc.Scope) {
 	x.identity(s)
 	x.process(s)
+	x.distribution(s)
 	x.listeners(s)
 	x.services(s)
 	x.routes(s)
--- a/internal/config/decode_listener.go
+++ b/internal/config/decode_listener.go
@@ -51,10 +51,20 @@
 // address reads host:port. Port 0, which stands for any free one, makes sense for listeners alone.
 func address(s doc.Scope, field string, listener bool) string {
 	addr := s.Text(field, "")
-	if host, port, err := net.SplitHostPort(addr); err != nil || host == "" {
-		s.Bad(rules.Address, field, "host:port expected")
-	} else if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 && !listener {
-		s.Bad(rules.Address, field, "host:port with a port of 1 to 65535 expected")
+	if expect := expectedAddress(addr, listener); expect != "" {
+		s.Bad(rules.Address, field, "%s", expect)
 	}
 	return addr
 }
+
+// expectedAddress is what is expected in the place of an address that makes no sense; empty for one that does.
+func expectedAddress(addr string, listener bool) string {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil || host == "" {
+		return "host:port expected"
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 && !listener {
+		return "host:port with a port of 1 to 65535 expected"
+	}
+	return ""
+}
--- a/internal/config/decode_source.go
+++ b/internal/config/decode_source.go
@@ -16,12 +16,12 @@
 
 // The words for where a list of backends comes from; version 1 lacks the later ones.
 var (
-	memberships         = []string{"static", "catalog", "file", "consul"}
+	memberships         = []string{"static", "catalog", "file", "consul", "relay"}
 	version1Memberships = []string{"static", "catalog"}
 )
 
 // fieldsOfMembership are the fields that go with one kind of membership alone.
-var fieldsOfMembership = map[string]string{"path": "file", "registered_as": "consul", "token_file": "consul"}
+var fieldsOfMembership = map[string]string{"path": "file", "registered_as": "consul", "token_file": "consul", "as": "relay"}
 
 // source reads where the list of a service's backends comes from.
 func (x *decoder) source(s doc.Scope, v *Service) {
@@ -32,7 +32,7 @@
 	}
 	kind := s.Word("membership", "static", kinds...)
 	if len(s.Faults) > before { // what goes with it can't be told
-		s.Take("discovery", "endpoints", "subscribe", "path", "registered_as", "token_file")
+		s.Take("discovery", "endpoints", "subscribe", "path", "registered_as", "token_file", "as")
 		return
 	}
 	for field, with := range fieldsOfMembership {
@@ -46,6 +46,8 @@
 		x.fileSource(s, v)
 	case "consul":
 		x.consulSource(s, v)
+	case "relay":
+		x.relaySource(s, v)
 	case "catalog":
 		x.catalogSource(s, v)
 	default:
@@ -77,6 +79,23 @@
 	s.Take("endpoints")
 }
 
+// relaySource reads the list that the relays of [distribution] pass on.
+func (x *decoder) relaySource(s doc.Scope, v *Service) {
+	v.Source = Source{Kind: Relay, As: s.Text("as", v.Name)}
+	if s.Has("as") {
+		Named(s, "as", v.Source.As)
+	}
+	if len(x.app.Distribution.Relays) == 0 {
+		s.Bad(rules.Missing, "membership", "relays in [distribution] expected beside it")
+	}
+	for _, f := range []string{"endpoints", "discovery"} {
+		if s.Has(f) {
+			s.Bad(rules.Exclusive, f, `does not go with membership = "relay"`)
+		}
+		s.Take(f)
+	}
+}
+
 func (x *decoder) catalogSource(s doc.Scope, v *Service) {
 	v.Source = Source{Kind: Catalog, Address: address(s, "discovery", false)}
 	if s.Has("endpoints") {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -240,6 +240,10 @@
 		e.say("pool", append(in[:2:2], "discovery"), "as the health API at %s says of %s", s.Source.Address, s.Source.As)
 		return
 	}
+	if s.Source.Kind == config.Relay {
+		e.say("pool", words("distribution", "relays"), "as the relays %s say of the list %s", strings.Join(e.d.App.Distribution.Relays, ", "), s.Source.As)
+		return
+	}
 	if s.Source.Kind == config.File {
 		e.say("pool", append(in[:2:2], "path"), "as the file %s says", s.Source.Path)
 		return
--- /dev/null
+++ b/internal/sidecar/relays.go
@@ -0,0 +1,108 @@
+package sidecar
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"reflect"
+	"sync"
+
+	"fernlanding/internal/config"
+	"fernlanding/internal/distribution"
+	"fernlanding/internal/distribution/follow"
+	"fernlanding/internal/membership/relayed"
+)
+
+// relays is the sidecar's one follower of the relays that its configuration names, with all lists that come from them. It
+// outlives configurations: services join and leave lists, and where other relays are named a new follower goes on from
+// the versions in force. Without relays it does nothing.
+type relays struct {
+	lists *relayed.Lists
+	log   *slog.Logger
+
+	mu       sync.Mutex // held while the follower changes
+	running  bool
+	cfg      config.Distribution // with the name filled in
+	follower *follow.Follower    // nil: no relays are configured
+	stop     context.CancelFunc  // ends the follower that runs; nil: none does
+	done     chan struct{}       // closed when it has ended
+}
+
+func newRelays(log *slog.Logger) *relays {
+	return &relays{lists: relayed.NewLists(log), log: log}
+}
+
+// use follows the relays of a configuration from here on.
+func (r *relays) use(app *config.App) {
+	cfg := app.Distribution
+	cfg.Name = followerName(app)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if reflect.DeepEqual(cfg, r.cfg) {
+		return
+	}
+	r.halt()
+	r.cfg = cfg
+	if len(cfg.Relays) == 0 {
+		r.follower = nil
+		r.lists.Use(nil)
+		return
+	}
+	r.follower = follow.New(follow.Config{Name: cfg.Name, Kind: distribution.KindProxy, Relays: cfg.Relays, Log: r.log})
+	r.lists.Use(r.follower)
+	r.run()
+}
+
+// followerName is the sidecar's name among all followers, the same after a restart.
+func followerName(app *config.App) string {
+	if app.Distribution.Name != "" {
+		return app.Distribution.Name
+	}
+	host := app.Host
+	if host == "" {
+		if name, err := os.Hostname(); err == nil {
+			host = name
+		}
+	}
+	name := app.Name + "@" + host
+	return name[:min(len(name), distribution.MaxNameBytes)]
+}
+
+// start begins to follow.
+func (r *relays) start() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running = true
+	r.run()
+}
+
+// end ends it and waits until nothing of it is left.
+func (r *relays) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running = false
+	r.halt()
+}
+
+// run starts the follower, once start has been called; r.mu is held.
+func (r *relays) run() {
+	if r.follower == nil || !r.running {
+		return
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop, r.done = stop, make(chan struct{})
+	go func(f *follow.Follower, done chan struct{}) {
+		defer close(done)
+		f.Run(ctx)
+	}(r.follower, r.done)
+}
+
+// halt ends the follower that runs, if any; r.mu is held.
+func (r *relays) halt() {
+	if r.stop == nil {
+		return
+	}
+	r.stop()
+	<-r.done
+	r.stop = nil
+}
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -21,6 +21,7 @@
 	"fernlanding/internal/membership/cache"
 	"fernlanding/internal/membership/catalog"
 	"fernlanding/internal/membership/file"
+	"fernlanding/internal/membership/relayed"
 	pace "fernlanding/internal/start"
 	upstream "fernlanding/internal/upstream/http1"
 	"fernlanding/logic"
@@ -50,6 +51,7 @@
 	up     *upstream.Upstream
 	roster *roster
 	stop   context.CancelFunc
+	lists  *relayed.Lists
 	parts  sync.WaitGroup
 
 	listDir  string           // where its list is kept; empty: nowhere
@@ -75,11 +77,12 @@
 	paced    bool          // lists come from a service that all copies share, and not from an agent on this machine
 	stateDir string        // where lists are kept; empty: nowhere
 	listAge  time.Duration // from which on one that was kept is not begun with; 0: none is kept
+	relays   *relays       // that lists come from where a service says so
 }
 
 // newService makes a service; it stands still until start.
 func newService(cfg *config.Service, seed uint64, with parted) (*service, error) {
-	s := &service{cfg: cfg, starts: with.starts, listDir: with.stateDir}
+	s := &service{cfg: cfg, starts: with.starts, listDir: with.stateDir, lists: with.relays.lists}
 	if with.listAge == 0 {
 		s.listDir = ""
 	}
@@ -118,7 +121,9 @@
 
 // keeps tells whether lists from a source are kept in the folder: a file is there anyway, and what stands in the configuration
 // needs no keeping.
-func keeps(from config.Source) bool { return from.Kind == config.Catalog || from.Kind == config.Consul }
+func keeps(from config.Source) bool {
+	return from.Kind == config.Catalog || from.Kind == config.Consul || from.Kind == config.Relay
+}
 
 // store is where a source's list is kept.
 func (s *service) store(from config.Source) *cache.Store {
@@ -185,6 +190,8 @@
 		source = file.New(from.Path, log)
 	case config.Consul:
 		source = blocking.New(blocking.Config{Address: from.Address, Service: from.As, Token: token(from.TokenFile, log), Log: log})
+	case config.Relay:
+		source = relayed.NewSource(s.lists, from.As)
 	default:
 		cc := catalog.Config{Address: from.Address, Subscribe: s.cfg.Logic.Subscribe, First: first, Known: known, Asked: s.pool.Asked(), Rand: s.waits, Log: log}
 		if s.rnd != nil && !cc.Subscribe {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -58,7 +58,7 @@
 func New(app *config.App, log *slog.Logger) (*Sidecar, error) {
 	s := &Sidecar{log: log, ended: make(chan struct{}), remind: notReadyEvery, services: map[string]*service{}, leaving: map[*service]bool{},
 		with: parted{clock: core.NewClock(), log: log, memoryMB: app.Process.MemoryMB, paced: app.Wording == config.Application,
-			stateDir: app.StateDir, listAge: app.ListAge}}
+			stateDir: app.StateDir, listAge: app.ListAge, relays: newRelays(log)}}
 	s.halt, s.halted = context.WithCancel(context.Background())
 	parts, err := app.Descriptors()
 	if err != nil {
@@ -208,6 +208,7 @@
 			_ = s.with.memory.divide(parts)
 		}
 	}
+	s.with.relays.use(app)
 	old := s.services
 	s.app, s.services = app, w.services
 	for name, v := range w.services {
@@ -290,6 +291,7 @@
 	for _, v := range s.services {
 		v.start(s.log)
 	}
+	s.with.relays.start()
 	s.started = true
 	s.mu.Unlock()
 	defer s.end()
@@ -377,6 +379,7 @@
 		all.Go(v.end)
 	}
 	all.Wait()
+	s.with.relays.end()
 }
 
 // resolver resolves the requests of one listener by the configuration that holds.
