--- a/internal/sidecar/sources_test.go
+++ b/internal/sidecar/sources_test.go
@@ -10,13 +10,16 @@
 	"testing"
 	"time"
 
+	"fernlanding/internal/distribution"
+	"fernlanding/internal/distribution/node/nodetest"
 	"fernlanding/internal/standin"
 )
 
 // followed is a registry that a sidecar follows.
 type followed struct {
-	from string // lines of the configuration
+	from string // lines of the service's configuration
 	put  func(all []standin.Member)
+	more string // lines of the whole file's
 }
 
 func inFile(t *testing.T) followed {
@@ -40,7 +43,7 @@
 		if err != nil {
 			t.Error(err)
 		}
-	}}
+	}, ""}
 }
 
 func inHealth(t *testing.T) followed {
@@ -66,14 +69,41 @@
 				delete(known, name)
 			}
 		}
-	}}
+	}, ""}
+}
+
+func byRelay(t *testing.T) followed {
+	source := nodetest.Source(t)
+	relay := nodetest.Relay(t, "relay", "127.0.0.1:0", source.Address)
+	return followed{"membership = \"relay\"\nas = \"rating\"", func(all []standin.Member) {
+		items := []distribution.Item{}
+		for _, m := range all {
+			status := "serving"
+			if m.Status == "DRAINING" {
+				status = "draining"
+			}
+			items = append(items, item(m.Name, m.Address, status))
+		}
+		if _, err := source.Put(&distribution.PutRequest{Resource: "lists/rating", Replace: true, Items: items}); err != nil {
+			t.Error(err)
+		}
+	}, fmt.Sprintf("[distribution]\nrelays = [%q]\n", relay.Address)}
+}
+
+// item is a backend as an item of a list.
+func item(name, address, status string) distribution.Item {
+	value, err := json.Marshal(map[string]any{"address": address, "status": status})
+	if err != nil {
+		panic(err) // not possible: it is all strings
+	}
+	return distribution.Item{Key: name, Value: value, Urgent: status != "serving"}
 }
 
 // Nothing new reaches a backend more than 250 ms after a file or a registry has told of its drain or its end, by the
 // backend's own clock, and no request is lost while the list changes under load.
 func TestDrainsOfEverySourceAreKept(t *testing.T) {
 	const grace = 250 * time.Millisecond
-	for name, make := range map[string]func(*testing.T) followed{"file": inFile, "consul": inHealth} {
+	for name, make := range map[string]func(*testing.T) followed{"file": inFile, "consul": inHealth, "relay": byRelay} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := make(t)
@@ -93,7 +123,7 @@
 				members = append(members, standin.Member{Name: id, Address: b.Addr()})
 			}
 			f.put(members)
-			p := start(t, decode2(t, to("a"), svc{"a", safeClass, f.from, ""}))
+			p := start(t, decode2(t, to("a")+f.more, svc{"a", safeClass, f.from, ""}))
 			if err := p.WaitReady(context.Background(), 20*time.Second); err != nil {
 				t.Fatal(err)
 			}
