--- a/internal/sidecar/relays_test.go
+++ b/internal/sidecar/relays_test.go
@@ -30,10 +30,10 @@
 }
 
 // follower is the follower that a sidecar has now.
-func (s *running) follower() *follow.Follower {
-	s.with.relays.mu.Lock()
-	defer s.with.relays.mu.Unlock()
-	return s.with.relays.follower
+func (r *running) follower() *follow.Follower {
+	r.with.relays.mu.Lock()
+	defer r.with.relays.mu.Unlock()
+	return r.with.relays.follower
 }
 
 // inForce waits until a relay has it that a version of a list is in force at one proxy alone.
