Start a sidecar without listeners and connections to backends

Scale tests need the control half of thousands of sidecars in one process.

sidecar.NewHollow makes one from a configuration: its sources, pools, timers and books are the real ones; it opens no listener, and its backends answer at once in memory. The sources of lists take a function that opens their connections, and a hook is told when a pool has put a list in force.

--- a/internal/membership/blocking/blocking.go
+++ b/internal/membership/blocking/blocking.go
@@ -41,7 +41,8 @@
 type Config struct {
 	Address string // of the API, host:port
 	Service string
-	Token   string // sent as X-Consul-Token; may be empty
+	Token   string                                                               // sent as X-Consul-Token; may be empty
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error) // nil: the usual one
 	Log     *slog.Logger
 }
 
@@ -55,7 +56,7 @@
 // New returns a source.
 func New(cfg Config) *Source {
 	return &Source{cfg: cfg, teller: staleness.NewTeller("health reads", cfg.Log),
-		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true}}}
+		client: &http.Client{Transport: &http.Transport{DialContext: cfg.Dial, MaxConnsPerHost: 2, DisableCompression: true}}}
 }
 
 // Health implements membership.Source.
--- a/internal/membership/catalog/catalog.go
+++ b/internal/membership/catalog/catalog.go
@@ -66,9 +66,10 @@
 	// Reads, where given, decides when to call: the list service is shared by many copies, which is not so where an agent
 	// on the copy's own machine answers. Not with Subscribe.
 	Reads  *start.Reads
-	Known  int64         // with Reads, or Subscribe and First: the version of the list that the copy begins with; negative: it has none, or it is in doubt
-	Age    time.Duration // with Known: how old it is
-	Urgent func() bool   // with Reads: the copy can't serve, or its backends die, until there is a newer list
+	Known  int64                                                                // with Reads, or Subscribe and First: the version of the list that the copy begins with; negative: it has none, or it is in doubt
+	Age    time.Duration                                                        // with Known: how old it is
+	Urgent func() bool                                                          // with Reads: the copy can't serve, or its backends die, until there is a newer list
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error) // nil: the usual one
 	Log    *slog.Logger
 }
 
@@ -76,6 +77,9 @@
 func New(cfg Config) *Client {
 	d := &Client{addr: cfg.Address, patience: pushPatience, hold: func() time.Duration { return pushHold },
 		dial: (&net.Dialer{KeepAlive: -1}).DialContext, log: cfg.Log, cfg: cfg, stale: staleness.New()}
+	if cfg.Dial != nil {
+		d.dial = cfg.Dial
+	}
 	if cfg.Subscribe {
 		d.patience = askPatience
 		d.hold = func() time.Duration {
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -44,6 +44,7 @@
 type service struct {
 	cfg    *config.Service // does not change; where the list comes from does
 	starts int             // of the sidecar lately
+	hollow *Hollow         // nil: not in a hollow sidecar
 	rnd    *rand.Rand      // nil: the list service is not shared, and calls to it need no spreading; only plug draws from it
 	waits  *rand.Rand      // where the list is asked for at the module's word; drawn from by the one source that runs
 	pool   *core.Pool
@@ -75,11 +76,12 @@
 	paced    bool          // lists come from a service that all copies share, and not from an agent on this machine
 	stateDir string        // where lists are kept; empty: nowhere
 	listAge  time.Duration // from which on one that was kept is not begun with; 0: none is kept
+	hollow   *Hollow       // nil: a sidecar with listeners and connections
 }
 
 // newService makes a service; it stands still until start.
 func newService(cfg *config.Service, seed uint64, with parted) (*service, error) {
-	s := &service{cfg: cfg, starts: with.starts, listDir: with.stateDir}
+	s := &service{cfg: cfg, starts: with.starts, listDir: with.stateDir, hollow: with.hollow}
 	if with.listAge == 0 {
 		s.listDir = ""
 	}
@@ -102,7 +104,7 @@
 	settings := cfg.Logic
 	settings.ColdEvenly = with.paced
 	var err error
-	s.pool, err = core.New(core.Config{Settings: settings, Seed: seed, Zones: cfg.Zones, Upstream: s.up, Clock: with.clock,
+	s.pool, err = core.New(core.Config{Settings: settings, Seed: seed, Zones: cfg.Zones, Upstream: with.hollow.upstream(s.up), Clock: with.clock,
 		Log: with.log.With("service", cfg.Name)})
 	if err != nil {
 		return nil, err
@@ -184,9 +186,9 @@
 	case config.File:
 		source = file.New(from.Path, log)
 	case config.Consul:
-		source = blocking.New(blocking.Config{Address: from.Address, Service: from.As, Token: token(from.TokenFile, log), Log: log})
+		source = blocking.New(blocking.Config{Address: from.Address, Service: from.As, Token: token(from.TokenFile, log), Dial: s.hollow.dial(), Log: log})
 	default:
-		cc := catalog.Config{Address: from.Address, Subscribe: s.cfg.Logic.Subscribe, First: first, Known: known, Asked: s.pool.Asked(), Rand: s.waits, Log: log}
+		cc := catalog.Config{Address: from.Address, Subscribe: s.cfg.Logic.Subscribe, First: first, Known: known, Asked: s.pool.Asked(), Rand: s.waits, Dial: s.hollow.dial(), Log: log}
 		if s.rnd != nil && !cc.Subscribe {
 			copies := s.cfg.Logic.Siblings
 			if copies == 1 {
@@ -197,7 +199,7 @@
 		source = catalog.New(cc)
 		s.starts = 0 // a later source, after a reload, is no start
 	}
-	var sink membership.Sink = s.roster
+	sink := s.hollow.sink(s.cfg.Name, s.roster)
 	if s.listDir != "" && keeps(from) {
 		keeper := cache.NewKeeper(sink, s.store(from), s.roster.list, log)
 		s.keeper, sink = keeper, keeper
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -55,10 +55,12 @@
 }
 
 // New opens the listeners; clients are served from Run on.
-func New(app *config.App, log *slog.Logger) (*Sidecar, error) {
+func New(app *config.App, log *slog.Logger) (*Sidecar, error) { return open(app, log, nil) }
+
+func open(app *config.App, log *slog.Logger, hollow *Hollow) (*Sidecar, error) {
 	s := &Sidecar{log: log, ended: make(chan struct{}), remind: notReadyEvery, services: map[string]*service{}, leaving: map[*service]bool{},
 		with: parted{clock: core.NewClock(), log: log, memoryMB: app.Process.MemoryMB, paced: app.Wording == config.Application,
-			stateDir: app.StateDir, listAge: app.ListAge}}
+			stateDir: app.StateDir, listAge: app.ListAge, hollow: hollow}}
 	s.halt, s.halted = context.WithCancel(context.Background())
 	parts, err := app.Descriptors()
 	if err != nil {
@@ -86,8 +88,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.listen(app); err != nil {
-		return nil, err
+	if hollow == nil {
+		if err := s.listen(app); err != nil {
+			return nil, err
+		}
 	}
 	s.adopt(app, w)
 	return s, nil
