--- a/internal/standin/health.go
+++ b/internal/standin/health.go
@@ -22,6 +22,7 @@
 	news    chan struct{} // closed at the next change
 	fault   HealthFault
 	old     []byte // what a stale server still says
+	listed  []byte // the answer at this index; nil: not worded yet
 	reads   int
 }
 
@@ -41,13 +42,17 @@
 
 // NewHealth starts an API with no members. Close ends it.
 func NewHealth() (*Health, error) {
-	h := &Health{index: 1, members: map[string]Member{}, news: make(chan struct{})}
+	h := newHealth()
 	if err := h.serve(h); err != nil {
 		return nil, err
 	}
 	return h, nil
 }
 
+func newHealth() *Health {
+	return &Health{index: 1, members: map[string]Member{}, news: make(chan struct{})}
+}
+
 // Put enters members or changes them, in one step of the index.
 func (h *Health) Put(members ...Member) {
 	h.mu.Lock()
@@ -94,12 +99,20 @@
 
 func (h *Health) tell() {
 	h.index++
+	h.listed = nil
 	close(h.news)
 	h.news = make(chan struct{})
 }
 
-// list is the answer as it would be now.
+// list is the answer as it would be now. It is worded once for each index.
 func (h *Health) list() []byte {
+	if h.listed == nil {
+		h.listed = h.word()
+	}
+	return h.listed
+}
+
+func (h *Health) word() []byte {
 	type object = map[string]any
 	all := []object{}
 	var names []string
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -17,6 +17,18 @@
 	server   *http.Server
 	done     chan struct{} // closed when it ends
 	over     sync.WaitGroup
+	traffic  traffic
+}
+
+// traffic counts what has gone over all connections of a server.
+type traffic struct{ in, out, open atomic.Int64 }
+
+// Traffic is what has gone over all connections of a server, and how many are open.
+type Traffic struct{ BytesIn, BytesOut, Open int64 }
+
+// Traffic is what has been read and written so far.
+func (s *served) Traffic() Traffic {
+	return Traffic{s.traffic.in.Load(), s.traffic.out.Load(), s.traffic.open.Load()}
 }
 
 func (s *served) serve(h http.Handler) (err error) {
@@ -27,34 +39,52 @@
 	s.server = &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, c)
 	}}
-	s.over.Go(func() { _ = s.server.Serve(counting{s.listener}) })
+	s.over.Go(func() { _ = s.server.Serve(counting{s.listener, &s.traffic}) })
 	return nil
 }
 
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
-// counted is a connection that counts what has been written to it.
+// counted is a connection that counts what goes over it.
 type counted struct {
 	net.Conn
-	wrote atomic.Int64
+	all    *traffic
+	wrote  atomic.Int64
+	closed sync.Once
+}
+
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.all.in.Add(int64(n))
+	return n, err
+}
+
+func (c *counted) Close() error {
+	c.closed.Do(func() { c.all.open.Add(-1) })
+	return c.Conn.Close()
 }
 
 func (c *counted) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.wrote.Add(int64(n))
+	c.all.out.Add(int64(n))
 	return n, err
 }
 
 // counting is a listener of counted connections.
-type counting struct{ net.Listener }
+type counting struct {
+	net.Listener
+	all *traffic
+}
 
 func (l counting) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &counted{Conn: c}, nil
+	l.all.open.Add(1)
+	return &counted{Conn: c, all: l.all}, nil
 }
 
 // Addr is where it listens.
