--- a/cmd/fernctl/main.go
+++ b/cmd/fernctl/main.go
@@ -9,6 +9,7 @@
 //	fernctl pcap info|requests|replay FILE            a packet capture as traffic
 //	fernctl fleet run|sweep|explain FILE...           days of a whole fleet on a virtual clock
 //	fernctl rig run|list|report|shrink FILE...       many processes of the program with faults between them
+//	fernctl scale run FILE                            what proxies cost, over sizes, with hollow ones
 //
 // It ends with 0, with 1 when there are faults or changes, and with 2 when it could not run.
 package main
@@ -49,10 +50,10 @@
 		Writer: out, ErrWriter: log,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // the code is decided below
 		OnUsageError:   usage,
-		Commands:       []*cli.Command{initCommand(), generateCommand(), checkCommand(), explainCommand(), migrateCommand(), rulesCommand(), pcapCommand(), fleetCommand(), rigCommand()},
+		Commands:       []*cli.Command{initCommand(), generateCommand(), checkCommand(), explainCommand(), migrateCommand(), rulesCommand(), pcapCommand(), fleetCommand(), rigCommand(), scaleCommand()},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.Args().Len() > 0 {
-				return fmt.Errorf("unknown command %q; one of init, generate, check, explain, migrate, rules, pcap, fleet and rig expected", c.Args().First())
+				return fmt.Errorf("unknown command %q; one of init, generate, check, explain, migrate, rules, pcap, fleet, rig and scale expected", c.Args().First())
 			}
 			return cli.ShowRootCommandHelp(c)
 		},
--- /dev/null
+++ b/cmd/fernctl/scale.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/urfave/cli/v3"
+
+	"fernlanding/internal/catalogue/dir"
+	"fernlanding/internal/scale/scenario"
+	"fernlanding/internal/scale/sweep"
+	"fernlanding/internal/scale/worker"
+)
+
+// workerWord is the command by which scale run starts its processes. It is not for people.
+const workerWord = "worker"
+
+func scaleCommand() *cli.Command {
+	return &cli.Command{Name: "scale", Usage: "what proxies cost, over sizes",
+		Action: func(context.Context, *cli.Command) error { return errors.New("scale: one of run expected") },
+		Commands: []*cli.Command{scaleRunCommand(),
+			{Name: workerWord, Hidden: true, Action: func(context.Context, *cli.Command) error { return worker.Main(os.Stdin, os.Stdout) }},
+		}}
+}
+
+func scaleRunCommand() *cli.Command {
+	return &cli.Command{Name: "run", Usage: "play the sweep in FILE and write what it measured", ArgsUsage: "FILE", Action: scaleRun,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "json", Usage: "the `OUT` file; printed without it"},
+			&cli.StringFlag{Name: "sidecar", Usage: "the `PROGRAM` of real proxies; the fernlanding beside this program by default"},
+			&cli.FloatFlag{Name: "memory-gb", Usage: "of memory that all processes may use, `N`; half of the machine's by default"},
+			&cli.BoolFlag{Name: "held-out", Usage: "play the held-out size alone"},
+			&cli.BoolFlag{Name: "without-held-out", Usage: "leave the held-out size out"},
+		}}
+}
+
+// heldOut says which sizes are played.
+func heldOut(c *cli.Command) (sweep.Selection, error) {
+	alone, without := c.Bool("held-out"), c.Bool("without-held-out")
+	switch {
+	case alone && without:
+		return sweep.All, errors.New("scale run: one of -held-out and -without-held-out expected")
+	case alone:
+		return sweep.HeldAlone, nil
+	case without:
+		return sweep.WithoutHeld, nil
+	}
+	return sweep.All, nil
+}
+
+func scaleRun(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return fmt.Errorf("scale run: %s expected", c.ArgsUsage)
+	}
+	name := c.Args().First()
+	data, err := dir.ReadFile(name)
+	if err != nil {
+		return fmt.Errorf("scale run: %w", err)
+	}
+	sc, err := scenario.Read(name, data)
+	if err != nil {
+		return err
+	}
+	opts, err := scaleOptions(c, sc)
+	if err != nil {
+		return err
+	}
+	out, err := sweep.Run(ctx, sc, opts)
+	if err != nil {
+		return err
+	}
+	if c.String("json") == "" {
+		return asJSON(c.Root().Writer, out)
+	}
+	text, err := json.MarshalIndent(out, "", " ")
+	if err != nil {
+		return fmt.Errorf("scale run: %w", err)
+	}
+	if err := os.WriteFile(c.String("json"), append(text, '\n'), 0o644); err != nil {
+		return fmt.Errorf("scale run: %w", err)
+	}
+	return nil
+}
+
+func scaleOptions(c *cli.Command, sc *scenario.Scenario) (o sweep.Options, err error) {
+	self, err := os.Executable()
+	if err != nil {
+		return o, fmt.Errorf("scale run: %w", err)
+	}
+	o = sweep.Options{Worker: []string{self, "scale", workerWord}, Log: c.Root().ErrWriter}
+	if o.HeldOut, err = heldOut(c); err != nil {
+		return o, err
+	}
+	if gigabytes := c.Float("memory-gb"); gigabytes < 0 {
+		return o, fmt.Errorf("scale run: -memory-gb %g; more than 0 expected", gigabytes)
+	} else {
+		o.MemoryBytes = int64(gigabytes * (1 << 30))
+	}
+	program := c.String("sidecar")
+	if program == "" {
+		program = filepath.Join(filepath.Dir(self), "fernlanding")
+	}
+	if _, err := os.Stat(program); err != nil && !sc.Hollow {
+		return o, fmt.Errorf("scale run: the program of real proxies: %w", err)
+	}
+	o.Sidecar = []string{program}
+	return o, nil
+}
--- /dev/null
+++ b/internal/scale/churn/churn_test.go
@@ -0,0 +1,50 @@
+package churn_test
+
+import (
+	"testing"
+
+	"fernlanding/internal/membership"
+	"fernlanding/internal/scale/churn"
+)
+
+// Whole lists and changes alike tell the version that they lead to, and the list keeps its size within one.
+func TestVersionsAreToldFromLists(t *testing.T) {
+	const backends = 5
+	all := map[int]membership.Status{}
+	for n := range backends {
+		all[n] = membership.Serving
+	}
+	for version := int64(1); version < 100; version++ {
+		change := churn.At(version, backends)
+		delta := membership.Endpoint{Name: churn.Name("a-b", change.Backend)}
+		switch change.Kind {
+		case churn.Drain:
+			delta.Status = membership.Draining
+			all[change.Backend] = membership.Draining
+		case churn.Delete:
+			delta.Status = membership.Deleted
+			delete(all, change.Backend)
+		case churn.Join:
+			all[change.Backend] = membership.Serving
+		}
+		if got := churn.Version(&membership.List{Endpoints: []membership.Endpoint{delta}}, backends); got != version {
+			t.Errorf("change to version %d told as %d", version, got)
+		}
+		whole := &membership.List{Full: true}
+		for n, status := range all {
+			whole.Endpoints = append(whole.Endpoints, membership.Endpoint{Name: churn.Name("a-b", n), Status: status})
+		}
+		if got := churn.Version(whole, backends); got != version {
+			t.Errorf("list of version %d told as %d", version, got)
+		}
+		first, last, drains := churn.Range(version, backends)
+		if last-first != len(all) || drains != (all[first] == membership.Draining) {
+			t.Errorf("version %d: %d to %d, drains %v; the list is %v", version, first, last, drains, all)
+		}
+	}
+	for _, name := range []string{"", "x", "x-", "x-1y"} {
+		if n := churn.Number(name); n != -1 {
+			t.Errorf("%q has number %d", name, n)
+		}
+	}
+}
--- a/internal/scale/result/result.go
+++ b/internal/scale/result/result.go
@@ -45,8 +45,9 @@
 
 // Point is one size with its rounds.
 type Point struct {
-	Size   Size    `json:"size"`
-	Rounds []Round `json:"rounds"`
+	Size    Size    `json:"size"`
+	HeldOut bool    `json:"held_out,omitempty"` // played to judge predictions: no fit uses it
+	Rounds  []Round `json:"rounds"`
 }
 
 // Size is what was played.
@@ -66,7 +67,8 @@
 	Lists   Cost    `json:"lists"`   // of the list service, or of distribution's source
 	Relays  Cost    `json:"relays"`  // zero where there are none
 	InForce Spread  `json:"in_force"`
-	Call    Spread  `json:"call"` // of one call's decision and bookkeeping; zero where no calls are made
+	Late    int64   `json:"late,omitempty"` // changes, each counted for each proxy that follows its service, that were not in force 2.5 s after the span
+	Call    Spread  `json:"call"`           // of one call's decision and bookkeeping; zero where no calls are made
 }
 
 // Cost is what processes of one role used in a round. Bytes and messages are those of control traffic.
--- /dev/null
+++ b/internal/scale/sweep/run.go
@@ -0,0 +1,221 @@
+// Package sweep plays the sweeps of fernctl scale: for each size it starts the processes, lets them warm up, and measures
+// rounds of what each role uses.
+package sweep
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"fernlanding/internal/scale/result"
+	"fernlanding/internal/scale/scenario"
+)
+
+// Options say how a sweep is played.
+type Options struct {
+	Worker      []string  // the program that is a worker, with its arguments
+	Sidecar     []string  // the program that real proxies run, with its first arguments
+	MemoryBytes int64     // that all processes may use; 0: half of the machine's
+	HeldOut     Selection // whether the held-out size is played
+	Log         io.Writer // takes a line for each round
+}
+
+// Selection says which sizes are played.
+type Selection int
+
+// The selections.
+const (
+	All         Selection = iota
+	WithoutHeld           // not the held-out size
+	HeldAlone             // the held-out size alone
+)
+
+// select are the points that are played.
+func (s Selection) points(all []result.Point) (out []result.Point) {
+	for _, p := range all {
+		if s == All || p.HeldOut == (s == HeldAlone) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// Run plays a sweep. A size that does not fit on the machine is refused before any is played.
+func Run(ctx context.Context, sc *scenario.Scenario, opts Options) (*result.Result, error) {
+	points := opts.HeldOut.points(sc.Points())
+	if len(points) == 0 {
+		return nil, fmt.Errorf("scale: %s has no held-out size", sc.Name)
+	}
+	dir, err := os.MkdirTemp("", "scale")
+	if err != nil {
+		return nil, fmt.Errorf("scale: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	s := &player{sc: sc, opts: opts, dir: dir}
+	if err := s.check(ctx, points); err != nil {
+		return nil, fmt.Errorf("scale: %w", err)
+	}
+	out := &result.Result{Format: result.Format, Scenario: sc.Name, Source: sc.Source, Dimension: sc.Dimension, Hollow: sc.Hollow,
+		Date: time.Now().UTC().Format(time.RFC3339), Program: revision(), GoVersion: runtime.Version(), Cores: runtime.NumCPU(), LoadBefore: loadAverage()}
+	for _, p := range points {
+		if p.Rounds, err = s.play(ctx, p.Size); err != nil {
+			return nil, fmt.Errorf("scale: %s = %s: %w", sc.Dimension, describe(p.Size), err)
+		}
+		out.Points = append(out.Points, p)
+	}
+	return out, nil
+}
+
+// revision is the one of the sources that this program was built from.
+func revision() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	at, changed := "unknown", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			at = s.Value
+		case s.Key == "vcs.modified" && s.Value == "true":
+			changed = "+changes"
+		}
+	}
+	return at + changed
+}
+
+func describe(s result.Size) string {
+	return fmt.Sprintf("%d proxies, %d of %d services of %d, %g changes and %g calls a second", s.Proxies, s.Services, s.ServicesInAll, s.Backends,
+		s.ChangesPerSecond, s.CallsPerSecond)
+}
+
+// player plays one sweep.
+type player struct {
+	sc   *scenario.Scenario
+	opts Options
+	dir  string // of the configurations of real proxies
+}
+
+// check refuses sizes that do not fit. It measures a few proxies of the largest size.
+func (s *player) check(ctx context.Context, points []result.Point) error {
+	largest := points[len(points)-1].Size
+	each, err := descriptors()
+	if err != nil {
+		return err
+	}
+	bound := s.opts.MemoryBytes
+	if bound == 0 {
+		machine, err := machineBytes()
+		if err != nil {
+			return err
+		}
+		bound = machine / 2
+	}
+	p := planOf(s.sc, largest)
+	if err := p.refusal(s.sc.Source, each, footprint{}, bound); err != nil {
+		return err
+	}
+	if largest.Proxies <= probeProxies {
+		return nil
+	}
+	f, err := s.probe(ctx, largest)
+	if err != nil {
+		return fmt.Errorf("probe: %w", err)
+	}
+	s.logf("measured %d proxies: %.1f KB a proxy and %.1f KB beside it, %.1f MB without any; %d fit in %.1f GB", probeProxies,
+		float64(f.proxy)/(1<<10), float64(f.service)/(1<<10), float64(f.base)/(1<<20), f.fit(bound), float64(bound)/(1<<30))
+	return p.refusal(s.sc.Source, each, f, bound)
+}
+
+// probe measures what a proxy of a size costs in memory.
+func (s *player) probe(ctx context.Context, size result.Size) (f footprint, err error) {
+	proxies := size.Proxies
+	size.Proxies = probeProxies
+	c, err := s.begin(ctx, size, planOf(s.sc, size))
+	if err != nil {
+		return f, err
+	}
+	defer c.team.end()
+	before, err := c.resident()
+	if err != nil {
+		return f, err
+	}
+	if err := c.start(ctx); err != nil {
+		return f, err
+	}
+	if !sleep(ctx, s.sc.WarmUp) {
+		return f, ctx.Err()
+	}
+	after, err := c.resident()
+	if err != nil {
+		return f, err
+	}
+	kernel := int64(connections(s.sc.Source, size)) * kernelPerConn
+	f.proxy = max(0, after.proxies-before.proxies) / probeProxies
+	f.service = max(0, after.lists+after.relays-before.lists-before.relays)/probeProxies + kernel
+	workers := int64(planOf(s.sc, result.Size{Proxies: proxies, Services: size.Services, ServicesInAll: size.ServicesInAll}).workers)
+	f.base = before.proxies/int64(max(1, len(c.workers)))*workers + before.lists + before.relays
+	if !s.sc.Hollow { // a real proxy is a process of its own
+		f.base, f.proxy = before.lists+before.relays, after.proxies/probeProxies
+	}
+	return f, nil
+}
+
+// play plays one size.
+func (s *player) play(ctx context.Context, size result.Size) (rounds []result.Round, err error) {
+	c, err := s.begin(ctx, size, planOf(s.sc, size))
+	if err != nil {
+		return nil, err
+	}
+	defer c.team.end()
+	if err := c.start(ctx); err != nil {
+		return nil, err
+	}
+	if !sleep(ctx, s.sc.WarmUp) {
+		return nil, ctx.Err()
+	}
+	for i := range s.sc.Rounds {
+		r, err := c.round(ctx, s.sc.Span)
+		if err := errors.Join(err, c.team.failure()); err != nil {
+			return nil, fmt.Errorf("round %d: %w", i+1, err)
+		}
+		rounds = append(rounds, r)
+		s.logf("%s: round %d: proxies %.3f s CPU, %.1f MB RSS, %.1f MB heap, %d B in, %d B out; lists %.3f s, %.1f MB; relays %.3f s, %.1f MB; in force %d, p50 %.4f, p99 %.4f, max %.4f s; calls %d, p99 %.1f us",
+			describe(size), i+1, r.Proxies.CPUSeconds, megabytes(r.Proxies.RSSBytes), megabytes(r.Proxies.HeapBytes), r.Proxies.BytesIn, r.Proxies.BytesOut,
+			r.Lists.CPUSeconds, megabytes(r.Lists.RSSBytes), r.Relays.CPUSeconds, megabytes(r.Relays.RSSBytes),
+			r.InForce.Count, r.InForce.P50, r.InForce.P99, r.InForce.Max, r.Call.Count, r.Call.P99*1e6)
+	}
+	return rounds, nil
+}
+
+func megabytes(n int64) float64 { return float64(n) / (1 << 20) }
+
+func (s *player) logf(format string, args ...any) {
+	if s.opts.Log != nil {
+		fmt.Fprintf(s.opts.Log, format+"\n", args...)
+	}
+}
+
+// file writes a real proxy's configuration and returns its path.
+func (s *player) file(name string, data []byte) (string, error) {
+	path := filepath.Join(s.dir, name+".toml")
+	return path, os.WriteFile(path, data, 0o600)
+}
+
+// sleep waits; it is false when the context ends before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
