Measure the latency that sidecars add to a call, open loop

fernctl scale latency FILE plays a plan: calls at moments that are fixed beforehand, latency counted from those, directly and through 1 to 16 real sidecars in turn, direct against direct beside it. The client spins on sockets that the runtime's poller doesn't know, so neither a timer's nor a goroutine's wake-up of its own is in the figures; how late it sent is told. Results are versioned JSON; wrong ones are refused by file, line and field. The rig's thread that starts processes moves to internal/rig/spawn, without a change of what it does.

--- /dev/null
+++ b/cmd/fernctl/scale_latency.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"fernlanding/internal/durable"
+	"fernlanding/internal/scale/latency"
+)
+
+func scaleLatencyCommand() *cli.Command {
+	return &cli.Command{Name: "latency", Usage: "measure what sidecars add to a call's latency, as the plan in FILE says", ArgsUsage: "FILE", Action: scaleLatency,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "json", Usage: "write the result to `OUT` too"},
+			&cli.StringFlag{Name: "sidecar", Usage: "the `PROGRAM` under test; the fernlanding beside this program by default"}}}
+}
+
+func scaleLatency(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return errors.New("scale latency: FILE expected")
+	}
+	name := c.Args().First()
+	data, err := readBounded(name)
+	if err != nil {
+		return fmt.Errorf("scale latency: %w", err)
+	}
+	plan, err := latency.ReadPlan(name, data)
+	if err != nil {
+		return err
+	}
+	o, err := rigOptions(c)
+	if err != nil {
+		return err
+	}
+	result, err := latency.Run(ctx, plan, latency.Options{Program: o.Sidecar[0], Progress: c.Root().ErrWriter})
+	if err != nil {
+		return fmt.Errorf("scale latency: %w", err)
+	}
+	if err := result.Print(c.Root().Writer); err != nil {
+		return err
+	}
+	if out := c.String("json"); out != "" {
+		if err := writeResult(out, result); err != nil {
+			return fmt.Errorf("scale latency: %w", err)
+		}
+	}
+	if n := result.Failed(); n > 0 {
+		return fmt.Errorf("scale latency: %d calls without a good answer", n)
+	}
+	return nil
+}
+
+func writeResult(name string, r *latency.Result) error {
+	var text bytes.Buffer
+	if err := asJSON(&text, r); err != nil {
+		return err
+	}
+	return durable.Replace(name, text.Bytes(), 0o644, true)
+}
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -7,7 +7,6 @@
 	"io"
 	"os"
 	"os/exec"
-	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"fernlanding/internal/rig/history"
+	"fernlanding/internal/rig/spawn"
 )
 
 // process is what a process is started from.
@@ -38,12 +38,10 @@
 	killed bool          // by the rig, or told to end
 }
 
-// processes starts and ends the processes of a run. Each dies with the rig: the kernel kills it when the thread that has
-// started it goes (PR_SET_PDEATHSIG), so one thread starts them all and stays until none is left.
+// processes starts and ends the processes of a run. Each dies with the rig.
 type processes struct {
-	tell  func(history.Event)
-	begin chan func()
-	over  chan struct{}
+	tell    func(history.Event)
+	starter *spawn.Starter
 
 	mu    sync.Mutex
 	all   map[string]*alive
@@ -52,15 +50,7 @@
 }
 
 func newProcesses(tell func(history.Event)) *processes {
-	p := &processes{tell: tell, begin: make(chan func()), over: make(chan struct{}), all: map[string]*alive{}}
-	go func() {
-		runtime.LockOSThread() // and never unlocked: the thread ends with this goroutine
-		defer close(p.over)
-		for f := range p.begin {
-			f()
-		}
-	}()
-	return p
+	return &processes{tell: tell, starter: spawn.New(), all: map[string]*alive{}}
 }
 
 var errNotThere = errors.New("no such process")
@@ -73,7 +63,6 @@
 	a := &alive{ended: make(chan struct{})}
 	a.cmd = exec.Command(x.args[0], x.args[1:]...)
 	a.cmd.Env = append(os.Environ(), x.env...)
-	a.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	a.cmd.Stderr = os.Stderr
 	var readers []func()
 	pipe := func(open func() (io.ReadCloser, error), read func(io.Reader)) error {
@@ -104,9 +93,7 @@
 	if p.all[x.name] != nil {
 		return fmt.Errorf("%s runs already", x.name)
 	}
-	started := make(chan error, 1)
-	p.begin <- func() { started <- a.cmd.Start() }
-	if err := <-started; err != nil {
+	if err := p.starter.Start(a.cmd); err != nil {
 		return fmt.Errorf("%s: %w", x.name, err)
 	}
 	pid := a.cmd.Process.Pid
@@ -256,8 +243,7 @@
 	for _, a := range all {
 		<-a.ended
 	}
-	close(p.begin)
-	<-p.over
+	p.starter.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return len(p.all)
--- /dev/null
+++ b/internal/scale/latency/plan.go
@@ -0,0 +1,139 @@
+// Package latency measures the latency that sidecars add to a call.
+//
+// A load generator sends calls at moments that are fixed beforehand, whatever has become of the calls before (an open loop), and
+// counts each call's latency from its intended moment of sending to the last byte of its answer. So a stall is felt by every
+// call that was due in it, and none is left out (no coordinated omission). In turn, in short segments of one run, the calls go
+// directly to a stand-in backend and through sidecars before the same backend; what differs between the two is what the
+// sidecars add. The direct segments, held against each other, show what the method and the machine differ by themselves.
+package latency
+
+import (
+	"time"
+
+	"fernlanding/internal/doc"
+	"fernlanding/internal/rules"
+)
+
+// Bounds of a plan.
+const (
+	MaxRate        = 20_000 // calls a second
+	MaxHops        = 16
+	MaxRounds      = 100
+	MaxCycles      = 100
+	MaxConnections = 1024
+	MaxSegment     = time.Minute
+	MaxWarm        = time.Minute
+	MaxFor         = 15 * time.Minute // of all cases, without the starts of processes
+	maxCases       = 32
+	maxBackends    = 64
+	minRounds      = 3
+)
+
+// Spacing is how the intended moments of sending lie in time.
+type Spacing string
+
+// The spacings.
+const (
+	Even    Spacing = "even"    // all gaps are equal
+	Poisson Spacing = "poisson" // gaps are drawn from the exponential distribution, as calls of many independent clients
+)
+
+// Plan is what a run measures.
+type Plan struct {
+	Name     string
+	Seed     uint64        // of all schedules
+	TargetMS float64       // that the sidecars may add to 99 in 100 calls; for the report
+	Spacing  Spacing       // of the intended moments
+	Warm     time.Duration // of load on each path before the first round of a case
+	Segment  time.Duration // of load on one path at a time
+	Sidecar  Sidecar
+	Cases    []Case
+}
+
+// Sidecar is what each sidecar is told that it may use.
+type Sidecar struct {
+	Cores    float64
+	MemoryMB float64
+}
+
+// Case is one rate over one number of hops.
+type Case struct {
+	Name        string
+	Rate        float64 // calls a second
+	Hops        int     // sidecars in a row
+	Rounds      int
+	Cycles      int // of four segments (direct, through, direct, through) in each round
+	Connections int // kept to the backend and to the first sidecar, each
+	Backends    int // stand-ins, in one process
+}
+
+// length is how long the load of a case lasts.
+func (c *Case) length(p *Plan) time.Duration {
+	return 2*p.Warm + time.Duration(c.Rounds*c.Cycles*segmentsPerCycle)*p.Segment
+}
+
+// ReadPlan reads a plan from a TOML file's bytes. Its faults name file, line, column and field.
+func ReadPlan(file string, data []byte) (*Plan, error) {
+	root, faults := doc.Parse(file, data)
+	if root == nil {
+		return nil, doc.Faults(faults).Err()
+	}
+	r := &doc.Reader{Faults: faults}
+	p := readPlan(doc.NewScope(r, root))
+	if err := r.Faults.Err(); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+func readPlan(s doc.Scope) *Plan {
+	s.Whole("format", 0, Format, Format)
+	if !s.Has("format") {
+		s.Bad(rules.Missing, "format", "format = %d expected", Format)
+	}
+	p := &Plan{
+		Name:     s.Text("name", "latency"),
+		Seed:     uint64(s.Whole("seed", 1, 0, 1<<62)),
+		TargetMS: s.Number("target_added_p99_ms", 0.34, 0.001, 1e4),
+		Spacing:  Spacing(s.Word("spacing", string(Poisson), string(Even), string(Poisson))),
+		Warm:     s.Span("warm", 2*time.Second, 0, MaxWarm),
+		Segment:  s.Span("segment", time.Second, 10*time.Millisecond, MaxSegment),
+	}
+	v := s.Sub("sidecar")
+	p.Sidecar = Sidecar{Cores: v.Number("cores", 2, 0.1, 256), MemoryMB: v.Number("memory_mb", 64, 16, 1<<16)}
+	v.Done()
+	list := s.List("cases")
+	if len(list) == 0 || len(list) > maxCases {
+		s.Bad(rules.Missing, "cases", "1 to %d [[cases]] expected, %d found", maxCases, len(list))
+	}
+	var all time.Duration
+	for _, v := range list {
+		c := readCase(v)
+		all += c.length(p)
+		p.Cases = append(p.Cases, c)
+	}
+	if all > MaxFor {
+		s.Bad(rules.Range, "cases", "load for %v, %v at most expected", all, MaxFor)
+	}
+	s.Done()
+	return p
+}
+
+func readCase(v doc.Scope) Case {
+	c := Case{
+		Name:        v.Text("name", ""),
+		Rate:        v.Number("rate_per_second", 0, 1, MaxRate),
+		Hops:        int(v.Whole("hops", 1, 1, MaxHops)),
+		Rounds:      int(v.Whole("rounds", minRounds, minRounds, MaxRounds)),
+		Cycles:      int(v.Whole("cycles", 1, 1, MaxCycles)),
+		Connections: int(v.Whole("connections", 32, 1, MaxConnections)),
+		Backends:    int(v.Whole("backends", 1, 1, maxBackends)),
+	}
+	for _, field := range []string{"name", "rate_per_second"} {
+		if !v.Has(field) {
+			v.Bad(rules.Missing, field, "the case's %s expected", field)
+		}
+	}
+	v.Done()
+	return c
+}
--- /dev/null
+++ b/internal/scale/latency/result_test.go
@@ -0,0 +1,138 @@
+package latency
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// goodResult is a result as a run writes it.
+func goodResult() *Result {
+	round := func(added float64) Figures {
+		return Figures{
+			DirectCalls: 100, ThroughCalls: 100,
+			Direct:   Quantiles{0.1, 0.2, 0.25, 0.5},
+			Through:  Quantiles{0.25, 0.3, 0.25 + added, 2},
+			AddedP50: 0.15, AddedP90: 0.1, AddedP99: added, CoupledP99: added, SameP50: -0.01, SameP99: 0.02,
+			SendLatenessP50: 0.001, SendLatenessP99: 0.002, ReceiveLatenessP99: 0.003, LoadAverage: [3]float64{1, 2, 3},
+		}
+	}
+	c := CaseResult{Name: "one hop", RatePerSecond: 271, Hops: 1, Connections: 32, Backends: 1, SegmentSeconds: 1, SidecarCPUPerCallUS: 150,
+		Rounds: []Figures{round(0.25), round(0.375), round(0.5)}, All: round(0.375)}
+	c.All.DirectCalls, c.All.ThroughCalls = 300, 300
+	c.sum()
+	return &Result{Format: Format, Plan: "latency", Date: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC), GoVersion: "go1.26.0", Cores: 8, Seed: 1,
+		Spacing: Poisson, SidecarCores: 2, SidecarMemoryMB: 64, TargetMS: 0.34, Cases: []CaseResult{c}}
+}
+
+func written(t testing.TB, r *Result) []byte {
+	t.Helper()
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func TestReadResult(t *testing.T) {
+	data := written(t, goodResult())
+	r, err := ReadResult("r.json", data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again := written(t, r); string(again) != string(data) {
+		t.Errorf("read and written again:\n%s", again)
+	}
+}
+
+// Whatever is wrong with a result is one line with the file, the line and the field.
+func TestReadResultRefuses(t *testing.T) {
+	for _, x := range []struct{ name, from, to, want string }{
+		{"version", `"format": 1`, `"format": 2`, `r.json:2: format: 2 found, 1 expected`},
+		{"no version", `"format": 1,`, ``, `r.json: format: 0 found, 1 expected`},
+		{"unknown field", `"cores": 8`, `"cores": 8, "corse": 8`, `r.json:6: corse: unknown field, one of format 1 expected`},
+		{"unknown field below", `"hops": 1`, `"hop": 1`, `r.json:16: hop: unknown field`},
+		{"kind", `"cores": 8`, `"cores": "8"`, `r.json:6: cores: string found, int expected`},
+		{"syntax", `"cores": 8,`, `"cores": 8`, `r.json:7: invalid character`},
+		{"cut off", `"cores": 8,`, ``, ``},
+		{"date", `"2026-01-02T03:04:05Z"`, `"yesterday"`, `r.json: `},
+		{"spacing", `"poisson"`, `"bursts"`, `r.json:8: spacing: "bursts" found`},
+		{"no cores", `"cores": 8`, `"cores": 0`, `r.json:6: cores: 0 found, 1 at least expected`},
+		{"rate", `"rate_per_second": 271`, `"rate_per_second": -271`, `r.json:15: cases[0].rate_per_second: -271 found`},
+		{"hops", `"hops": 1`, `"hops": 17`, `r.json:16: cases[0].hops: 17 found, 1 to 16 expected`},
+		{"quantiles out of order", `"p50_ms": 0.1,`, `"p50_ms": 0.3,`, `r.json:49: cases[0].all.direct.p90_ms: 0.2 found, 0.3 to 60000 expected`},
+		{"no time at all", `"p50_ms": 0.1,`, `"p50_ms": 0,`, `r.json:48: cases[0].all.direct.p50_ms: 0 found, 1e-06 to 60000 expected`},
+		{"difference", `"added_p99_ms": 0.25`, `"added_p99_ms": 0.2`, `cases[0].rounds[0].added_p99_ms: 0.2 found, 0.25 expected by its terms`},
+		{"spread", `"lowest": 0.25`, `"lowest": 0.2`, `cases[0].added_p99_ms.lowest: 0.2 found, 0.25 expected by its terms`},
+		{"sum", `"direct_calls": 300`, `"direct_calls": 301`, `cases[0].all.direct_calls: 301 found, the rounds' sum of 300 expected`},
+		{"more refused than sent", `"refused_calls": 0`, `"refused_calls": 999`, `cases[0].all.refused_calls: 999 of 600 found`},
+		{"more failed than sent", `"failed_calls": 0`, `"failed_calls": 999`, `cases[0].all.failed_calls: 999 of 600 found`},
+		{"lateness", `"send_lateness_p99_ms": 0.002`, `"send_lateness_p99_ms": 0.0001`, `send_lateness_p99_ms: 0.0001 found, 0.001 to`},
+	} {
+		good := string(written(t, goodResult()))
+		bad := strings.Replace(good, x.from, x.to, 1)
+		if x.name == "cut off" {
+			bad = good[:len(good)/2]
+		}
+		if bad == good {
+			t.Errorf("%s: %q does not stand in the result", x.name, x.from)
+			continue
+		}
+		_, err := ReadResult("r.json", []byte(bad))
+		var fault *Fault
+		if !errors.As(err, &fault) || !strings.Contains(err.Error(), x.want) || strings.Contains(err.Error(), "\n") || !strings.HasPrefix(err.Error(), "r.json") {
+			t.Errorf("%s: %v, want %s", x.name, err, x.want)
+		}
+	}
+}
+
+func TestReadResultRefusesMore(t *testing.T) {
+	good := string(written(t, goodResult()))
+	for name, x := range map[string]struct{ text, want string }{
+		"two values": {good + "\n{}", "r.json:"},
+		"too large":  {good + strings.Repeat(" ", MaxResult), "1048576 at most expected"},
+		"nothing":    {"", "r.json: "},
+		"deep":       {strings.Repeat(`{"format":`, 20_000), "r.json"},
+	} {
+		if _, err := ReadResult("r.json", []byte(x.text)); err == nil || !strings.Contains(err.Error(), x.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want %s", name, err, x.want)
+		}
+	}
+}
+
+// The results that are committed can be read.
+func TestCommittedResults(t *testing.T) {
+	files, err := filepath.Glob("../../../deploy/scale/results/latency-*.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range files {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ReadResult(name, data); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// No text makes the reader panic; what it takes is sound, and its faults are one line.
+func FuzzReadResult(f *testing.F) {
+	f.Add(written(f, goodResult()))
+	f.Add([]byte(`{"format":1,"cases":[{"rounds":[{}]}]}`))
+	f.Add([]byte(`{"x":[[[[{"y":1}]]]]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := ReadResult("r.json", data)
+		switch {
+		case err != nil && strings.Contains(err.Error(), "\n"):
+			t.Errorf("more than one line: %q", err)
+		case err == nil && (r.Format != Format || len(r.Cases) == 0 || len(r.Cases[0].Rounds) < minRounds):
+			t.Errorf("taken: %+v", r)
+		}
+	})
+}
