--- a/internal/scale/latency/chain.go
+++ b/internal/scale/latency/chain.go
@@ -4,14 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"io/fs"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"fernlanding/internal/rig/spawn"
@@ -23,8 +24,7 @@
 	askPatience = time.Second
 	tailOfLog   = 400 // bytes of a process's log that an error tells
 
-	ticksPerSecond = 100 // of /proc/PID/stat (USER_HZ)
-	fieldsBefore   = 11  // behind the command's name, up to the user's time
+	backendsName = "backends" // of the process that holds them
 )
 
 // chain is sidecars in a row before stand-in backends: processes of their own, which end with this one.
@@ -72,7 +72,7 @@
 			return err
 		}
 		if i == len(listeners)-1 {
-			if err := ch.run("backends", program, "standin", file); err != nil {
+			if err := ch.run(backendsName, program, "standin", file); err != nil {
 				return err
 			}
 			for _, b := range next {
@@ -171,43 +171,50 @@
 	return strings.TrimSpace(string(data[max(0, len(data)-tailOfLog):]))
 }
 
-// processorTime is what the sidecars have used so far, together. It is exact to a hundredth of a second.
-func (ch *chain) processorTime() (time.Duration, error) {
-	var ticks int64
+// usage is what threads have had of the machine's cores.
+type usage struct {
+	running time.Duration // on a core
+	waiting time.Duration // runnable, and no core was free for them
+}
+
+func (u usage) plus(o usage) usage  { return usage{u.running + o.running, u.waiting + o.waiting} }
+func (u usage) minus(o usage) usage { return usage{u.running - o.running, u.waiting - o.waiting} }
+
+// sidecarUsage is that of all threads of all sidecars so far.
+func (ch *chain) sidecarUsage() (sum usage, err error) {
 	for _, x := range ch.all {
-		if x.name == "backends" {
+		if x.name == backendsName {
 			continue
 		}
-		data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", x.command.Process.Pid))
+		files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", x.command.Process.Pid))
 		if err != nil {
-			return 0, err
+			return sum, err
 		}
-		n, err := ticksOf(string(data))
-		if err != nil {
-			return 0, fmt.Errorf("%s: %w", x.name, err)
+		for _, file := range files {
+			data, err := os.ReadFile(file)
+			if errors.Is(err, fs.ErrNotExist) || errors.Is(err, syscall.ESRCH) {
+				continue // the thread has ended
+			}
+			if err != nil {
+				return sum, err
+			}
+			u, err := usageOf(string(data))
+			if err != nil {
+				return sum, fmt.Errorf("%s: %w", file, err)
+			}
+			sum = sum.plus(u)
 		}
-		ticks += n
 	}
-	return time.Duration(ticks) * time.Second / ticksPerSecond, nil
+	return sum, nil
 }
 
-var errNoTimes = errors.New("no processor times in its stat")
-
-// ticksOf is the user's and the system's time in a text of /proc/PID/stat. A command's name may hold blanks and brackets.
-func ticksOf(stat string) (int64, error) {
-	fields := strings.Fields(stat[strings.LastIndexByte(stat, ')')+1:])
-	if len(fields) < fieldsBefore+2 {
-		return 0, errNoTimes
-	}
-	user, err := strconv.ParseInt(fields[fieldsBefore], 10, 64)
-	if err != nil {
-		return 0, errNoTimes
-	}
-	system, err := strconv.ParseInt(fields[fieldsBefore+1], 10, 64)
-	if err != nil {
-		return 0, errNoTimes
+// usageOf reads a text of /proc/PID/task/TID/schedstat: nanoseconds on a core, nanoseconds of waiting for one, and slices.
+func usageOf(stat string) (u usage, err error) {
+	var slices int64
+	if _, err := fmt.Sscan(stat, &u.running, &u.waiting, &slices); err != nil {
+		return usage{}, fmt.Errorf("%.60q found, three whole numbers expected", stat)
 	}
-	return user + system, nil
+	return u, nil
 }
 
 // end kills the processes and returns when none is left.
--- a/internal/scale/latency/connection_test.go
+++ b/internal/scale/latency/connection_test.go
@@ -40,14 +40,13 @@
 	})
 }
 
-func TestTicksOf(t *testing.T) {
-	const stat = "42 (a (strange) name) S 1 42 42 0 -1 4194560 100 0 0 0 70 30 0 0 20 0 9 0 12345"
-	if n, err := ticksOf(stat); n != 100 || err != nil {
-		t.Errorf("%d, %v; want 100", n, err)
+func TestUsageOf(t *testing.T) {
+	if u, err := usageOf("1258270000 2929960 40745\n"); err != nil || u != (usage{1258270000, 2929960}) {
+		t.Errorf("%+v, %v", u, err)
 	}
-	for _, bad := range []string{"", "42 (x) S 1", "42 (x) S 1 42 42 0 -1 4194560 100 0 0 0 seventy 30 0"} {
-		if n, err := ticksOf(bad); err == nil {
-			t.Errorf("%q: %d ticks", bad, n)
+	for _, bad := range []string{"", "1 2", "1 2 many", "1.5 2 3"} {
+		if u, err := usageOf(bad); err == nil {
+			t.Errorf("%q: %+v", bad, u)
 		}
 	}
 }
--- a/internal/scale/latency/print.go
+++ b/internal/scale/latency/print.go
@@ -37,8 +37,8 @@
 	if x.AddedP99.Median > target {
 		verdict = "missed"
 	}
-	fmt.Fprintf(w, "added p50 %s, p99 %s (goal %s); paired by rank p99 %s; direct against direct p99 %s; %.0f us of processor a call\n",
-		x.AddedP50, x.AddedP99, verdict, x.CoupledP99, x.SameP99, x.SidecarCPUPerCallUS)
+	fmt.Fprintf(w, "added p50 %s, p99 %s (goal %s); paired by rank p99 %s; direct against direct p99 %s; a call has the sidecars' threads %.0f us on a core and %.0f us waiting for one\n",
+		x.AddedP50, x.AddedP99, verdict, x.CoupledP99, x.SameP99, x.SidecarCPUPerCallUS, x.SidecarWaitPerCallUS)
 }
 
 // String is the median with the lowest and the highest.
--- a/internal/scale/latency/result.go
+++ b/internal/scale/latency/result.go
@@ -21,6 +21,7 @@
 const (
 	leastPositive = 1e-6     // of figures that can't be zero
 	maxMS         = 60_000.0 // of any time in a result
+	maxUS         = 1e9
 	maxLoad       = 1e6
 	tolerance     = 1e-6 // milliseconds by which a difference may miss its terms
 )
@@ -48,14 +49,16 @@
 	Connections    int     `json:"connections"`
 	Backends       int     `json:"backends"`
 	SegmentSeconds float64 `json:"segment_seconds"`
-	// Processor time of all sidecars of the chain, of user and system, for a call that goes through them.
-	SidecarCPUPerCallUS float64   `json:"sidecar_cpu_per_call_us"`
-	AddedP50            Spread    `json:"added_p50_ms"` // of the rounds' figures
-	AddedP99            Spread    `json:"added_p99_ms"`
-	CoupledP99          Spread    `json:"coupled_p99_ms"`
-	SameP99             Spread    `json:"same_p99_ms"`
-	All                 Figures   `json:"all"` // of the calls of all rounds together
-	Rounds              []Figures `json:"rounds"`
+	// Of all threads of all sidecars of the chain, for a call that goes through them: their time on a core, and their time of waiting for
+	// one while others had them all. The second is the machine's, not the sidecar's.
+	SidecarCPUPerCallUS  float64   `json:"sidecar_cpu_per_call_us"`
+	SidecarWaitPerCallUS float64   `json:"sidecar_wait_per_call_us"`
+	AddedP50             Spread    `json:"added_p50_ms"` // of the rounds' figures
+	AddedP99             Spread    `json:"added_p99_ms"`
+	CoupledP99           Spread    `json:"coupled_p99_ms"`
+	SameP99              Spread    `json:"same_p99_ms"`
+	All                  Figures   `json:"all"` // of the calls of all rounds together
+	Rounds               []Figures `json:"rounds"`
 }
 
 // Figures are what the calls of one round, or of all, have given.
@@ -176,7 +179,8 @@
 	c.that(x.Connections >= 1 && x.Connections <= MaxConnections, "connections", "%d found, 1 to %d expected", x.Connections, MaxConnections)
 	c.that(x.Backends >= 1 && x.Backends <= maxBackends, "backends", "%d found, 1 to %d expected", x.Backends, maxBackends)
 	c.within(x.SegmentSeconds, leastPositive, MaxSegment.Seconds(), "segment_seconds")
-	c.within(x.SidecarCPUPerCallUS, 0, 1e9, "sidecar_cpu_per_call_us")
+	c.within(x.SidecarCPUPerCallUS, 0, maxUS, "sidecar_cpu_per_call_us")
+	c.within(x.SidecarWaitPerCallUS, 0, maxUS, "sidecar_wait_per_call_us")
 	c.that(len(x.Rounds) >= minRounds && len(x.Rounds) <= MaxRounds, "rounds", "%d found, %d to %d expected", len(x.Rounds), minRounds, MaxRounds)
 	for i := range x.Rounds {
 		c.path = fmt.Sprintf("%srounds[%d].", path, i)
--- a/internal/scale/latency/run.go
+++ b/internal/scale/latency/run.go
@@ -47,9 +47,9 @@
 	of              *Case
 	chain           *chain
 	direct, through *pool
-	first, second   *tally        // of the direct segments, of all rounds
-	sidecars        *tally        // of the others
-	processor       time.Duration // of the sidecars, while calls went through them
+	first, second   *tally // of the direct segments, of all rounds
+	sidecars        *tally // of the others
+	used            usage  // of the sidecars, while calls went through them
 }
 
 // round is what came of one round's segments.
@@ -92,11 +92,17 @@
 		return nil, err
 	}
 	out.All = *all
-	out.SidecarCPUPerCallUS = float64(m.processor.Microseconds()) / float64(m.sidecars.sent)
+	out.SidecarCPUPerCallUS = m.perCall(m.used.running)
+	out.SidecarWaitPerCallUS = m.perCall(m.used.waiting)
 	out.sum()
 	return out, nil
 }
 
+// perCall is a time's part in microseconds for each call that went through the sidecars.
+func (m *measurement) perCall(t time.Duration) float64 {
+	return float64(t.Microseconds()) / float64(m.sidecars.sent)
+}
+
 // warm plays each way for a while, of which nothing is kept.
 func (m *measurement) warm(ctx context.Context) error {
 	if m.plan.Warm == 0 {
@@ -132,17 +138,17 @@
 	return figuresOf(r)
 }
 
-// playThrough plays a schedule through the sidecars and counts the processor time that they use for it.
+// playThrough plays a schedule through the sidecars and counts what they use of the cores for it.
 func (m *measurement) playThrough(ctx context.Context, schedule []time.Duration, t *tally) error {
-	before, err := m.chain.processorTime()
+	before, err := m.chain.sidecarUsage()
 	if err != nil {
 		return err
 	}
 	if err := play(ctx, m.through, schedule, t); err != nil {
 		return err
 	}
-	after, err := m.chain.processorTime()
-	m.processor += after - before
+	after, err := m.chain.sidecarUsage()
+	m.used = m.used.plus(after.minus(before))
 	return err
 }
 
