--- a/internal/scale/result/result.go
+++ b/internal/scale/result/result.go
@@ -45,8 +45,9 @@
 
 // Point is one size with its rounds.
 type Point struct {
-	Size   Size    `json:"size"`
-	Rounds []Round `json:"rounds"`
+	Size    Size    `json:"size"`
+	HeldOut bool    `json:"held_out,omitempty"` // never enters a fit: what the fit predicts is held against it
+	Rounds  []Round `json:"rounds"`
 }
 
 // Size is what was played.
