Work the roles out at the target's size and generate docs/CAPACITY.md

fernctl scale fit prints lines, models and held-out points of result files; scale predict works roles, the curve of services followed and events out at deploy/scale/target.toml, by consul and by distribution, and fills the page's tables in place. No result is committed yet: the tables say "not measured" there.

--- a/cmd/fernctl/main.go
+++ b/cmd/fernctl/main.go
@@ -49,7 +49,7 @@
 		Writer: out, ErrWriter: log,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // the code is decided below
 		OnUsageError:   usage,
-		Commands:       []*cli.Command{initCommand(), generateCommand(), checkCommand(), explainCommand(), migrateCommand(), rulesCommand(), pcapCommand(), fleetCommand(), rigCommand()},
+		Commands:       []*cli.Command{initCommand(), generateCommand(), checkCommand(), explainCommand(), migrateCommand(), rulesCommand(), pcapCommand(), fleetCommand(), rigCommand(), scaleCommand()},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.Args().Len() > 0 {
 				return fmt.Errorf("unknown command %q; one of init, generate, check, explain, migrate, rules, pcap, fleet and rig expected", c.Args().First())
--- /dev/null
+++ b/cmd/fernctl/scale_fit.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"fernlanding/internal/scale/fit"
+	"fernlanding/internal/scale/predict"
+	"fernlanding/internal/scale/result"
+)
+
+func scaleFitCommand() *cli.Command {
+	return &cli.Command{Name: "fit", Usage: "how each figure grows over the sweeps of the result FILEs, and prediction against fact at held-out sizes", ArgsUsage: "FILE...", Action: scaleFit}
+}
+
+func scalePredictCommand() *cli.Command {
+	return &cli.Command{Name: "predict", Usage: "what each role costs at the size of TARGET, worked out from RESULT files", ArgsUsage: "TARGET RESULT...", Action: scalePredict,
+		Flags: []cli.Flag{&cli.BoolFlag{Name: "markdown", Usage: "print the page's tables as they stand there"},
+			&cli.StringFlag{Name: "page", Usage: "generate the tables of the page `FILE` anew, in place"},
+			&cli.StringFlag{Name: "section", Usage: "only this `SECTION` of the page"}}}
+}
+
+// readResults reads the result files of sweeps and of latency runs. A missing file is said and passed over.
+func readResults(names []string, complain io.Writer) (*predict.Evidence, error) {
+	var files []predict.File
+	var latencies []predict.Latency
+	for _, name := range names {
+		data, err := readFileBounded(name, result.MaxFile)
+		if errors.Is(err, fs.ErrNotExist) {
+			fmt.Fprintf(complain, "%s: there is no such file; what it would measure counts as not measured\n", name)
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		if isLatency(data) {
+			found, err := readLatency(name, data)
+			if err != nil {
+				return nil, err
+			}
+			latencies = append(latencies, found...)
+			continue
+		}
+		r, err := result.Read(name, data)
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, predict.File{Name: filepath.Base(name), Result: r})
+	}
+	return predict.NewEvidence(files, latencies), nil
+}
+
+// readFileBounded reads a file of at most a number of bytes; of a longer one it returns one byte more, which its reader refuses.
+func readFileBounded(name string, most int64) ([]byte, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return io.ReadAll(io.LimitReader(f, most+1))
+}
+
+// isLatency tells the result of a latency run from that of a sweep.
+func isLatency(data []byte) bool {
+	var probe struct {
+		Cases json.RawMessage `json:"cases"`
+	}
+	return json.Unmarshal(data, &probe) == nil && len(probe.Cases) > 0
+}
+
+func scaleFit(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() == 0 {
+		return errors.New("scale fit: FILE... expected")
+	}
+	e, err := readResults(c.Args().Slice(), c.Root().ErrWriter)
+	if err != nil {
+		return fmt.Errorf("scale fit: %w", err)
+	}
+	out := c.Root().Writer
+	for _, part := range []struct {
+		title string
+		table predict.Table
+	}{{"Lines", e.Lines(fit.Figures())}, {"Models", e.Models(fit.Figures())}, {"Prediction against fact", e.HeldOut(fit.Figures())}, {"Hollow against real", e.Hollow(fit.Figures())}} {
+		part.table.Title = part.title
+		if err := printTable(out, &part.table); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// printTable prints a table in columns.
+func printTable(out io.Writer, t *predict.Table) error {
+	if t.Title != "" {
+		fmt.Fprintf(out, "%s\n", t.Title)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if len(t.Rows) == 0 {
+		fmt.Fprintln(w, "not measured")
+	} else {
+		fmt.Fprintln(w, strings.Join(t.Head, "\t"))
+	}
+	for _, row := range t.Rows {
+		fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	for _, n := range t.Notes {
+		fmt.Fprintln(w, n)
+	}
+	fmt.Fprintln(w)
+	return w.Flush()
+}
+
+// newCalculator reads a target and results.
+func newCalculator(target string, results []string, complain io.Writer) (*predict.Calculator, error) {
+	data, err := readBounded(target)
+	if err != nil {
+		return nil, err
+	}
+	t, err := predict.ReadTarget(target, data)
+	if err != nil {
+		return nil, err
+	}
+	e, err := readResults(results, complain)
+	if err != nil {
+		return nil, err
+	}
+	return predict.NewCalculator(t, e), nil
+}
+
+func scalePredict(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() == 0 {
+		return errors.New("scale predict: TARGET RESULT... expected")
+	}
+	calculator, err := newCalculator(c.Args().First(), c.Args().Tail(), c.Root().ErrWriter)
+	if err != nil {
+		return fmt.Errorf("scale predict: %w", err)
+	}
+	if page := c.String("page"); page != "" {
+		return fillPage(calculator, page)
+	}
+	sections := predict.Sections()
+	if c.IsSet("section") {
+		sections = []predict.Section{predict.Section(c.String("section"))}
+	}
+	for _, s := range sections {
+		tables, err := calculator.Tables(s)
+		if err != nil {
+			return fmt.Errorf("scale predict: %w", err)
+		}
+		for i := range tables {
+			if err := writeTable(c.Root().Writer, &tables[i], s, c.Bool("markdown")); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func writeTable(out io.Writer, t *predict.Table, s predict.Section, markdown bool) error {
+	if markdown {
+		_, err := fmt.Fprintf(out, "%s\n", t.Markdown())
+		return err
+	}
+	t.Title = strings.TrimSpace(string(s) + " " + t.Title)
+	return printTable(out, t)
+}
+
+// fillPage generates a page's tables in place.
+func fillPage(calculator *predict.Calculator, name string) error {
+	page, err := readFileBounded(name, result.MaxFile)
+	if err != nil {
+		return fmt.Errorf("scale predict: %w", err)
+	}
+	filled, err := calculator.Fill(string(page))
+	if err != nil {
+		return fmt.Errorf("scale predict: %s: %w", name, err)
+	}
+	if filled == string(page) {
+		return nil
+	}
+	return replaceFile(name, []byte(filled))
+}
+
+// replaceFile puts new content in place of a file's, whole or not at all.
+func replaceFile(name string, data []byte) error {
+	f, err := os.CreateTemp(filepath.Dir(name), ".page")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(f.Name())
+	if _, err := io.Copy(f, bytes.NewReader(data)); err != nil {
+		return errors.Join(err, f.Close())
+	}
+	if err := errors.Join(f.Chmod(0o644), f.Close()); err != nil {
+		return err
+	}
+	return os.Rename(f.Name(), name)
+}
--- a/internal/scale/fit/figure.go
+++ b/internal/scale/fit/figure.go
@@ -159,15 +159,15 @@
 		for k := range p.Rounds {
 			r := &p.Rounds[k]
 			if value, ok := measured(r, role, figure); ok {
-				all = append(all, observation{at: DriversOf(p.Size, cost(r, role).Processes), x: along(res.Dimension, p.Size), value: value})
+				all = append(all, observation{at: DriversOf(p.Size, cost(r, role).Processes), x: Along(res.Dimension, p.Size), value: value})
 			}
 		}
 	}
 	return all
 }
 
-// along is a size in one dimension.
-func along(d result.Dimension, s result.Size) float64 {
+// Along is a size in one dimension.
+func Along(d result.Dimension, s result.Size) float64 {
 	switch d {
 	case result.Services:
 		return float64(s.Services)
--- /dev/null
+++ b/internal/scale/predict/events.go
@@ -0,0 +1,161 @@
+package predict
+
+import (
+	"fmt"
+	"math"
+
+	"fernlanding/internal/scale/fit"
+	"fernlanding/internal/scale/result"
+)
+
+// event is something that changes lists or makes proxies read them anew.
+type event struct {
+	name  string
+	load  load
+	reads float64 // whole lists that are read because of it, beyond those that changes bring
+	// Proxies that resume by their positions; by distribution they do so in place of reading whole lists.
+	resumes float64
+	resumed bool // by distribution nothing is read whole
+	note    string
+}
+
+// events are those of a fleet.
+func (c *Calculator) events(s *shape) []event {
+	f := s.fleet
+	ordinary := s.ordinary(c.t)
+	minute := ordinary.scaled(c.t.Get(BusiestFactor)*60/day, 60)
+	zone := float64(f.ZoneProxies)
+	region := float64(f.Proxies) / float64(f.Regions)
+	largest := s.sizes[0]
+	cut := ordinary.scaled(c.t.Get(CutSeconds)/day, 1)
+	return []event{
+		{name: "an ordinary day", load: ordinary, reads: f.RestartsPerDay * f.ServicesFollowed},
+		{name: "its busiest minute", load: minute},
+		{name: "a rolling release of the largest service", load: s.toLargest(releaseChanges*largest, c.t.Get(ReleaseMinutes)*60), reads: largest * f.ServicesFollowed,
+			note: fmt.Sprintf("%s backends, four changes each", short(largest))},
+		{name: "a rack is lost", load: s.perBackend(min(c.t.Get(RackBackends), float64(f.Proxies)), atOnce)},
+		{name: "a zone is lost", load: s.perBackend(zone, atOnce), note: short(zone) + " proxies and backends"},
+		{name: "the zone returns", load: s.perBackend(zone, c.t.Get(ZoneReturnSeconds)), reads: zone * f.ServicesFollowed},
+		{name: "the list services of a region restart", load: s.perBackend(0, atOnce), reads: region * f.ServicesFollowed, resumes: region, resumed: true,
+			note: short(region) + " proxies"},
+		{name: "a region was cut off for an hour, the meeting again", load: c.missed(s, cut, region),
+			note: fmt.Sprintf("%s changes were missed", short(cut.total()))},
+		{name: "a bad configuration of the largest service is taken back", load: s.toLargest(2, atOnce), note: "its coming and its going"},
+	}
+}
+
+const (
+	releaseChanges = 4   // of a backend that is released: drains, is gone, comes, is warm
+	atOnce         = 1.0 // second
+)
+
+// scaled is a part of a load, over other seconds.
+func (l load) scaled(factor, seconds float64) load {
+	out := load{seconds: seconds, changes: make([]float64, len(l.changes))}
+	for i := range out.changes {
+		out.changes[i] = factor * l.changes[i]
+	}
+	return out
+}
+
+// missed are the changes as one region gets them after a cut: at most one of each backend, to its share of all proxies.
+func (c *Calculator) missed(s *shape, all load, region float64) load {
+	out := load{seconds: atOnce, changes: make([]float64, len(all.changes))}
+	for i, n := range all.changes {
+		distinct := s.sizes[i] * (1 - math.Exp(-n/s.sizes[i]))
+		out.changes[i] = distinct * region / float64(s.fleet.Proxies)
+	}
+	return out
+}
+
+// outcome is an event by one way.
+type outcome struct {
+	messages   float64 // answers with news that reach proxies
+	deliveries float64 // changes, or whole lists, in them
+	bytes      amount  // to a typical proxy, over the whole event
+	cores      amount  // of the tier in front of the proxies, beyond its rest
+	inForce    amount  // seconds until it is in force everywhere
+}
+
+func (c *Calculator) play(w way, s *shape, x event) outcome {
+	if w == result.SourceRelay {
+		return c.distributed(s, x)
+	}
+	gap := c.gap(w)
+	changes, _ := s.delivered(x.load, gap)
+	d := s.under(x.load, gap)
+	whole := c.e.wholeReading(c.t)
+	wholeEndpoints := x.reads * s.endpointsFollowed() / s.fleet.ServicesFollowed
+	out := outcome{messages: changes + x.reads, deliveries: changes + x.reads}
+	rest := control(s.atRest())
+	extra := c.e.predict(w, fit.Proxies, fit.BytesIn, control(d))
+	extra.value -= c.e.predict(w, fit.Proxies, fit.BytesIn, rest).value
+	out.bytes = amount{(extra.value*x.load.seconds + whole.bytes(x.reads, wholeEndpoints)) / float64(s.fleet.Proxies), extra.known}
+	at := c.e.predict(w, fit.Lists, fit.CPU, control(d))
+	out.cores = amount{at.value + whole.cpuSeconds(x.reads, wholeEndpoints)/x.load.seconds, at.known && whole.measured}
+	out.inForce = c.inForce(w, out.cores, x.load.seconds, float64(c.t.Limits.ControlMachines), 1)
+	return out
+}
+
+// distributed plays an event by distribution.
+func (c *Calculator) distributed(s *shape, x event) outcome {
+	w := result.SourceRelay
+	changes, _ := s.delivered(x.load, 0)
+	d, rest := control(s.under(x.load, 0)), control(s.atRest())
+	whole := c.e.wholeReading(c.t)
+	reads := x.reads
+	if x.resumed {
+		reads = 0
+	}
+	wholeEndpoints := reads * s.endpointsFollowed() / s.fleet.ServicesFollowed
+	resumed := x.resumes * s.fleet.ServicesFollowed * c.t.Get(ResumeBytes)
+	out := outcome{messages: c.together(s, x.load, changes) + x.resumes, deliveries: changes + reads}
+	extra := c.e.predict(w, fit.Proxies, fit.BytesIn, d)
+	extra.value -= c.e.predict(w, fit.Proxies, fit.BytesIn, rest).value
+	out.bytes = amount{(extra.value*x.load.seconds + whole.bytes(reads, wholeEndpoints) + resumed) / float64(s.fleet.Proxies), extra.known}
+	at := c.e.predict(w, fit.Relays, fit.CPU, d)
+	out.cores = amount{at.value + whole.cpuSeconds(reads, wholeEndpoints)/x.load.seconds, at.known && whole.measured}
+	zone, _ := c.relays(s.fleet)
+	out.inForce = c.inForce(w, out.cores, x.load.seconds, zone, relayHops)
+	return out
+}
+
+// together is how many answers bring changes to proxies, where those that come within a relay's hold go together.
+func (c *Calculator) together(s *shape, l load, changes float64) float64 {
+	answers := 1 + l.seconds/(c.t.Get(CoalescingMs)/1000)
+	return min(changes, answers*float64(s.fleet.Proxies))
+}
+
+// relayHops are the hops from the source to a proxy: to the region's relay, to the zone's, to the proxy.
+const relayHops = 3
+
+// inForce is the measured time at one relay or none, the hops that were not played, and the queue of what the machines
+// cannot do in the time.
+func (c *Calculator) inForce(w way, need amount, span, machines float64, hops int) amount {
+	base := c.e.inForce(w)
+	capacity := machines * c.t.Get(MachineCores) * c.t.Get(MachineUse)
+	queue := span * max(0, need.value/capacity-1)
+	further := c.t.Get(RegionRoundTripMs) / 1000
+	if hops > 1 {
+		further += float64(hops-2) * c.t.Get(CoalescingMs) / 1000
+	}
+	return amount{base.value + further + queue, base.known && need.known}
+}
+
+// Events is the table of events at a size.
+func (c *Calculator) Events(name string, f Fleet) Table {
+	s := shapeOf(f, c.t)
+	t := Table{Title: name, Head: []string{"event", "changes at the origin", "way", "messages to proxies", "changes or lists in them", "bytes to a proxy", "cores that serve them", "in force everywhere", "verdict"}}
+	for _, x := range c.events(s) {
+		what := x.name
+		if x.note != "" {
+			what += " (" + x.note + ")"
+		}
+		for _, w := range ways() {
+			o := c.play(w, s, x)
+			t.Rows = append(t.Rows, []string{what, short(x.load.total()) + " w", wayName(w), short(o.messages) + " w", short(o.deliveries) + " w", o.bytes.shown(WorkedOut, bytesOf),
+				o.cores.shown(WorkedOut, plain), o.inForce.shown(WorkedOut, seconds), verdict(o.inForce, c.t.Limits.InForceSeconds)})
+		}
+	}
+	return t
+}
