Add before and after, process memory and configuration to the page on capacity

Figures that are nothing everywhere made undefined numbers; they have no terms now. A table holds consul against distribution at sizes that both were measured at. Configuration is carried by nothing today, and its event says so by consul.

--- a/internal/scale/fit/figure.go
+++ b/internal/scale/fit/figure.go
@@ -39,6 +39,7 @@
 	MessagesOut   Figure = "messages_out"
 	InForceMedian Figure = "in_force_p50" // seconds
 	InForceP99    Figure = "in_force_p99"
+	InForceLast   Figure = "in_force_last"
 	CallMedian    Figure = "call_p50"
 	CallP99       Figure = "call_p99"
 )
@@ -51,13 +52,13 @@
 // Figures returns all figures.
 func Figures() []Figure {
 	return []Figure{CPU, RSS, Heap, Allocated, Allocations, Goroutines, Connections, BytesIn, BytesOut, MessagesIn, MessagesOut,
-		InForceMedian, InForceP99, CallMedian, CallP99}
+		InForceMedian, InForceP99, InForceLast, CallMedian, CallP99}
 }
 
 // IsTime tells whether the figure is a quantile of a time. Times are not added up over proxies.
 func (f Figure) IsTime() bool {
 	switch f {
-	case InForceMedian, InForceP99, CallMedian, CallP99:
+	case InForceMedian, InForceP99, InForceLast, CallMedian, CallP99:
 		return true
 	}
 	return false
@@ -76,7 +77,7 @@
 		return "", 1
 	case CallMedian, CallP99:
 		return "µs", 1 / microPerSecond
-	case InForceMedian, InForceP99:
+	case InForceMedian, InForceP99, InForceLast:
 		return "ms", 1e-3
 	}
 	return "/s", 1
@@ -136,6 +137,8 @@
 		return r.InForce.P50, r.InForce.Count > 0
 	case InForceP99:
 		return r.InForce.P99, r.InForce.Count > 0
+	case InForceLast:
+		return r.InForce.Max, r.InForce.Count > 0
 	case CallMedian:
 		return r.Call.P50, r.Call.Count > 0
 	}
--- a/internal/scale/fit/fit_test.go
+++ b/internal/scale/fit/fit_test.go
@@ -135,6 +135,18 @@
 	}
 }
 
+func TestWhatIsNothingEverywhereHasNoTermsAndIsFlat(t *testing.T) {
+	r := play(result.Proxies, 0, slopes{proxy: 100}.at, 0, rand.New(rand.NewPCG(1, 2)))
+	if m := Join([]*result.Result{r}, result.SourceConsul, true).Get(Proxies, BytesOut); m == nil || len(m.Terms) > 0 || m.Predict(Drivers{Proxies: 1}) != 0 || m.R2 != 1 {
+		t.Errorf("%+v; a model without terms expected", m)
+	}
+	for _, s := range Sweeps(r) {
+		if s.Figure == BytesOut && s.Line != (Line{R2: 1, Shape: Shape{Kind: Flat}}) {
+			t.Errorf("%+v; a flat line at nothing expected", s.Line)
+		}
+	}
+}
+
 func TestHeldOutPointsAreComparedButNotFitted(t *testing.T) {
 	truth := slopes{proxy: 300, endpoint: 7}
 	rng := rand.New(rand.NewPCG(1, 2))
--- a/internal/scale/fit/heldout.go
+++ b/internal/scale/fit/heldout.go
@@ -102,8 +102,8 @@
 func pairsOf(source result.Source, hollow, real *result.Point) (all []Pair) {
 	for _, role := range Roles() {
 		for _, figure := range Figures() {
-			h, hollowOK := meanOf(hollow, role, figure)
-			r, realOK := meanOf(real, role, figure)
+			h, hollowOK := MeanOf(hollow, role, figure)
+			r, realOK := MeanOf(real, role, figure)
 			if hollowOK && realOK {
 				all = append(all, Pair{Source: source, Size: hollow.Size, Role: role, Figure: figure, Hollow: h, Real: r})
 			}
@@ -112,7 +112,8 @@
 	return all
 }
 
-func meanOf(p *result.Point, role Role, figure Figure) (mean float64, ok bool) {
+// MeanOf is the mean over a point's rounds of a figure of a role; not ok where it was not measured.
+func MeanOf(p *result.Point, role Role, figure Figure) (mean float64, ok bool) {
 	n := 0
 	for k := range p.Rounds {
 		if v, ok := measured(&p.Rounds[k], role, figure); ok {
--- a/internal/scale/fit/model.go
+++ b/internal/scale/fit/model.go
@@ -161,6 +161,10 @@
 // fit finds the terms. Costs are not below zero; the term that is least certain is left out until all that stay are.
 func (m *Model) fit(all []observation, drivers []driver) {
 	tried := drivers
+	if allZero(all) {
+		m.R2 = 1
+		return
+	}
 	for len(drivers) > 0 {
 		terms := solveFor(all, drivers)
 		weakest := weakestOf(terms)
@@ -176,6 +180,10 @@
 	m.judge(all)
 }
 
+func allZero(all []observation) bool {
+	return !slices.ContainsFunc(all, func(o observation) bool { return o.value != 0 })
+}
+
 // weakestOf is the term to leave out next; -1: all are to stay.
 func weakestOf(terms []Term) int {
 	weakest, least := -1, math.Inf(1)
--- a/internal/scale/fit/sweep.go
+++ b/internal/scale/fit/sweep.go
@@ -91,6 +91,9 @@
 	if len(sizes) < 3 {
 		return Line{}, false
 	}
+	if allZero(all) {
+		return Line{R2: 1, Shape: Shape{Kind: Flat}}, true
+	}
 	line := straight(all)
 	line.Shape = shapeOf(all, sizes, line)
 	return line, true
--- a/internal/scale/predict/curve.go
+++ b/internal/scale/predict/curve.go
@@ -2,9 +2,6 @@
 
 import (
 	"fmt"
-
-	"fernlanding/internal/scale/fit"
-	"fernlanding/internal/scale/result"
 )
 
 // Curve is what a proxy costs by the number of services that it follows, and where each budget breaks.
@@ -25,12 +22,12 @@
 }
 
 // follower is a fleet whose proxies all follow n services: typical ones, or the n largest.
-func (c *Calculator) follower(n int, largest bool, w way) (s *shape, d fit.Drivers, endpoints float64) {
+func (c *Calculator) follower(n int, largest bool) (s *shape, endpoints float64) {
 	f := c.t.Target
 	f.ServicesFollowed = min(float64(n), float64(f.Services))
 	s = shapeOf(f, c.t)
 	if !largest {
-		return s, c.ordinaryDrivers(s, w), s.endpointsFollowed()
+		return s, s.endpointsFollowed()
 	}
 	for i := range s.followed {
 		s.followed[i] = 0
@@ -38,7 +35,7 @@
 			s.followed[i] = 1
 		}
 	}
-	return s, c.ordinaryDrivers(s, w), s.largestEndpoints(n)
+	return s, s.largestEndpoints(n)
 }
 
 func (c *Calculator) curveRow(n int, largest bool, breaks map[string]string) []string {
@@ -46,13 +43,12 @@
 	if largest {
 		kind = "the largest"
 	}
-	s, _, endpoints := c.follower(n, largest, result.SourceConsul)
+	s, endpoints := c.follower(n, largest)
 	connections := s.connectionsOut()
 	row := []string{fmt.Sprintf("%d, %s", n, kind), short(endpoints) + " w", short(connections) + " w"}
 	note(breaks, "", largest, "descriptors", n, connections > c.t.Get(Descriptors))
 	for _, w := range ways() {
-		_, d, _ := c.follower(n, largest, w)
-		p := c.proxyNeeds(w, d)
+		p := c.proxyNeeds(w, c.ordinaryDrivers(s, w))
 		row = append(row, p.bytes.shown(WorkedOut, bytesASecond), p.cores.shown(WorkedOut, percent), p.memory.shown(WorkedOut, bytesOf))
 		note(breaks, w, largest, "bytes", n, p.bytes.value > c.t.Limits.ProxyBytesASec)
 		note(breaks, w, largest, "processor", n, p.cores.value > c.t.Limits.ProxyCores)
--- a/internal/scale/predict/events.go
+++ b/internal/scale/predict/events.go
@@ -16,7 +16,9 @@
 	// Proxies that resume by their positions; by distribution they do so in place of reading whole lists.
 	resumes float64
 	resumed bool // by distribution nothing is read whole
-	note    string
+	// It is of configuration, not of lists: today nothing carries it.
+	configuration bool
+	note          string
 }
 
 // events are those of a fleet.
@@ -40,7 +42,7 @@
 			note: short(region) + " proxies"},
 		{name: "a region was cut off for an hour, the meeting again", load: c.missed(s, cut, region),
 			note: fmt.Sprintf("%s changes were missed", short(cut.total()))},
-		{name: "a bad configuration of the largest service is taken back", load: s.toLargest(2, atOnce), note: "its coming and its going"},
+		{name: "a bad configuration of the largest service is taken back", load: s.toLargest(2, atOnce), configuration: true, note: "its coming and its going"},
 	}
 }
 
@@ -114,7 +116,7 @@
 	extra.value -= c.e.predict(w, fit.Proxies, fit.BytesIn, rest).value
 	out.bytes = amount{(extra.value*x.load.seconds + whole.bytes(reads, wholeEndpoints) + resumed) / float64(s.fleet.Proxies), extra.known}
 	at := c.e.predict(w, fit.Relays, fit.CPU, d)
-	out.cores = amount{at.value + whole.cpuSeconds(reads, wholeEndpoints)/x.load.seconds, at.known && whole.measured}
+	out.cores = amount{at.value + whole.cpuSeconds(reads+x.resumes, wholeEndpoints)/x.load.seconds, at.known && whole.measured}
 	zone, _ := c.relays(s.fleet)
 	out.inForce = c.inForce(w, out.cores, x.load.seconds, zone, relayHops)
 	return out
@@ -152,6 +154,10 @@
 			what += " (" + x.note + ")"
 		}
 		for _, w := range ways() {
+			if x.configuration && w != result.SourceRelay {
+				t.Rows = append(t.Rows, []string{what, short(x.load.total()) + " w", wayName(w), "-", "-", "-", "-", "-", "**misses: nothing carries it**"})
+				continue
+			}
 			o := c.play(w, s, x)
 			t.Rows = append(t.Rows, []string{what, short(x.load.total()) + " w", wayName(w), short(o.messages) + " w", short(o.deliveries) + " w", o.bytes.shown(WorkedOut, bytesOf),
 				o.cores.shown(WorkedOut, plain), o.inForce.shown(WorkedOut, seconds), verdict(o.inForce, c.t.Limits.InForceSeconds)})
--- a/internal/scale/predict/evidence.go
+++ b/internal/scale/predict/evidence.go
@@ -109,20 +109,25 @@
 	return known(m.Predict(d))
 }
 
-// proxy is a figure of one proxy: a share of what all cost, and what hollow proxies do not show of it.
-func (e *Evidence) proxy(w way, f fit.Figure, d fit.Drivers) amount {
+// proxy is a figure of one proxy: a share of what all cost, and what hollow proxies do not show of it; of memory that is
+// the bytes of a process, where no real one was measured.
+func (e *Evidence) proxy(w way, f fit.Figure, d fit.Drivers, process float64) amount {
 	d.Processes = 0
 	a := e.predict(w, fit.Proxies, f, d).over(max(d.Proxies, 1))
-	a.value += e.hidden(w, f)
+	more, measured := e.hidden(w, f)
+	if !measured && f == fit.RSS {
+		more = process
+	}
+	a.value += more
 	return a
 }
 
 // hidden is how much more a real proxy used than a hollow one on the same work, by the mean of what was played of both;
-// 0 where no such pair was measured.
-func (e *Evidence) hidden(w way, f fit.Figure) float64 {
+// 0 where no such pair was measured. Pairs of a way are those of its own runs.
+func (e *Evidence) hidden(w way, f fit.Figure) (more float64, measured bool) {
 	m := e.models[w].Get(fit.Proxies, f)
 	if m == nil || !m.Hollow {
-		return 0
+		return 0, m != nil
 	}
 	sum, n := 0.0, 0
 	for _, p := range e.pairs {
@@ -132,7 +137,7 @@
 			n++
 		}
 	}
-	return max(0, sum/float64(max(n, 1)))
+	return max(0, sum/float64(max(n, 1))), n > 0
 }
 
 // inForce is the median over all measured points of the time until a change is in force, by its 99th percentile: source and
--- a/internal/scale/predict/page.go
+++ b/internal/scale/predict/page.go
@@ -11,7 +11,7 @@
 
 // Sections returns those that a page may have, in their order.
 func Sections() []Section {
-	return []Section{"sizes", "roles", "curve", "events", "order", "latency", "heldout", "hollow", "models", "lines", "files", "assumptions"}
+	return []Section{"sizes", "roles", "curve", "events", "order", "beforeafter", "latency", "heldout", "hollow", "models", "lines", "files", "assumptions"}
 }
 
 // Tables are those of a section.
@@ -27,6 +27,8 @@
 		return []Table{c.Events("Today", c.t.Today), c.Events("Target", c.t.Target)}, nil
 	case "order":
 		return []Table{c.Order()}, nil
+	case "beforeafter":
+		return []Table{c.BeforeAfter()}, nil
 	case "latency":
 		return []Table{c.Latencies()}, nil
 	case "heldout":
--- a/internal/scale/predict/predict_test.go
+++ b/internal/scale/predict/predict_test.go
@@ -103,7 +103,7 @@
 	if got := c.proxyNeeds(result.SourceRelay, rest).in.value; !near(got, relayAtRest, 0.02) {
 		t.Errorf("distribution at rest: %.0f B/s a proxy, %.0f expected", got, relayAtRest)
 	}
-	if got, want := c.proxyNeeds(result.SourceConsul, rest).memory.value, memoryAnEntry*endpoints; !near(got, want, 0.02) {
+	if got, want := c.proxyNeeds(result.SourceConsul, rest).memory.value, c.t.Get(ProcessBytes)+memoryAnEntry*endpoints; !near(got, want, 0.02) {
 		t.Errorf("memory: %.0f a proxy, %.0f expected", got, want)
 	}
 	whole := c.e.wholeReading(c.t)
--- a/internal/scale/predict/roles.go
+++ b/internal/scale/predict/roles.go
@@ -33,9 +33,9 @@
 }
 
 func (c *Calculator) proxyNeeds(w way, d fit.Drivers) proxyNeeds {
-	n := proxyNeeds{in: c.e.proxy(w, fit.BytesIn, d), out: c.e.proxy(w, fit.BytesOut, d), cores: c.e.proxy(w, fit.CPU, d),
-		memory: c.e.proxy(w, fit.RSS, d), messagesIn: c.e.proxy(w, fit.MessagesIn, d), messagesOut: c.e.proxy(w, fit.MessagesOut, d),
-		controlConnections: c.e.proxy(w, fit.Connections, d)}
+	get := func(f fit.Figure) amount { return c.e.proxy(w, f, d, c.t.Get(ProcessBytes)) }
+	n := proxyNeeds{in: get(fit.BytesIn), out: get(fit.BytesOut), cores: get(fit.CPU), memory: get(fit.RSS),
+		messagesIn: get(fit.MessagesIn), messagesOut: get(fit.MessagesOut), controlConnections: get(fit.Connections)}
 	n.bytes = n.in.plus(n.out)
 	return n
 }
--- a/internal/scale/predict/shape.go
+++ b/internal/scale/predict/shape.go
@@ -21,10 +21,13 @@
 	return s
 }
 
+// halvings find an exponent to a part in 10^12.
+const halvings = 46
+
 // powerLaw returns n values largest*rank^-e, none below least, with e such that they add up to sum; as near as can be.
 func powerLaw(n int, largest, least, sum float64) []float64 {
 	low, high := 0.0, 64.0
-	for range 100 {
+	for range halvings {
 		middle := (low + high) / 2
 		if total(ranked(n, largest, least, middle)) > sum {
 			low = middle
--- a/internal/scale/predict/table.go
+++ b/internal/scale/predict/table.go
@@ -111,9 +111,15 @@
 func bytesOf(v float64) string      { return spaced(v) + "B" }
 func bytesASecond(v float64) string { return spaced(v) + "B/s" }
 func cores(v float64) string        { return short(v) + " cores" }
-func percent(v float64) string      { return short(100*v) + "%" }
 func seconds(v float64) string      { return short(v) + " s" }
 
+func percent(v float64) string {
+	if v < 1e-6 {
+		v = 0
+	}
+	return short(100*v) + "%"
+}
+
 // spaced is a number with a space before its unit, prefix included.
 func spaced(v float64) string {
 	s := short(v)
--- a/internal/scale/predict/target.go
+++ b/internal/scale/predict/target.go
@@ -89,6 +89,7 @@
 	CoalescingMs      AssumptionName = "coalescing_ms"          // that a relay holds changes back
 	RegionRoundTripMs AssumptionName = "region_round_trip_ms"   // between regions
 	EndpointBytes     AssumptionName = "endpoint_bytes"         // of a whole list, where it is not measured
+	ProcessBytes      AssumptionName = "process_bytes"          // of a proxy's memory, where no real one was measured
 	ResumeBytes       AssumptionName = "resume_bytes"           // of a position by which a proxy resumes
 	CutSeconds        AssumptionName = "cut_seconds"            // that a region is cut off
 	LeastService      AssumptionName = "least_service_backends" // of the long tail
@@ -97,7 +98,7 @@
 func assumptionNames() []AssumptionName {
 	return []AssumptionName{FollowedPart, MachineCores, MachineMemory, MachineNetwork, MachineUse, Descriptors, IdleSeconds, ConnectionBytes,
 		RestartChanges, FailureChanges, BusiestFactor, ReleaseMinutes, RackBackends, ZoneReturnSeconds, ReadPaceMs, RelaysPerZone, RelaysPerRegion,
-		CoalescingMs, RegionRoundTripMs, EndpointBytes, ResumeBytes, CutSeconds, LeastService}
+		CoalescingMs, RegionRoundTripMs, EndpointBytes, ProcessBytes, ResumeBytes, CutSeconds, LeastService}
 }
 
 // Get is the value of an assumption.
