--- a/cmd/fernctl/scale.go
+++ b/cmd/fernctl/scale.go
@@ -21,8 +21,10 @@
 
 func scaleCommand() *cli.Command {
 	return &cli.Command{Name: "scale", Usage: "what proxies cost, over sizes",
-		Action: func(context.Context, *cli.Command) error { return errors.New("scale: one of run, fit, predict and latency expected") },
-		Commands: []*cli.Command{scaleRunCommand(), scaleLatencyCommand(),
+		Action: func(context.Context, *cli.Command) error {
+			return errors.New("scale: one of run, fit, predict and latency expected")
+		},
+		Commands: []*cli.Command{scaleRunCommand(), scaleFitCommand(), scalePredictCommand(), scaleLatencyCommand(),
 			{Name: workerWord, Hidden: true, Action: func(context.Context, *cli.Command) error { return worker.Main(os.Stdin, os.Stdout) }},
 		}}
 }
--- a/cmd/fernctl/scale_latency.go
+++ b/cmd/fernctl/scale_latency.go
@@ -44,7 +44,7 @@
 		return err
 	}
 	if out := c.String("json"); out != "" {
-		if err := writeResult(out, result); err != nil {
+		if err := writeLatencyResult(out, result); err != nil {
 			return fmt.Errorf("scale latency: %w", err)
 		}
 	}
@@ -54,7 +54,7 @@
 	return nil
 }
 
-func writeResult(name string, r *latency.Result) error {
+func writeLatencyResult(name string, r *latency.Result) error {
 	var text bytes.Buffer
 	if err := asJSON(&text, r); err != nil {
 		return err
