Index a judged history once, and split the rig's checks into steps

Change: check.Judge gives verdicts and figures of one index; fernctl rig and the rig's tests use it. Sums over maps go in the order of their keys, so that the same history gives the same last digit each time, which it did not.

The tests of rig, rig/check and fernctl pass.

--- a/cmd/fernctl/rig.go
+++ b/cmd/fernctl/rig.go
@@ -90,36 +90,37 @@
 }
 
 // rigPlay plays a scenario once; keep is where its history stays, if not empty.
-func rigPlay(ctx context.Context, sc *scenario.Scenario, o rig.Options, keep string) ([]check.Verdict, check.Figures, error) {
+func rigPlay(ctx context.Context, sc *scenario.Scenario, o rig.Options, keep string) (check.Result, error) {
 	dir, err := os.MkdirTemp("", "rig")
 	if err != nil {
-		return nil, check.Figures{}, fmt.Errorf("rig: %w", err)
+		return check.Result{}, fmt.Errorf("rig: %w", err)
 	}
 	defer os.RemoveAll(dir)
 	path := filepath.Join(dir, "history.jsonl")
 	f, err := os.Create(path)
 	if err != nil {
-		return nil, check.Figures{}, fmt.Errorf("rig: %w", err)
+		return check.Result{}, fmt.Errorf("rig: %w", err)
 	}
 	defer f.Close()
 	o.Out, o.Dir = f, dir
 	if err := rig.Run(ctx, sc, o); err != nil {
-		return nil, check.Figures{}, err
+		return check.Result{}, err
 	}
 	if keep != "" {
 		if err := copyFile(path, keep); err != nil {
-			return nil, check.Figures{}, fmt.Errorf("rig: %w", err)
+			return check.Result{}, fmt.Errorf("rig: %w", err)
 		}
 	}
 	return rigJudge(sc, path)
 }
 
-func rigJudge(sc *scenario.Scenario, path string) ([]check.Verdict, check.Figures, error) {
+// rigJudge judges the history in a file.
+func rigJudge(sc *scenario.Scenario, path string) (check.Result, error) {
 	all, err := readHistory(path)
 	if err != nil {
-		return nil, check.Figures{}, fmt.Errorf("rig: %w", err)
+		return check.Result{}, fmt.Errorf("rig: %w", err)
 	}
-	return check.Run(sc, all), check.Measure(sc, all), nil
+	return check.Judge(sc, all), nil
 }
 
 // readHistory reads a run's history from a file.
@@ -150,12 +151,6 @@
 	return errors.Join(err, out.Close())
 }
 
-// rigResult is a play as it is printed.
-type rigResult struct {
-	check.Figures
-	Verdicts []check.Verdict `json:"verdicts"`
-}
-
 func rigRun(ctx context.Context, c *cli.Command) error {
 	sc, o, err := rigPrepare(c)
 	if err != nil {
@@ -173,18 +168,18 @@
 		if failed {
 			keep = ""
 		}
-		verdicts, f, err := rigPlay(ctx, &x, o, keep)
+		result, err := rigPlay(ctx, &x, o, keep)
 		if err != nil {
 			return err
 		}
 		if c.Bool("json") {
-			if err := asJSON(out, rigResult{f, verdicts}); err != nil {
+			if err := asJSON(out, result); err != nil {
 				return err
 			}
 		} else {
-			rigPrint(out, f, verdicts)
+			rigPrint(out, result)
 		}
-		if len(verdicts) > 0 {
+		if len(result.Verdicts) > 0 {
 			failed = true
 			fmt.Fprintf(c.Root().ErrWriter, "again: fernctl rig run -seed %d %s\n", x.Seed, c.Args().First())
 		}
@@ -195,7 +190,7 @@
 	return nil
 }
 
-func rigPrint(out io.Writer, f check.Figures, verdicts []check.Verdict) {
+func rigPrint(out io.Writer, f check.Result) {
 	fmt.Fprintf(out, "%s, seed %d, %.1f s: %d lives of sidecars, ready after %.2f s (median), %.2f (95%%), %.2f (last); %d never; all once after %.2f s\n",
 		f.Scenario, f.Seed, f.Seconds, f.Lives, f.ReadyP50, f.ReadyP95, f.ReadyAll, f.Never, f.FirstAll)
 	fmt.Fprintf(out, "lists: %d whole readings, %.0f in the worst second, %.1f a second at the end; %d further calls, %.0f, %.1f; %d calls refused, %d readings given up\n",
@@ -206,10 +201,10 @@
 	if len(f.ListBack) > 0 {
 		fmt.Fprintf(out, "all ready after the end of each fault of the lists: %.2f s\n", f.ListBack)
 	}
-	for _, v := range verdicts {
+	for _, v := range f.Verdicts {
 		fmt.Fprintln(out, v)
 	}
-	if len(verdicts) == 0 {
+	if len(f.Verdicts) == 0 {
 		fmt.Fprintln(out, "all checks hold")
 	}
 }
@@ -234,14 +229,14 @@
 		return err
 	}
 	path := c.Args().Get(1)
-	verdicts, f, err := rigJudge(sc, path)
+	result, err := rigJudge(sc, path)
 	if err != nil {
 		return err
 	}
 	if c.Bool("json") {
-		err = asJSON(c.Root().Writer, rigResult{f, verdicts})
+		err = asJSON(c.Root().Writer, result)
 	} else {
-		rigPrint(c.Root().Writer, f, verdicts)
+		rigPrint(c.Root().Writer, result)
 	}
 	if err != nil {
 		return err
@@ -251,7 +246,7 @@
 			return fmt.Errorf("rig report: %w", err)
 		}
 	}
-	if len(verdicts) > 0 {
+	if len(result.Verdicts) > 0 {
 		return errFaults
 	}
 	return nil
@@ -280,12 +275,12 @@
 	fails := func(faults []scenario.Fault) bool {
 		for range tries {
 			plays++
-			verdicts, _, err := rigPlay(ctx, sc.With(faults), o, "")
+			result, err := rigPlay(ctx, sc.With(faults), o, "")
 			if err != nil {
 				broken = err
 				return false
 			}
-			if len(verdicts) > 0 {
+			if len(result.Verdicts) > 0 {
 				return true
 			}
 		}
--- a/internal/rig/check/figures.go
+++ b/internal/rig/check/figures.go
@@ -1,8 +1,10 @@
 package check
 
 import (
+	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"fernlanding/internal/rig/actor"
@@ -53,16 +55,13 @@
 
 const earlyPart = 30 * second
 
-// Measure takes the figures of a history, sorted by time.
-func Measure(sc *scenario.Scenario, all []history.Event) Figures { return figures(sc, read(all)) }
-
 // ReadyWithin is the part of the sidecars' lives that were ready so soon.
 func (f Figures) ReadyWithin(d time.Duration) float64 {
 	n, _ := slices.BinarySearch(f.Ready, d.Seconds()+1e-9)
 	return float64(n) / float64(max(1, f.Lives))
 }
 
-// span of a series: events a second.
+// series counts events by the second of the run.
 type series map[int64]int
 
 func (s series) rate(end int64) (r Rate) {
@@ -80,127 +79,188 @@
 	return r
 }
 
+// measurement is what has been seen of a history so far.
+type measurement struct {
+	Figures
+	sidecars   map[string]bool
+	reads      series
+	watches    series
+	opened     map[string]series // connections, by backend
+	starting   map[string]int64  // sidecars that are not ready yet, since when
+	firstReady map[string]int64  // sidecars, when they were ready for the first time
+	pushed     map[string]int64  // cold backends that hold more than they bear, since when
+	objective  map[string]int64  // of classes, in microseconds
+	probed     bool              // the first life of the first sidecar, which only measures what a process takes, has begun
+	began      int64             // the first life after that; -1: none yet
+	ended      int64
+	early      int // requests asked in the first 30 s, and those of them that were served
+	earlyOK    int
+}
+
+func newMeasurement(sc *scenario.Scenario) *measurement {
+	m := &measurement{Figures: Figures{Scenario: sc.Name, Seed: sc.Seed, FirstAll: -1}, sidecars: map[string]bool{}, reads: series{}, watches: series{},
+		opened: map[string]series{}, starting: map[string]int64{}, firstReady: map[string]int64{}, pushed: map[string]int64{}, objective: map[string]int64{}, began: -1}
+	for _, n := range sc.Names(scenario.OnSidecars) {
+		m.sidecars[n] = true
+	}
+	return m
+}
+
+// figures takes the figures of a history.
 func figures(sc *scenario.Scenario, r *record) Figures {
-	f := Figures{Scenario: sc.Name, Seed: sc.Seed, FirstAll: -1}
-	reads, watches := series{}, series{}
-	opened := map[string]series{}
-	started := map[string]int64{}
-	firstReady := map[string]int64{}
-	pushed := map[string]int64{}
-	var began, end int64 = -1, 0
-	sidecars := sc.Names(scenario.OnSidecars)
-	mine := map[string]bool{}
-	for _, n := range sidecars {
-		mine[n] = true
-	}
-	early, earlyServed := 0, 0
-	probe := true // the first life of the first sidecar only measures what a process takes
-	objective := map[string]int64{}
+	m := newMeasurement(sc)
 	for _, e := range r.all {
-		end = max(end, e.At)
-		switch e.Kind {
-		case history.Started:
-			if !mine[e.Who] {
-				continue
-			}
-			if probe {
-				probe = false
-				continue
-			}
-			if began < 0 {
-				began = e.At
-			}
-			if _, was := started[e.Who]; was {
-				f.Never++
-			}
-			started[e.Who] = e.At
-			f.Lives++
-		case history.Ready:
-			if at, ok := started[e.To]; ok {
-				f.Ready = append(f.Ready, float64(e.At-at)/second)
-				delete(started, e.To)
-			}
-			if firstReady[e.To] == 0 {
-				if firstReady[e.To] = e.At; len(firstReady) == len(sidecars) {
-					f.FirstAll = float64(e.At-began) / second
-				}
-			}
-		case history.Call:
-			if e.N < 0 {
-				reads[(e.At-e.Took)/second]++
-				if e.Why == history.GivenUp {
-					f.GivenUp++
-				}
-			} else {
-				watches[(e.At-e.Took)/second]++
-			}
-			if e.Status == http.StatusServiceUnavailable {
-				f.Refused++
-			}
-		case history.Opened:
-			if mine[e.Who] && len(e.To) > 8 && e.To[:8] == "backend-" {
-				if opened[e.To] == nil {
-					opened[e.To] = series{}
-				}
-				opened[e.To][e.At/second]++
-			}
-		case history.Pushed:
-			if e.N == 1 {
-				pushed[e.Who] = e.At
-			} else if at, ok := pushed[e.Who]; ok {
-				f.push(e.At - at)
-				delete(pushed, e.Who)
-			}
-		case history.Ran:
-			f.Attempts++
-		case history.Asked:
-			f.Asked++
-			if objective[e.Class] == 0 {
-				objective[e.Class] = objectiveOf(e.Class)
-			}
-			ok := e.Status == http.StatusOK
-			switch {
-			case ok:
-				if f.Served++; e.Took > objective[e.Class] {
-					f.Late++
-				}
-			case e.Status == http.StatusServiceUnavailable || e.Status == http.StatusTooManyRequests:
-				f.Turned++
-			case e.Status == 0:
-				f.Nothing++
-			default:
-				f.Failed++
-			}
-			if began >= 0 && e.At-began < earlyPart {
-				if early++; ok {
-					earlyServed++
-				}
-			}
+		m.ended = max(m.ended, e.At)
+		m.take(e)
+	}
+	m.finish()
+	m.Losses = losses(sc, r)
+	m.ListBack = listBack(sc, r, m.firstReady)
+	return m.Figures
+}
+
+// take takes in the next event.
+func (m *measurement) take(e history.Event) {
+	switch e.Kind {
+	case history.Started:
+		m.started(e)
+	case history.Ready:
+		m.ready(e)
+	case history.Call:
+		m.called(e)
+	case history.Opened:
+		m.connected(e)
+	case history.Pushed:
+		if e.N == 1 {
+			m.pushed[e.Who] = e.At
+		} else if at, ok := m.pushed[e.Who]; ok {
+			m.push(e.At - at)
+			delete(m.pushed, e.Who)
+		}
+	case history.Ran:
+		m.Attempts++
+	case history.Asked:
+		m.asked(e)
+	}
+}
+
+// started takes in the beginning of a sidecar's life.
+func (m *measurement) started(e history.Event) {
+	if !m.sidecars[e.Who] {
+		return
+	}
+	if !m.probed {
+		m.probed = true
+		return
+	}
+	if m.began < 0 {
+		m.began = e.At
+	}
+	if _, was := m.starting[e.Who]; was {
+		m.Never++
+	}
+	m.starting[e.Who] = e.At
+	m.Lives++
+}
+
+// ready takes in that a sidecar is ready.
+func (m *measurement) ready(e history.Event) {
+	if at, ok := m.starting[e.To]; ok {
+		m.Ready = append(m.Ready, float64(e.At-at)/second)
+		delete(m.starting, e.To)
+	}
+	if m.firstReady[e.To] != 0 {
+		return
+	}
+	if m.firstReady[e.To] = e.At; len(m.firstReady) == len(m.sidecars) {
+		m.FirstAll = float64(e.At-m.began) / second
+	}
+}
+
+// called takes in a call of a list service, by when it was made.
+func (m *measurement) called(e history.Event) {
+	at := (e.At - e.Took) / second
+	if e.N < 0 {
+		m.reads[at]++
+		if e.Why == history.GivenUp {
+			m.GivenUp++
 		}
+	} else {
+		m.watches[at]++
 	}
-	for _, at := range pushed {
-		f.push(end - at)
+	if e.Status == http.StatusServiceUnavailable {
+		m.Refused++
 	}
-	for range started {
-		f.Never++
+}
+
+// connected takes in a connection from a sidecar to a backend.
+func (m *measurement) connected(e history.Event) {
+	if !m.sidecars[e.Who] || !isBackend(e.To) {
+		return
 	}
-	f.Seconds = float64(end) / second
-	f.Reads, f.Watches = reads.rate(end), watches.rate(end)
-	for _, s := range opened {
-		f.Connects = max(f.Connects, s.rate(end).Peak)
+	if m.opened[e.To] == nil {
+		m.opened[e.To] = series{}
 	}
-	if early > 0 {
-		f.EarlyPart = float64(earlyServed) / float64(early)
+	m.opened[e.To][e.At/second]++
+}
+
+// asked takes in a client's request and its answer.
+func (m *measurement) asked(e history.Event) {
+	m.Asked++
+	if m.objective[e.Class] == 0 {
+		m.objective[e.Class] = objectiveOf(e.Class)
+	}
+	ok := e.Status == http.StatusOK
+	switch {
+	case ok:
+		if m.Served++; e.Took > m.objective[e.Class] {
+			m.Late++
+		}
+	case e.Status == http.StatusServiceUnavailable || e.Status == http.StatusTooManyRequests:
+		m.Turned++
+	case e.Status == 0:
+		m.Nothing++
+	default:
+		m.Failed++
 	}
-	if slices.Sort(f.Ready); len(f.Ready) > 0 {
-		at := func(q float64) float64 { return f.Ready[min(len(f.Ready)-1, int(q*float64(len(f.Ready))))] }
-		f.ReadyP50, f.ReadyP95, f.ReadyAll = at(0.5), at(0.95), f.Ready[len(f.Ready)-1]
+	if m.began < 0 || e.At-m.began >= earlyPart {
+		return
+	}
+	if m.early++; ok {
+		m.earlyOK++
 	}
-	f.Losses = losses(sc, r)
-	f.ListBack = listBack(sc, r, firstReady)
-	return f
 }
 
+// push takes in that a cold backend held more than it bears, for so many microseconds.
+func (m *measurement) push(us int64) {
+	m.Pushed += float64(us) / second
+	m.Longest = max(m.Longest, float64(us)/second)
+}
+
+// finish works out what follows from the whole history.
+func (m *measurement) finish() {
+	for _, who := range slices.Sorted(maps.Keys(m.pushed)) { // in order, so that the sum is rounded alike each time
+		m.push(m.ended - m.pushed[who])
+	}
+	m.Never += len(m.starting)
+	m.Seconds = float64(m.ended) / second
+	m.Reads, m.Watches = m.reads.rate(m.ended), m.watches.rate(m.ended)
+	for _, s := range m.opened {
+		m.Connects = max(m.Connects, s.rate(m.ended).Peak)
+	}
+	if m.early > 0 {
+		m.EarlyPart = float64(m.earlyOK) / float64(m.early)
+	}
+	if slices.Sort(m.Ready); len(m.Ready) > 0 {
+		at := func(q float64) float64 { return m.Ready[min(len(m.Ready)-1, int(q*float64(len(m.Ready))))] }
+		m.ReadyP50, m.ReadyP95, m.ReadyAll = at(0.5), at(0.95), m.Ready[len(m.Ready)-1]
+	}
+}
+
+// isBackend and isSidecar tell by a process's name what it is.
+func isBackend(name string) bool { return strings.HasPrefix(name, "backend-") }
+func isSidecar(name string) bool { return strings.HasPrefix(name, "sidecar-") }
+
 // objectiveOf is a class's objective in microseconds.
 func objectiveOf(class string) int64 {
 	for _, c := range actor.Classes() {
@@ -211,11 +271,6 @@
 	return forever
 }
 
-func (f *Figures) push(us int64) {
-	f.Pushed += float64(us) / second
-	f.Longest = max(f.Longest, float64(us)/second)
-}
-
 // listBack is how long after each fault of the list services the last of those sidecars was ready that were not before.
 func listBack(sc *scenario.Scenario, r *record, firstReady map[string]int64) (out []float64) {
 	for i, x := range sc.Schedule() {
--- a/internal/rig/check/sites.go
+++ b/internal/rig/check/sites.go
@@ -1,9 +1,9 @@
 package check
 
 import (
+	"maps"
 	"net/http"
 	"slices"
-	"strings"
 
 	"fernlanding/internal/rig/actor"
 	"fernlanding/internal/rig/history"
@@ -38,77 +38,93 @@
 
 // losses takes the figures of all such faults.
 func losses(sc *scenario.Scenario, r *record) (out []Loss) {
-	worth := map[string]float64{}
-	least := ""
-	for _, c := range actor.Classes() {
-		if worth[c.Name] = c.Worth; least == "" || c.Worth < worth[least] {
-			least = c.Name
-		}
-	}
 	for i, f := range sc.Schedule() {
 		if f.On != scenario.OnSites && !f.Across {
 			continue
 		}
-		from, to := int64(-1), r.end()
-		for _, e := range r.all {
-			if e.Kind == history.Fault && e.ID == f.Name(i) {
-				if e.N == 1 {
-					from = e.At
-				} else {
-					to = e.At
-				}
-			}
-		}
-		if from < 0 {
-			continue
-		}
-		l := Loss{Fault: f.Name(i), Site: f.Site, Refused: map[string]float64{}}
-		gone := f.On == scenario.OnSites
-		room := sc.Room()
-		all, full := 0.0, 0.0
-		for site, n := range room {
-			if full += n; !gone || site != f.Site {
-				all += n
-			}
+		if from, to := r.faultSpan(f.Name(i)); from >= 0 {
+			out = append(out, loss(sc, r, f, f.Name(i), from, to))
 		}
-		l.Within = r.reaches(from, to, all)
-		l.Again = r.reaches(to, r.end(), full)
-		l.First = r.part(from, min(to, from+lossFirst), worth)
-		l.Back = r.part(to, to+lossBack, worth)
-		l.Served = r.part(from+lossSettle, to, nil)
-		asked, turned, sum := map[string]float64{}, map[string]float64{}, 0.0
-		for _, e := range r.all {
-			if e.Kind != history.Asked || e.At < from+lossSettle || e.At >= to {
-				continue
-			}
-			if asked[e.Class]++; e.Status == http.StatusServiceUnavailable {
-				turned[e.Class]++
-				sum++
-			}
-		}
-		for class, n := range asked {
-			l.Refused[class] = turned[class] / n
-		}
-		if sum > 0 {
-			l.Cheap = turned[least] / sum
+	}
+	return out
+}
+
+// faultSpan is when a fault began and ended, if need be with the history; it begins at -1 where it never did.
+func (r *record) faultSpan(name string) (from, to int64) {
+	from, to = -1, r.end()
+	for _, e := range r.all {
+		switch {
+		case e.Kind != history.Fault || e.ID != name:
+		case e.N == 1:
+			from = e.At
+		default:
+			to = e.At
 		}
-		l.Across, l.Before = r.across(sc, from, to), r.across(sc, from-lossBefore, from)
-		for site, n := range room {
-			if !gone || site != f.Site {
-				l.Over = max(l.Over, r.offered(sc, site, from+lossSettle, to)/n)
-			}
+	}
+	return from, to
+}
+
+// loss takes the figures of one fault while it lasted and after it.
+func loss(sc *scenario.Scenario, r *record, f scenario.Fault, name string, from, to int64) Loss {
+	room := sc.Room()
+	remaining := maps.Clone(room)
+	if f.On == scenario.OnSites {
+		delete(remaining, f.Site)
+	}
+	worth, cheapest := worths()
+	l := Loss{Fault: name, Site: f.Site}
+	l.Within = r.reaches(from, to, total(remaining))
+	l.Again = r.reaches(to, r.end(), total(room))
+	l.First = r.part(from, min(to, from+lossFirst), worth)
+	l.Back = r.part(to, to+lossBack, worth)
+	l.Served = r.part(from+lossSettle, to, nil)
+	l.Refused, l.Cheap = r.refused(from+lossSettle, to, cheapest)
+	l.Across, l.Before = r.across(sc, from, to), r.across(sc, from-lossBefore, from)
+	for site, n := range remaining {
+		l.Over = max(l.Over, r.offered(sc, site, from+lossSettle, to)/n)
+	}
+	return l
+}
+
+// worths are what requests of each class are worth, and the first class that is worth least.
+func worths() (worth map[string]float64, cheapest string) {
+	worth = map[string]float64{}
+	for _, c := range actor.Classes() {
+		if worth[c.Name] = c.Worth; cheapest == "" || c.Worth < worth[cheapest] {
+			cheapest = c.Name
 		}
-		out = append(out, l)
 	}
-	return out
+	return worth, cheapest
 }
 
-// end is when the history ends; 0 for one in which nothing has happened.
-func (r *record) end() int64 {
-	if len(r.all) == 0 {
-		return 0
+// total is what all sites can serve a second.
+func total(room map[string]float64) (sum float64) {
+	for _, site := range slices.Sorted(maps.Keys(room)) { // in order, so that the sum is rounded alike each time
+		sum += room[site]
+	}
+	return sum
+}
+
+// refused is the part of each class's requests in a time that was turned away, and the cheapest class's part of all those.
+func (r *record) refused(from, to int64, cheapest string) (parts map[string]float64, cheap float64) {
+	asked, turned, all := map[string]float64{}, map[string]float64{}, 0.0
+	for _, e := range r.all {
+		if e.Kind != history.Asked || e.At < from || e.At >= to {
+			continue
+		}
+		if asked[e.Class]++; e.Status == http.StatusServiceUnavailable {
+			turned[e.Class]++
+			all++
+		}
+	}
+	parts = map[string]float64{}
+	for class, n := range asked {
+		parts[class] = turned[class] / n
+	}
+	if all > 0 {
+		cheap = turned[cheapest] / all
 	}
-	return r.all[len(r.all)-1].At
+	return parts, cheap
 }
 
 // part is the part of the worth that was asked in a time and served; worth nil: all requests are alike.
@@ -160,7 +176,7 @@
 func (r *record) across(sc *scenario.Scenario, from, to int64) float64 {
 	all, over := 0.0, 0.0
 	for _, e := range r.all {
-		if e.Kind == history.Sent && e.At >= from && e.At < to && strings.HasPrefix(e.To, "backend-") && strings.HasPrefix(e.Who, "sidecar-") {
+		if e.Kind == history.Sent && e.At >= from && e.At < to && isBackend(e.To) && isSidecar(e.Who) {
 			if all++; sc.SiteOf(e.Who) != sc.SiteOf(e.To) {
 				over++
 			}
@@ -179,7 +195,7 @@
 	}
 	n := make([]float64, (to-from)/overStep)
 	for _, e := range r.all {
-		if e.Kind == history.Sent && e.At >= from && strings.HasPrefix(e.To, "backend-") && sc.SiteOf(e.To) == site {
+		if e.Kind == history.Sent && e.At >= from && isBackend(e.To) && sc.SiteOf(e.To) == site {
 			if i := (e.At - from) / overStep; i < int64(len(n)) {
 				n[i]++
 			}
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -92,7 +92,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return check.Run(sc, all), check.Measure(sc, all)
+	result := check.Judge(sc, all)
+	return result.Verdicts, result.Figures
 }
 
 func decode(t testing.TB, text string) *scenario.Scenario {
