Split the graph of a fleet's calls and the check of moved endpoints into steps

Change: an edge is made and added by functions of its own; a moved endpoint is judged by itself; endpointKeys serves all three. What is reported stays.

The tests of internal/check and internal/config, which hold the reports word for word, pass.

--- a/internal/check/chain.go
+++ b/internal/check/chain.go
@@ -46,57 +46,84 @@
 	nodes []node           // in order
 }
 
+// graph reads the calls out of all routes.
 func (f *fleet) graph() *graph {
 	g := &graph{in: map[node][]*edge{}}
-	classes := map[string][]string{} // of each service, as any file has them
+	classes := f.classNames()
 	for _, d := range f.docs {
-		for _, s := range d.App.Services {
-			for _, c := range s.Classes {
-				if !slices.Contains(classes[s.Name], c) {
-					classes[s.Name] = append(classes[s.Name], c)
-				}
-			}
-		}
-	}
-	for _, d := range f.docs {
-		served := []node{} // all that the application is a backend of
+		var served []node // all that the application is a backend of
 		for _, s := range d.App.Serves {
 			for _, c := range classes[s] {
 				served = append(served, node{s, c})
 			}
 		}
 		for i := range d.App.Routes {
-			r := &d.App.Routes[i]
-			causes := served
-			if len(r.For) > 0 {
-				causes = nil
-				for _, c := range r.For {
-					service, class, _ := strings.Cut(c, "/")
-					causes = append(causes, node{service, class})
-				}
-			}
-			targets := r.To
-			if r.Mirror != nil {
-				targets = append(targets[:len(targets):len(targets)], *r.Mirror)
-			}
-			for n, t := range targets {
-				s := d.App.Service(t.Service)
-				rule := s.Rules[s.Class(t.Class)]
-				e := &edge{d: d, route: i, to: node{t.Service, t.Class}, limit: d.App.Limit(r, t), budget: 1, causes: causes, may: rule.Resend != config.Never || n >= len(r.To), rule: rule}
-				if rule.Resend != config.Never && s.Logic.MaxAttempts > 1 {
-					e.budget += min(s.Logic.BudgetShare, float64(s.Logic.MaxAttempts-1))
-				}
-				if g.in[e.to] == nil {
-					g.nodes = append(g.nodes, e.to)
-				}
-				g.in[e.to] = append(g.in[e.to], e)
-			}
+			g.addRoute(d, i, served)
 		}
 	}
 	slices.SortFunc(g.nodes, func(a, b node) int { return strings.Compare(a.String(), b.String()) })
 	return g
 }
 
+// classNames are the classes of each service, as any file has them.
+func (f *fleet) classNames() map[string][]string {
+	classes := map[string][]string{}
+	for _, d := range f.docs {
+		for _, s := range d.App.Services {
+			for _, c := range s.Classes {
+				if !slices.Contains(classes[s.Name], c) {
+					classes[s.Name] = append(classes[s.Name], c)
+				}
+			}
+		}
+	}
+	return classes
+}
+
+// addRoute adds a call for each target of a route; served is all that may cause it where the route doesn't say what does.
+func (g *graph) addRoute(d *config.Document, route int, served []node) {
+	r := &d.App.Routes[route]
+	causes := served
+	if len(r.For) > 0 {
+		causes = nodes(r.For)
+	}
+	for _, t := range r.To {
+		g.add(newEdge(d, route, t, causes))
+	}
+	if r.Mirror != nil {
+		e := newEdge(d, route, *r.Mirror, causes)
+		e.may = true
+		g.add(e)
+	}
+}
+
+// nodes reads names like service/class.
+func nodes(names []string) (out []node) {
+	for _, name := range names {
+		service, class, _ := strings.Cut(name, "/")
+		out = append(out, node{service, class})
+	}
+	return out
+}
+
+func newEdge(d *config.Document, route int, t config.Target, causes []node) *edge {
+	s := d.App.Service(t.Service)
+	rule := s.Rules[s.Class(t.Class)]
+	resent := rule.Resend != config.Never
+	e := &edge{d: d, route: route, to: node{t.Service, t.Class}, limit: d.App.Limit(&d.App.Routes[route], t), budget: 1, causes: causes, may: resent, rule: rule}
+	if resent && s.Logic.MaxAttempts > 1 {
+		e.budget += min(s.Logic.BudgetShare, float64(s.Logic.MaxAttempts-1))
+	}
+	return e
+}
+
+func (g *graph) add(e *edge) {
+	if g.in[e.to] == nil {
+		g.nodes = append(g.nodes, e.to)
+	}
+	g.in[e.to] = append(g.in[e.to], e)
+}
+
 // chains judges what goes over several tiers.
 func (f *fleet) chains() {
 	g := f.graph()
--- a/internal/check/fleet.go
+++ b/internal/check/fleet.go
@@ -206,10 +206,10 @@
 
 func (f *fleet) endpoints(d *config.Document, s *config.Service) {
 	for n, e := range s.Source.Endpoints {
-		for _, id := range []string{s.Name + "\x00" + e.Name, s.Name + "\x00" + e.Address} {
-			old := f.ends[id]
+		for _, key := range endpointKeys(s, e) {
+			old := f.ends[key]
 			if old == nil {
-				f.ends[id] = &endpoint{d, n, e.Cell, e.Zone}
+				f.ends[key] = &endpoint{d, n, e.Cell, e.Zone}
 				continue
 			}
 			if old.d == d || old.cell == e.Cell && old.zone == e.Zone {
@@ -239,6 +239,18 @@
 
 // moves finds endpoints that change their pod while they serve.
 func (f *fleet) moves(deployed []*config.Document) {
+	was := deployedEndpoints(deployed)
+	for _, d := range f.docs {
+		for _, s := range d.App.Services {
+			for n := range s.Source.Endpoints {
+				f.move(d, s, n, was)
+			}
+		}
+	}
+}
+
+// deployedEndpoints are the endpoints of files that run now, by the keys of their services and them.
+func deployedEndpoints(deployed []*config.Document) map[string]endpoint {
 	was := map[string]endpoint{}
 	for _, d := range deployed {
 		if d == nil || d.App == nil {
@@ -246,30 +258,46 @@
 		}
 		for _, s := range d.App.Services {
 			for n, e := range s.Source.Endpoints {
-				was[s.Name+"\x00"+e.Name], was[s.Name+"\x00"+e.Address] = endpoint{d, n, e.Cell, e.Zone}, endpoint{d, n, e.Cell, e.Zone}
+				for _, key := range endpointKeys(s, e) {
+					was[key] = endpoint{d, n, e.Cell, e.Zone}
+				}
 			}
 		}
 	}
-	for _, d := range f.docs {
-		for _, s := range d.App.Services {
-			for n, e := range s.Source.Endpoints {
-				for _, id := range []string{e.Name, e.Address} {
-					old, known := was[s.Name+"\x00"+id]
-					recalled := time.Duration(0) // the longest window of the classes whose group it leaves
-					for _, r := range s.Rules {
-						if r.Repeat == logic.Keyed && groupOf(old.cell, old.zone, r.Group) != groupOf(e.Cell, e.Zone, r.Group) {
-							recalled = max(recalled, r.Window)
-						}
-					}
-					if !known || e.Status != membership.Serving || recalled == 0 {
-						continue
-					}
-					see, _ := old.d.Place("services", s.Name, "endpoints", strconv.Itoa(old.n+1))
-					f.bad(d, rules.PodMoves, path("services", s.Name, "endpoints", strconv.Itoa(n+1)), e.Name+" in "+pod(e.Cell, e.Zone),
-						fmt.Sprintf("it serves in %s now, where keys are recalled for %v", pod(old.cell, old.zone), recalled), see)
-					break
-				}
-			}
+	return was
+}
+
+// endpointKeys are what a service's endpoint is looked up by: its name and its address.
+func endpointKeys(s *config.Service, e membership.Endpoint) [2]string {
+	return [2]string{s.Name + "\x00" + e.Name, s.Name + "\x00" + e.Address}
+}
+
+// move judges whether one endpoint serves and has left a pod that recalls its keys.
+func (f *fleet) move(d *config.Document, s *config.Service, n int, was map[string]endpoint) {
+	e := s.Source.Endpoints[n]
+	if e.Status != membership.Serving {
+		return
+	}
+	for _, key := range endpointKeys(s, e) {
+		old, known := was[key]
+		if !known {
+			continue
+		}
+		if recalled := recalledFor(s, old, e); recalled > 0 {
+			see, _ := old.d.Place("services", s.Name, "endpoints", strconv.Itoa(old.n+1))
+			f.bad(d, rules.PodMoves, path("services", s.Name, "endpoints", strconv.Itoa(n+1)), e.Name+" in "+pod(e.Cell, e.Zone),
+				fmt.Sprintf("it serves in %s now, where keys are recalled for %v", pod(old.cell, old.zone), recalled), see)
+			return
+		}
+	}
+}
+
+// recalledFor is the longest window of the classes whose group of backends an endpoint leaves.
+func recalledFor(s *config.Service, old endpoint, e membership.Endpoint) (longest time.Duration) {
+	for _, r := range s.Rules {
+		if r.Repeat == logic.Keyed && groupOf(old.cell, old.zone, r.Group) != groupOf(e.Cell, e.Zone, r.Group) {
+			longest = max(longest, r.Window)
 		}
 	}
+	return longest
 }
