Split the scanner of documents by what it stands in

Change: a step takes what begins at an offset: line ends and bytes that are no text, a string's, or the syntax outside.

The tests of doc, config and catalogue pass.

--- a/internal/doc/scan.go
+++ b/internal/doc/scan.go
@@ -41,15 +41,18 @@
 
 // scanner knows just enough of TOML to tell brackets and dots in strings and comments from others.
 type scanner struct {
-	file   string
-	data   []byte
-	line   int
-	begin  int // offset at which the line begins
-	crlf   int
-	crlfAt int
-	depth  int
-	dots   int
-	fault  *Fault
+	file    string
+	data    []byte
+	line    int
+	begin   int // offset at which the line begins
+	crlf    int
+	crlfAt  int
+	depth   int
+	dots    int
+	quote   byte // of the string that is open; 0: none
+	long    bool // the string that is open may go over several lines
+	comment bool
+	fault   *Fault
 }
 
 func (s *scanner) bad(i int, rule rules.ID, found, expect string) {
@@ -57,73 +60,106 @@
 }
 
 func (s *scanner) run() {
-	var quote byte // of the string that is open; 0: none
-	long, comment := false, false
-	for i := 0; i < len(s.data) && s.fault == nil; i++ {
-		c := s.data[i]
-		switch {
-		case c == '\n':
-			s.line, s.begin, s.dots, comment = s.line+1, i+1, 0, false
-			if !long {
-				quote = 0 // a fault of syntax, which the parser tells
-			}
-			continue
-		case c == '\r' && i+1 < len(s.data) && s.data[i+1] == '\n':
-			if s.crlf++; s.crlf == 1 {
-				s.crlfAt = s.line
-			}
-			continue
-		case c < ' ' && c != '\t' || c == 0x7f:
-			s.bad(i, rules.FileControl, fmt.Sprintf("byte %#02x", c), "text expected")
-			return
-		case c >= utf8.RuneSelf:
-			r, n := utf8.DecodeRune(s.data[i:])
-			if r == utf8.RuneError && n == 1 {
-				s.bad(i, rules.FileControl, fmt.Sprintf("byte %#02x", c), "UTF-8 expected")
-				return
-			}
-			i += n - 1
-			continue
+	for i := 0; i < len(s.data) && s.fault == nil; {
+		i += s.step(i)
+	}
+}
+
+// step takes what begins at an offset, and returns how many bytes that is.
+func (s *scanner) step(i int) int {
+	if n := s.special(i); n > 0 {
+		return n
+	}
+	switch {
+	case s.comment:
+		return 1
+	case s.quote != 0:
+		return s.inString(i)
+	}
+	return s.syntax(i)
+}
+
+// special takes line ends, control characters and characters of several bytes; 0: none of them is here.
+func (s *scanner) special(i int) int {
+	c := s.data[i]
+	switch {
+	case c == '\n':
+		s.endLine(i)
+	case c == '\r' && i+1 < len(s.data) && s.data[i+1] == '\n':
+		if s.crlf++; s.crlf == 1 {
+			s.crlfAt = s.line
+		}
+	case c < ' ' && c != '\t' || c == 0x7f:
+		s.bad(i, rules.FileControl, fmt.Sprintf("byte %#02x", c), "text expected")
+	case c >= utf8.RuneSelf:
+		r, n := utf8.DecodeRune(s.data[i:])
+		if r == utf8.RuneError && n == 1 {
+			s.bad(i, rules.FileControl, fmt.Sprintf("byte %#02x", c), "UTF-8 expected")
+		}
+		return n
+	default:
+		return 0
+	}
+	return 1
+}
+
+func (s *scanner) endLine(i int) {
+	s.line, s.begin, s.dots, s.comment = s.line+1, i+1, 0, false
+	if !s.long {
+		s.quote = 0 // a fault of syntax, which the parser tells
+	}
+}
+
+// inString takes an escaped character, the end of the string, or one byte of it.
+func (s *scanner) inString(i int) int {
+	c := s.data[i]
+	switch {
+	case c == '\\' && s.quote == '"' && i+1 < len(s.data) && s.data[i+1] >= ' ':
+		return 2
+	case c != s.quote:
+		return 1
+	case !s.long:
+		s.quote = 0
+		return 1
+	case !s.tripled(i):
+		return 1
+	}
+	n := 3
+	for i+n < len(s.data) && s.data[i+n] == c { // up to two more belong to the string
+		n++
+	}
+	s.quote, s.long = 0, false
+	return n
+}
+
+// syntax takes what stands outside of strings and comments.
+func (s *scanner) syntax(i int) int {
+	switch c := s.data[i]; c {
+	case '#':
+		s.comment = true
+	case '"', '\'':
+		s.quote = c
+		if s.long = s.tripled(i); s.long {
+			return 3
+		}
+	case '[', '{':
+		if s.depth, s.dots = s.depth+1, 0; s.depth > maxDepth {
+			s.bad(i, rules.FileDepth, fmt.Sprintf("%d brackets deep", s.depth), fmt.Sprintf("%d at most", maxDepth))
 		}
-		switch {
-		case comment:
-		case quote != 0:
-			switch {
-			case c == '\\' && quote == '"' && i+1 < len(s.data) && s.data[i+1] >= ' ':
-				i++
-			case c != quote:
-			case !long:
-				quote = 0
-			case s.run3(i, quote):
-				i += 2
-				for i+1 < len(s.data) && s.data[i+1] == quote { // up to two more belong to the string
-					i++
-				}
-				quote, long = 0, false
-			}
-		case c == '#':
-			comment = true
-		case c == '"' || c == '\'':
-			if quote = c; s.run3(i, c) {
-				long = true
-				i += 2
-			}
-		case c == '[' || c == '{':
-			if s.depth, s.dots = s.depth+1, 0; s.depth > maxDepth {
-				s.bad(i, rules.FileDepth, fmt.Sprintf("%d brackets deep", s.depth), fmt.Sprintf("%d at most", maxDepth))
-			}
-		case c == ']' || c == '}':
-			s.depth, s.dots = max(0, s.depth-1), 0
-		case c == '=' || c == ',':
-			s.dots = 0
-		case c == '.':
-			if s.dots++; s.dots >= maxDepth {
-				s.bad(i, rules.FileDepth, fmt.Sprintf("a key of over %d parts", maxDepth), fmt.Sprintf("%d at most", maxDepth))
-			}
+	case ']', '}':
+		s.depth, s.dots = max(0, s.depth-1), 0
+	case '=', ',':
+		s.dots = 0
+	case '.':
+		if s.dots++; s.dots >= maxDepth {
+			s.bad(i, rules.FileDepth, fmt.Sprintf("a key of over %d parts", maxDepth), fmt.Sprintf("%d at most", maxDepth))
 		}
 	}
+	return 1
 }
 
-func (s *scanner) run3(i int, c byte) bool {
+// tripled tells whether a byte stands three times in a row.
+func (s *scanner) tripled(i int) bool {
+	c := s.data[i]
 	return i+2 < len(s.data) && s.data[i+1] == c && s.data[i+2] == c
 }
