--- a/internal/rig/history/history.go
+++ b/internal/rig/history/history.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"fernlanding/internal/distribution"
 )
 
 // Kind is a kind of event.
@@ -45,6 +47,14 @@
 
 	Quiet Kind = "quiet" // a client process's load has ended, and all its requests
 	Asked Kind = "asked" // a client sent request ID to To and had Status after Took; 0: none, and Why
+
+	Put        Kind = "put"        // a publisher wrote ID to Resource and had Status and Version after Took; Urgent: it takes something out
+	Subscribed Kind = "subscribed" // a follower begins to follow Resource and has Version; zero: nothing
+	InForce    Kind = "in-force"   // a follower put Version of Resource in force, from From (zero: the whole of it); Digest is of all its items
+	Refused    Kind = "refused"    // a follower did not put Version of Resource in force; Why
+	Used       Kind = "used"       // what a process has used until now, or holds, in Figures
+	Reported   Kind = "reported"   // the source (Who) answered what it knows of a resource's being in force: Report
+	Source     Kind = "source"     // the source has Version of Resource with Digest
 )
 
 // What Call events say.
@@ -72,6 +82,14 @@
 	Pod    int      `json:"pod,omitempty"`
 	Names  []string `json:"names,omitempty"` // of Call: the backends that its answer tells of, those that serve behind a Serves
 	Why    string   `json:"why,omitempty"`
+
+	Resource string                       `json:"resource,omitempty"`
+	Version  distribution.Version         `json:"version,omitzero"`
+	From     distribution.Version         `json:"from,omitzero"`
+	Digest   string                       `json:"digest,omitempty"`
+	Urgent   bool                         `json:"urgent,omitempty"`
+	Figures  map[string]float64           `json:"figures,omitempty"`
+	Report   *distribution.ResourceStatus `json:"report,omitempty"`
 }
 
 // Clock counts microseconds from a moment, alike in every process of a machine.
--- a/internal/rig/play.go
+++ b/internal/rig/play.go
@@ -68,11 +68,11 @@
 	case scenario.Stop:
 		names := r.processes(f)
 		for _, n := range names {
-			r.procs.stop(n)
+			r.procs.Stop(n)
 		}
 		return func() error {
 			for _, n := range names {
-				r.procs.cont(n)
+				r.procs.Continue(n)
 			}
 			return nil
 		}, nil
@@ -82,7 +82,7 @@
 		mode := func(word string) error {
 			var all []error
 			for _, n := range f.Names {
-				all = append(all, r.procs.say(n, actor.Command{Do: actor.DoMode, Mode: word}))
+				all = append(all, r.procs.Say(n, actor.Command{Do: actor.DoMode, Mode: word}))
 			}
 			return errors.Join(all...)
 		}
@@ -122,14 +122,14 @@
 	}
 	if f.Kind == scenario.Kill {
 		for _, n := range names {
-			r.procs.kill(n)
+			r.procs.Kill(n)
 		}
-	} else if err := r.procs.terminate(names, 0); err != nil {
+	} else if err := r.procs.Terminate(names, 0); err != nil {
 		return nil, err
 	}
 	return func() error {
 		for _, n := range names {
-			r.procs.kill(n) // those that have not ended yet
+			r.procs.Kill(n) // those that have not ended yet
 			var err error
 			switch i := scenario.Number(n); {
 			case strings.HasPrefix(n, "sidecar-"):
@@ -193,7 +193,7 @@
 func (r *run) backends(c actor.Command) error {
 	var all []error
 	for _, p := range r.backs {
-		all = append(all, r.procs.say(p, c))
+		all = append(all, r.procs.Say(p, c))
 	}
 	return errors.Join(all...)
 }
@@ -233,6 +233,6 @@
 		r.tell(history.Event{Kind: history.Member, Who: m.Name, Why: m.Status})
 	}
 	for _, l := range r.lists {
-		_ = r.procs.say(l, actor.Command{Do: actor.DoMembers, Members: all}) // one that is down is told all at its start
+		_ = r.procs.Say(l, actor.Command{Do: actor.DoMembers, Members: all}) // one that is down is told all at its start
 	}
 }
--- a/internal/rig/process.go
+++ b/internal/rig/process/process.go
@@ -1,4 +1,5 @@
-package rig
+// Package process starts, stops, kills and watches the processes of a run of the rig.
+package process
 
 import (
 	"encoding/json"
@@ -19,40 +20,41 @@
 	"fernlanding/internal/rig/history"
 )
 
-// process is what a process is started from.
-type process struct {
-	name    string
-	args    []string
-	env     []string
-	talks   bool            // its standard input stays open for commands
-	read    func(io.Reader) // reads its standard output until its end; nil: discarded
-	readErr func(io.Reader) // the same of its standard error; nil: the rig's own
-	sockets int             // bound on its descriptors; 0: none
+// Spec is what a process is started from.
+type Spec struct {
+	Name    string
+	Args    []string
+	Env     []string
+	Talks   bool            // its standard input stays open for commands
+	Read    func(io.Reader) // reads its standard output until its end; nil: discarded
+	ReadErr func(io.Reader) // the same of its standard error; nil: the rig's own
+	Sockets int             // bound on its descriptors; 0: none
 }
 
-// alive is a process that runs.
-type alive struct {
+// Running is a process that runs.
+type Running struct {
 	cmd    *exec.Cmd
 	in     io.WriteCloser
 	ended  chan struct{} // closed when it has been reaped and its output read
 	killed bool          // by the rig, or told to end
 }
 
-// processes starts and ends the processes of a run. Each dies with the rig: the kernel kills it when the thread that has
+// Set starts and ends the processes of a run. Each dies with the rig: the kernel kills it when the thread that has
 // started it goes (PR_SET_PDEATHSIG), so one thread starts them all and stays until none is left.
-type processes struct {
+type Set struct {
 	tell  func(history.Event)
 	begin chan func()
 	over  chan struct{}
 
 	mu    sync.Mutex
-	all   map[string]*alive
+	all   map[string]*Running
 	count int
 	done  bool
 }
 
-func newProcesses(tell func(history.Event)) *processes {
-	p := &processes{tell: tell, begin: make(chan func()), over: make(chan struct{}), all: map[string]*alive{}}
+// New returns a set without processes; tell gets the events of their lives.
+func New(tell func(history.Event)) *Set {
+	p := &Set{tell: tell, begin: make(chan func()), over: make(chan struct{}), all: map[string]*Running{}}
 	go func() {
 		runtime.LockOSThread() // and never unlocked: the thread ends with this goroutine
 		defer close(p.over)
@@ -65,14 +67,14 @@
 
 var errNotThere = errors.New("no such process")
 
-// start starts a process. One of its name must not run.
-func (p *processes) start(x process) error {
-	if len(x.args) == 0 {
-		return fmt.Errorf("%s: no program", x.name)
+// Start starts a process. One of its name must not run.
+func (p *Set) Start(x Spec) error {
+	if len(x.Args) == 0 {
+		return fmt.Errorf("%s: no program", x.Name)
 	}
-	a := &alive{ended: make(chan struct{})}
-	a.cmd = exec.Command(x.args[0], x.args[1:]...)
-	a.cmd.Env = append(os.Environ(), x.env...)
+	a := &Running{ended: make(chan struct{})}
+	a.cmd = exec.Command(x.Args[0], x.Args[1:]...)
+	a.cmd.Env = append(os.Environ(), x.Env...)
 	a.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	a.cmd.Stderr = os.Stderr
 	var readers []func()
@@ -86,39 +88,39 @@
 		}
 		return err
 	}
-	if x.readErr != nil {
+	if x.ReadErr != nil {
 		a.cmd.Stderr = nil
 	}
-	err := errors.Join(pipe(a.cmd.StdoutPipe, x.read), pipe(a.cmd.StderrPipe, x.readErr))
-	if x.talks && err == nil {
+	err := errors.Join(pipe(a.cmd.StdoutPipe, x.Read), pipe(a.cmd.StderrPipe, x.ReadErr))
+	if x.Talks && err == nil {
 		a.in, err = a.cmd.StdinPipe()
 	}
 	if err != nil {
-		return fmt.Errorf("%s: %w", x.name, err)
+		return fmt.Errorf("%s: %w", x.Name, err)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.done {
-		return fmt.Errorf("%s: the run is over", x.name)
+		return fmt.Errorf("%s: the run is over", x.Name)
 	}
-	if p.all[x.name] != nil {
-		return fmt.Errorf("%s runs already", x.name)
+	if p.all[x.Name] != nil {
+		return fmt.Errorf("%s runs already", x.Name)
 	}
 	started := make(chan error, 1)
 	p.begin <- func() { started <- a.cmd.Start() }
 	if err := <-started; err != nil {
-		return fmt.Errorf("%s: %w", x.name, err)
+		return fmt.Errorf("%s: %w", x.Name, err)
 	}
 	pid := a.cmd.Process.Pid
-	if x.sockets > 0 {
-		bound := unix.Rlimit{Cur: uint64(x.sockets), Max: uint64(x.sockets)}
+	if x.Sockets > 0 {
+		bound := unix.Rlimit{Cur: uint64(x.Sockets), Max: uint64(x.Sockets)}
 		if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &bound, nil); err != nil {
-			p.tell(history.Event{Kind: history.Log, Who: x.name, Why: "no bound on descriptors: " + err.Error()})
+			p.tell(history.Event{Kind: history.Log, Who: x.Name, Why: "no bound on descriptors: " + err.Error()})
 		}
 	}
-	p.all[x.name] = a
+	p.all[x.Name] = a
 	p.count++
-	p.tell(history.Event{Kind: history.Started, Who: x.name, N: int64(pid)})
+	p.tell(history.Event{Kind: history.Started, Who: x.Name, N: int64(pid)})
 	go func() {
 		var all sync.WaitGroup
 		for _, r := range readers {
@@ -134,30 +136,30 @@
 		if !a.killed {
 			why = "by itself: " + why
 		}
-		delete(p.all, x.name)
+		delete(p.all, x.Name)
 		p.mu.Unlock()
-		p.tell(history.Event{Kind: history.Gone, Who: x.name, Why: why})
+		p.tell(history.Event{Kind: history.Gone, Who: x.Name, Why: why})
 		close(a.ended)
 	}()
 	return nil
 }
 
-func (p *processes) get(name string) *alive {
+func (p *Set) get(name string) *Running {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.all[name]
 }
 
-// pid is the process's id; 0 where it does not run.
-func (p *processes) pid(name string) int {
+// PID is the process's id; 0 where it does not run.
+func (p *Set) PID(name string) int {
 	if a := p.get(name); a != nil {
 		return a.cmd.Process.Pid
 	}
 	return 0
 }
 
-// write writes a line to a process's standard input.
-func (p *processes) write(name string, line []byte) error {
+// Write writes a line to a process's standard input.
+func (p *Set) Write(name string, line []byte) error {
 	a := p.get(name)
 	if a == nil || a.in == nil {
 		return fmt.Errorf("%s: %w", name, errNotThere)
@@ -166,17 +168,17 @@
 	return err
 }
 
-// say gives a process a command.
-func (p *processes) say(name string, command any) error {
+// Say gives a process a command.
+func (p *Set) Say(name string, command any) error {
 	line, err := json.Marshal(command)
 	if err != nil {
 		return err
 	}
-	return p.write(name, line)
+	return p.Write(name, line)
 }
 
 // signal sends a signal. A process that is gone gets none.
-func (p *processes) signal(name string, s syscall.Signal, ends bool) *alive {
+func (p *Set) signal(name string, s syscall.Signal, ends bool) *Running {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a := p.all[name]
@@ -190,8 +192,8 @@
 	return a
 }
 
-// kill kills a process and waits until it is gone.
-func (p *processes) kill(name string) {
+// Kill kills a process and waits until it is gone.
+func (p *Set) Kill(name string) {
 	if p.get(name) != nil {
 		p.tell(history.Event{Kind: history.Told, Who: name, Why: "killed"}) // before anybody can feel it
 	}
@@ -200,21 +202,23 @@
 	}
 }
 
-func (p *processes) stop(name string) {
+// Stop stops a process (SIGSTOP).
+func (p *Set) Stop(name string) {
 	if p.signal(name, syscall.SIGSTOP, false) != nil {
 		p.tell(history.Event{Kind: history.Stopped, Who: name})
 	}
 }
 
-func (p *processes) cont(name string) {
+// Continue lets a stopped process go on.
+func (p *Set) Continue(name string) {
 	if p.signal(name, syscall.SIGCONT, false) != nil {
 		p.tell(history.Event{Kind: history.Continued, Who: name})
 	}
 }
 
-// terminate tells processes to end, and waits for that, no longer than a time; 0: it does not wait.
-func (p *processes) terminate(names []string, within time.Duration) error {
-	var told []*alive
+// Terminate tells processes to end, and waits for that, no longer than a time; 0: it does not wait.
+func (p *Set) Terminate(names []string, within time.Duration) error {
+	var told []*Running
 	for _, n := range names {
 		p.tell(history.Event{Kind: history.Told, Who: n})
 		if a := p.signal(n, syscall.SIGTERM, true); a != nil {
@@ -237,16 +241,16 @@
 		}
 	}
 	if left > 0 {
-		return fmt.Errorf("rig: %d of %d sidecars have not ended %v after SIGTERM", left, len(told), within)
+		return fmt.Errorf("%d of %d processes have not ended %v after SIGTERM", left, len(told), within)
 	}
 	return nil
 }
 
-// end kills what is left, and returns how many of the processes that were ever started are still there after that.
-func (p *processes) end() (left int) {
+// End kills what is left, and returns how many of the processes that were ever started are still there after that.
+func (p *Set) End() (left int) {
 	p.mu.Lock()
 	p.done = true
-	var all []*alive
+	var all []*Running
 	for _, a := range p.all {
 		a.killed = true
 		_ = a.cmd.Process.Kill()
@@ -263,13 +267,13 @@
 	return len(p.all)
 }
 
-// resident is what a process holds in memory, in bytes; 0 where that can't be read.
-func resident(pid int) int64 {
+// Resident is what a process holds in memory, in bytes; 0 where that can't be read.
+func Resident(pid int) int64 {
 	return kilobytes(fmt.Sprintf("/proc/%d/status", pid), "VmRSS:")
 }
 
-// available is the machine's memory that is free for processes, in bytes; 0 where that can't be read.
-func available() int64 { return kilobytes("/proc/meminfo", "MemAvailable:") }
+// Available is the machine's memory that is free for processes, in bytes; 0 where that can't be read.
+func Available() int64 { return kilobytes("/proc/meminfo", "MemAvailable:") }
 
 func kilobytes(file, field string) int64 {
 	data, err := os.ReadFile(file)
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -22,6 +22,7 @@
 	"fernlanding/internal/rig/actor"
 	"fernlanding/internal/rig/history"
 	"fernlanding/internal/rig/link"
+	"fernlanding/internal/rig/process"
 	"fernlanding/internal/rig/scenario"
 	"fernlanding/internal/standin"
 )
@@ -57,7 +58,7 @@
 	opts     Options
 	clock    history.Clock
 	events   *history.Writer
-	procs    *processes
+	procs    *process.Set
 	net      *link.Net
 	dir      string
 	places   []link.Place // of the sidecars
@@ -93,9 +94,9 @@
 		defer os.RemoveAll(r.dir)
 	}
 	r.tell(history.Event{Kind: history.Began, ID: sc.Name, N: int64(sc.Seed)})
-	r.procs = newProcesses(r.tell)
+	r.procs = process.New(r.tell)
 	defer func() {
-		left := r.procs.end()
+		left := r.procs.End()
 		if r.net != nil {
 			r.net.Close()
 		}
@@ -290,7 +291,7 @@
 		}
 	}
 	r.mu.Unlock()
-	return r.procs.say(r.lists[i], actor.Command{Do: actor.DoMembers, Members: all})
+	return r.procs.Say(r.lists[i], actor.Command{Do: actor.DoMembers, Members: all})
 }
 
 func (r *run) startClients(ctx context.Context) error {
@@ -322,7 +323,7 @@
 		return h, err
 	}
 	hello := make(chan string, 1)
-	err = r.procs.start(process{name: spec.Name, args: r.opts.Actor, env: r.opts.Env, talks: true, read: func(out io.Reader) {
+	err = r.procs.Start(process.Spec{Name: spec.Name, Args: r.opts.Actor, Env: r.opts.Env, Talks: true, Read: func(out io.Reader) {
 		lines := bufio.NewScanner(out)
 		lines.Buffer(make([]byte, 1<<16), 4<<20)
 		if lines.Scan() {
@@ -343,7 +344,7 @@
 	if err != nil {
 		return h, err
 	}
-	if err := r.procs.write(spec.Name, first); err != nil {
+	if err := r.procs.Write(spec.Name, first); err != nil {
 		return h, err
 	}
 	select {
@@ -374,7 +375,7 @@
 		return err
 	}
 	for _, c := range r.clients {
-		if err := r.procs.say(c, actor.Command{Do: actor.DoLoad, On: r.sc.Clients.Rate > 0}); err != nil {
+		if err := r.procs.Say(c, actor.Command{Do: actor.DoLoad, On: r.sc.Clients.Rate > 0}); err != nil {
 			return err
 		}
 	}
@@ -398,12 +399,12 @@
 	if !sleep(ctx, measureAfter) {
 		return ctx.Err()
 	}
-	each := resident(r.procs.pid(r.sidecars[0]))
-	r.procs.kill(r.sidecars[0])
+	each := process.Resident(r.procs.PID(r.sidecars[0]))
+	r.procs.Kill(r.sidecars[0])
 	if err := os.RemoveAll(r.folder(0)); err != nil { // that life does not count
 		return err
 	}
-	free := available()
+	free := process.Available()
 	if need := each * int64(len(r.sidecars)); free > 0 && float64(need) > freePart*float64(free) {
 		return fmt.Errorf("sidecars.count: %d processes of %d MB take %d MB; %d MB at most expected on this machine", len(r.sidecars), each>>20, need>>20, int64(freePart*float64(free))>>20)
 	}
@@ -411,17 +412,17 @@
 }
 
 func (r *run) startSidecar(i int) error {
-	p := process{name: r.sidecars[i], args: append(slices.Clone(r.opts.Sidecar), "-config", r.config(i)), env: r.opts.Env, sockets: r.sc.Sidecars.Sockets}
-	p.readErr = func(out io.Reader) {
+	p := process.Spec{Name: r.sidecars[i], Args: append(slices.Clone(r.opts.Sidecar), "-config", r.config(i)), Env: r.opts.Env, Sockets: r.sc.Sidecars.Sockets}
+	p.ReadErr = func(out io.Reader) {
 		lines := bufio.NewScanner(out)
 		for lines.Scan() {
 			if r.opts.Logs {
-				r.tell(history.Event{Kind: history.Log, Who: p.name, Why: lines.Text()})
+				r.tell(history.Event{Kind: history.Log, Who: p.Name, Why: lines.Text()})
 			}
 		}
 		_, _ = io.Copy(io.Discard, out)
 	}
-	return r.procs.start(p)
+	return r.procs.Start(p)
 }
 
 // folder is the one that outlives a sidecar, where it has one.
@@ -498,7 +499,7 @@
 // finish has the load end and its last answers come, and ends the sidecars in order.
 func (r *run) finish() error {
 	for _, c := range r.clients {
-		_ = r.procs.say(c, actor.Command{Do: actor.DoLoad})
+		_ = r.procs.Say(c, actor.Command{Do: actor.DoLoad})
 	}
 	longest := time.Duration(0)
 	for _, c := range actor.Classes() {
@@ -512,5 +513,8 @@
 		case <-late.C:
 		}
 	}
-	return r.procs.terminate(r.sidecars, endWithin)
+	if err := r.procs.Terminate(r.sidecars, endWithin); err != nil {
+		return fmt.Errorf("rig: %w", err)
+	}
+	return nil
 }
