Play distribution on the rig with faults between its processes, and judge it

A source, two levels of relays, followers and a publisher run in processes of their own. Pure checkers judge the history; each finds a stand-in with the bug that it is there for.

--- a/cmd/fernctl/rig.go
+++ b/cmd/fernctl/rig.go
@@ -27,7 +27,7 @@
 	program := &cli.StringFlag{Name: "sidecar", Usage: "the `PROGRAM` under test; the fernlanding beside this program by default"}
 	return &cli.Command{Name: "rig", Usage: "many processes of the program with faults between them",
 		Action: func(_ context.Context, c *cli.Command) error {
-			return errors.New("rig: one of run, list, report and shrink expected")
+			return errors.New("rig: one of run, list, report, shrink and rollout expected")
 		},
 		Commands: []*cli.Command{
 			{Name: "run", Usage: "play the scenario in FILE and judge it", ArgsUsage: "FILE", Action: rigRun,
@@ -39,6 +39,7 @@
 				Flags: []cli.Flag{seed, jsonFlag(), &cli.StringFlag{Name: "svg", Usage: "draw it to `FILE`"}}},
 			{Name: "shrink", Usage: "leave out faults of a scenario that fails, for as long as it fails", ArgsUsage: "FILE", Action: rigShrink,
 				Flags: []cli.Flag{seed, program, &cli.IntFlag{Name: "tries", Value: 2, Usage: "plays `N` times before a schedule counts as one that does not fail"}}},
+			rigRolloutCommand(),
 			{Name: actorWord, Hidden: true, Action: func(context.Context, *cli.Command) error { return actor.Main(os.Stdin, os.Stdout) }},
 		}}
 }
--- a/internal/rig/actor/actor.go
+++ b/internal/rig/actor/actor.go
@@ -1,4 +1,5 @@
-// Package actor is the other processes of the rig: stand-ins of list services, backends and clients, many in a process. An
+// Package actor is the other processes of the rig: stand-ins of list services, backends, clients, publishers and followers of
+// resources, many in a process. An
 // actor is told what it is by the first line of its standard input, and then one command a line; it tells what happens, one
 // event a line, on its standard output. It ends when its input does, so that none outlives the rig.
 package actor
@@ -14,6 +15,7 @@
 	"time"
 
 	"fernlanding/internal/rig/history"
+	"fernlanding/internal/rig/rollout/plan"
 	"fernlanding/internal/standin"
 )
 
@@ -48,6 +50,24 @@
 	Load     float64           `json:"load,omitempty"`     // requests a second
 	Poll     time.Duration     `json:"poll,omitempty"`
 	Seed     uint64            `json:"seed,omitempty"`
+
+	// Of followers of resources.
+	Followers []FollowerSpec `json:"followers,omitempty"`
+	Hold      time.Duration  `json:"hold,omitempty"`
+
+	// Of a publisher of resources.
+	Source string     `json:"source,omitempty"` // address
+	First  []plan.Put `json:"first,omitempty"`  // before the run
+	Puts   []plan.Put `json:"puts,omitempty"`
+	Began  int64      `json:"began,omitempty"` // when the run began, on its clock; 0: it is still to begin
+}
+
+// FollowerSpec is one follower of resources.
+type FollowerSpec struct {
+	Name    string   `json:"name"`
+	Relays  []string `json:"relays"` // addresses
+	Names   []string `json:"names"`  // of the relays, in the same order
+	Follows []string `json:"follows"`
 }
 
 // Command is one thing that an actor is told while it runs.
@@ -57,6 +77,7 @@
 	Names   []string         `json:"names,omitempty"`
 	Members []standin.Member `json:"members,omitempty"`
 	On      bool             `json:"on,omitempty"`
+	At      int64            `json:"at,omitempty"` // on the run's clock
 }
 
 // Commands.
@@ -69,6 +90,9 @@
 	DoFail    = "fail"    // backends: Names answer 500 at once, or no longer
 	DoMove    = "move"    // backends: Names end and another service has their addresses, or they start again
 	DoLoad    = "load"    // clients: the load begins, or ends
+	DoFirst   = "first"   // publisher: it writes what stands before the run
+	DoBegin   = "begin"   // publisher: the run begins at At
+	DoRestart = "restart" // followers: all start anew with what they have
 )
 
 // Hello is an actor's first line: where it listens.
@@ -86,7 +110,10 @@
 }
 
 // Main is an actor's life.
-func Main(in io.Reader, out io.Writer) error {
+func Main(in io.Reader, out io.Writer) error { return MainWith(in, out, newFollower) }
+
+// MainWith is Main with followers of resources of another make.
+func MainWith(in io.Reader, out io.Writer, build NewFollower) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
 	lines := bufio.NewScanner(in)
@@ -99,7 +126,7 @@
 		return fmt.Errorf("actor: a line that says what it is expected: %w", err)
 	}
 	w := history.NewWriter(out)
-	t := teller{w: w, clock: history.ClockFrom(spec.Zero)}
+	t := teller{w: w, clock: history.ClockFrom(spec.Zero), build: build}
 	inside, hello, err := t.begin(spec)
 	if err != nil {
 		return fmt.Errorf("actor %s: %w", spec.Name, err)
@@ -149,6 +176,7 @@
 type teller struct {
 	w     *history.Writer
 	clock history.Clock
+	build NewFollower
 }
 
 func (t teller) tell(e history.Event) {
@@ -166,6 +194,10 @@
 		return newBackends(s, t)
 	case "clients":
 		return newClients(s, t)
+	case plan.OnFollowers:
+		return newFollowers(s, t), Hello{}, nil
+	case plan.OnPublisher:
+		return newPublisher(s, t), Hello{}, nil
 	}
-	return nil, Hello{}, fmt.Errorf("group %q; lists, backends or clients expected", s.Group)
+	return nil, Hello{}, fmt.Errorf("group %q; lists, backends, clients, followers or publisher expected", s.Group)
 }
--- /dev/null
+++ b/internal/rig/actor/publisher.go
@@ -0,0 +1,150 @@
+package actor
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"fernlanding/internal/distribution"
+	"fernlanding/internal/rig/history"
+	"fernlanding/internal/rig/rollout/plan"
+)
+
+const (
+	putWithin   = 2 * time.Second
+	putAgain    = 100 * time.Millisecond // between two tries of a put that insists
+	answerBytes = 1 << 16
+)
+
+// publisher writes resources to the source, by a plan.
+type publisher struct {
+	teller
+	spec   Spec
+	client *http.Client
+	ctx    context.Context
+	stop   context.CancelFunc
+	ended  sync.WaitGroup
+}
+
+func newPublisher(s Spec, t teller) *publisher {
+	p := &publisher{teller: t, spec: s, client: &http.Client{Timeout: putWithin, Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
+	p.ctx, p.stop = context.WithCancel(context.Background())
+	p.ended.Go(func() { history.WatchLag(p.ctx, s.Name, t.clock, t.tell) })
+	if s.Began > 0 {
+		p.begin(s.Began)
+	}
+	return p
+}
+
+func (p *publisher) do(c Command) error {
+	switch c.Do {
+	case DoFirst:
+		p.ended.Go(func() {
+			for _, put := range p.spec.First {
+				p.publish(put)
+			}
+		})
+	case DoBegin:
+		p.begin(c.At)
+	default:
+		return fmt.Errorf("unknown command")
+	}
+	return nil
+}
+
+func (p *publisher) close() {
+	p.stop()
+	p.ended.Wait()
+	p.client.CloseIdleConnections()
+}
+
+// begin writes all puts that are still due, each when its time comes, whatever has become of those before it.
+func (p *publisher) begin(zero int64) {
+	p.ended.Go(func() {
+		for _, put := range p.spec.Puts {
+			wait := time.Duration(zero-p.clock.Now())*time.Microsecond + put.At
+			if wait < 0 && !put.Insist {
+				continue // a process before this one has written it, or has died with it
+			}
+			if !p.sleep(wait) {
+				return
+			}
+			p.ended.Go(func() { p.publish(put) })
+		}
+	})
+}
+
+// publish writes one put, again and again if it insists.
+func (p *publisher) publish(put plan.Put) {
+	for {
+		answered := p.try(put)
+		if answered || !put.Insist || !p.sleep(putAgain) {
+			return
+		}
+	}
+}
+
+// try writes one put once and tells what came of it.
+func (p *publisher) try(put plan.Put) (answered bool) {
+	var request distribution.PutRequest
+	_ = json.Unmarshal(put.Request, &request) // for its name alone; the source reads it whole
+	began := p.clock.Now()
+	e := history.Event{Kind: history.Put, Who: p.spec.Name, ID: put.ID, Resource: request.Resource, Urgent: put.Urgent}
+	var err error
+	e.Status, e.Version, err = p.post(put.Request)
+	if p.ctx.Err() != nil {
+		return false
+	}
+	if err != nil {
+		e.Why = err.Error()
+	}
+	e.At = p.clock.Now()
+	e.Took = e.At - began
+	p.tell(e)
+	return err == nil
+}
+
+func (p *publisher) post(body []byte) (status int, v distribution.Version, err error) {
+	request, err := http.NewRequestWithContext(p.ctx, http.MethodPost, "http://"+p.spec.Source+"/v1/put", bytes.NewReader(body))
+	if err != nil {
+		return 0, v, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := p.client.Do(request)
+	if err != nil {
+		return 0, v, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, answerBytes))
+	if err != nil {
+		return response.StatusCode, v, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return response.StatusCode, v, fmt.Errorf("status %d: %s", response.StatusCode, bytes.TrimSpace(data))
+	}
+	var answer distribution.PutResponse
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return response.StatusCode, v, fmt.Errorf("an answer to a put expected: %w", err)
+	}
+	if answer.Version.IsZero() {
+		return response.StatusCode, v, errors.New("a version expected in the answer to a put")
+	}
+	return response.StatusCode, answer.Version, nil
+}
+
+func (p *publisher) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-p.ctx.Done():
+		return false
+	}
+}
--- a/internal/rig/history/history.go
+++ b/internal/rig/history/history.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"cmp"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -50,10 +51,11 @@
 
 	Put        Kind = "put"        // a publisher wrote ID to Resource and had Status and Version after Took; Urgent: it takes something out
 	Subscribed Kind = "subscribed" // a follower begins to follow Resource and has Version; zero: nothing
-	InForce    Kind = "in-force"   // a follower put Version of Resource in force, from From (zero: the whole of it); Digest is of all its items
+	InForce    Kind = "in-force"   // a follower put Version of Resource in force, told by To, from From (zero: the whole); Digest is of all items
 	Refused    Kind = "refused"    // a follower did not put Version of Resource in force; Why
 	Used       Kind = "used"       // what a process has used until now, or holds, in Figures
 	Reported   Kind = "reported"   // the source (Who) answered what it knows of a resource's being in force: Report
+	Lag        Kind = "lag"        // the machine let a process run only when Took had passed since it was to
 	Source     Kind = "source"     // the source has Version of Resource with Digest
 )
 
@@ -64,6 +66,17 @@
 	GivenUp = "given up" // Why: its caller had gone before the answer
 )
 
+// Names of figures in Used events. Those of a source or a relay are also what its statistics call them.
+const (
+	UsedBytes     = "bytes"       // sent and received by the followers of a process until now
+	UsedReads     = "reads"       // messages sent by them until now
+	UsedFollowers = "followers"   // of a process of followers
+	UsedResident  = "resident"    // memory of a process, in bytes
+	UsedSessions  = "sessions"    // that a source or relay holds
+	UsedCache     = "cache_bytes" // of updates that it has encoded for followers
+	UsedStore     = "store_bytes" // of its resources
+)
+
 // Event is one event.
 type Event struct {
 	At     int64    `json:"at"` // microseconds since the run began
@@ -118,6 +131,30 @@
 	return t.Nano()
 }
 
+const (
+	lagEvery = 10 * time.Millisecond
+	lagLeast = 30 * time.Millisecond // that is told
+)
+
+// WatchLag tells whenever a process gets to run late, until the context ends.
+func WatchLag(ctx context.Context, who string, clock Clock, tell func(Event)) {
+	due := time.Now()
+	for {
+		due = due.Add(lagEvery)
+		timer := time.NewTimer(time.Until(due))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+		if late := time.Since(due); late >= lagLeast {
+			tell(Event{At: clock.Now(), Kind: Lag, Who: who, Took: late.Microseconds()})
+			due = time.Now()
+		}
+	}
+}
+
 // Writer writes events; it may be used by many goroutines.
 type Writer struct {
 	mu  sync.Mutex
--- /dev/null
+++ b/internal/rig/rollout/check/check.go
@@ -0,0 +1,310 @@
+// Package check judges the history of a run of distribution. It is pure: every verdict follows from the events alone.
+package check
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"fernlanding/internal/distribution"
+	rigcheck "fernlanding/internal/rig/check"
+	"fernlanding/internal/rig/history"
+	"fernlanding/internal/rig/rollout/plan"
+)
+
+// Verdict is one thing that is wrong.
+type Verdict = rigcheck.Verdict
+
+// The checks.
+const (
+	Backwards = "backwards" // no follower puts an older version in force after a newer one
+	Late      = "late"      // no version is in force too late with a follower that can reach the source
+	Urgent    = "urgent"    // nor is one that takes something out, where no fault touches the way
+	Bounds    = "bounds"    // traffic and memory stay within what the scenario says
+	Whole     = "whole"     // who resumes at a version that relays know is not sent everything
+	Converged = "converged" // a version has the same items everywhere, and in the end all have the source's
+	Status    = "status"    // the source's report agrees with what was in force
+	Processes = "processes" // no process ends by itself, and none is left
+)
+
+// Names are the names of all checks.
+func Names() []string {
+	return []string{Backwards, Late, Urgent, Bounds, Whole, Converged, Status, Processes}
+}
+
+const (
+	afterFault  = 10 * time.Second      // a fault is felt this much longer
+	beginsAnew  = 3                     // holds after which a relay forgets a follower that has gone to another
+	movesBack   = 10 * time.Second      // until followers have gone back to the relay of their choice
+	lagSlack    = 50 * time.Millisecond // that the machine may keep a process waiting before urgent versions aren't judged
+	mostOfCheck = 20                    // verdicts of one check that are listed
+)
+
+// Run judges a history, sorted by time.
+func Run(sc *plan.Scenario, all []history.Event) (out []Verdict) {
+	r := read(sc, all)
+	for _, judge := range []func(*plan.Scenario, *record) []Verdict{backwards, late, urgent, bounds, whole, converged, status, processes} {
+		v := judge(sc, r)
+		if n := len(v); n > mostOfCheck {
+			v = append(v[:mostOfCheck:mostOfCheck], Verdict{Check: v[0].Check, At: v[mostOfCheck].At, What: fmt.Sprintf("and %d more", n-mostOfCheck)})
+		}
+		out = append(out, v...)
+	}
+	return out
+}
+
+// backwards judges the order of versions. A follower that begins with nothing has no past.
+func backwards(sc *plan.Scenario, r *record) (out []Verdict) {
+	for _, key := range pairs(sc) {
+		var newest distribution.Version
+		for _, e := range r.states[key] {
+			switch {
+			case e.Kind == history.Refused:
+			case e.Kind == history.Subscribed && e.Version.IsZero():
+				newest = distribution.Version{}
+			case newest.After(e.Version):
+				out = append(out, Verdict{Check: Backwards, At: e.At, What: fmt.Sprintf("%s put %s of %s in force after %s", e.Who, e.Version, e.Resource, newest)})
+			default:
+				newest = e.Version
+			}
+		}
+	}
+	return out
+}
+
+// duty is a version that a follower is to have in force from a moment on.
+type duty struct {
+	follows
+	version distribution.Version
+	since   int64 // when the duty began
+	from    int64 // from when on what the follower had counts
+	urgent  bool
+}
+
+// duties are all of a follower: each put from its answer on, and the latest put from each beginning with nothing on.
+func (r *record) duties(key follows) (out []duty) {
+	writes := r.writes[key.resource]
+	for _, w := range writes {
+		out = append(out, duty{key, w.Version, w.At, 0, w.Urgent})
+	}
+	for _, e := range r.states[key] {
+		if e.Kind != history.Subscribed || !e.Version.IsZero() {
+			continue
+		}
+		for _, w := range slices.Backward(writes) {
+			if w.At <= e.At {
+				out = append(out, duty{key, w.Version, e.At, e.At, false})
+				break
+			}
+		}
+	}
+	return out
+}
+
+// late judges how long a version takes. A follower has to have it when a way to the source has been clear for that long.
+func late(sc *plan.Scenario, r *record) (out []Verdict) {
+	for _, key := range pairs(sc) {
+		for _, d := range r.duties(key) {
+			had := r.upTo(r.has(key, d.version, d.from))
+			way, from, found := r.reachable(key.follower, span{d.since, had}, sc.Bounds.Late)
+			if !found {
+				continue
+			}
+			out = append(out, Verdict{Check: Late, At: d.since, What: fmt.Sprintf("%s has %s of %s %.3f s after it was put, and %.3f s after the way over %s was clear",
+				key.follower, d.version, key.resource, seconds(had-d.since), seconds(had-from), way)})
+		}
+	}
+	return out
+}
+
+func seconds(us int64) float64 { return float64(us) / float64(second) }
+
+// urgent judges what takes an item out: from the moment when its put was answered, where no fault touches any way of the
+// follower's then, nor has done a while before.
+func urgent(sc *plan.Scenario, r *record) (out []Verdict) {
+	for _, key := range pairs(sc) {
+		for _, d := range r.duties(key) {
+			bound := sc.Bounds.Urgent.Microseconds()
+			if !d.urgent || !r.undisturbed(key.follower, d.since, d.since+bound) {
+				continue
+			}
+			if took := r.upTo(r.has(key, d.version, d.from)) - d.since; took > bound && !r.lagged(d.since, d.since+bound) {
+				out = append(out, Verdict{Check: Urgent, At: d.since, What: fmt.Sprintf("%s has %s of %s, which takes an item out, %d ms after its put was answered",
+					key.follower, d.version, key.resource, took/1000)})
+			}
+		}
+	}
+	return out
+}
+
+// undisturbed tells whether no fault touches a follower's ways in a stretch of time, nor has done shortly before.
+func (r *record) undisturbed(follower string, from, to int64) bool {
+	return !slices.ContainsFunc(r.touches[follower], func(s span) bool {
+		return s.from <= to && from <= s.to+afterFault.Microseconds()
+	})
+}
+
+// lagged tells whether the machine kept a process of the rig waiting for longer than a slack in a stretch of time.
+func (r *record) lagged(from, to int64) bool {
+	return slices.ContainsFunc(r.lags, func(s span) bool {
+		return s.to-s.from >= lagSlack.Microseconds() && s.from <= to && from <= s.to
+	})
+}
+
+// whole judges followers that were sent everything though they had a version that the same relay had brought somebody to
+// since its start: it knows what has changed since.
+func whole(_ *plan.Scenario, r *record) (out []Verdict) {
+	known := map[string]map[versionOf]bool{} // by relay
+	has := map[follows]distribution.Version{}
+	for _, e := range r.all {
+		key := follows{e.Who, e.Resource}
+		switch e.Kind {
+		case history.Started:
+			delete(known, e.Who)
+		case history.Subscribed:
+			has[key] = e.Version
+		case history.InForce:
+			if v := has[key]; e.From.IsZero() && !v.IsZero() && known[e.To][versionOf{e.Resource, v}] {
+				out = append(out, Verdict{Check: Whole, At: e.At, What: fmt.Sprintf("%s had %s of %s, which %s knew, and was sent the whole of %s", e.Who, v, e.Resource, e.To, e.Version)})
+			}
+			has[key] = e.Version
+			if known[e.To] == nil {
+				known[e.To] = map[versionOf]bool{}
+			}
+			known[e.To][versionOf{e.Resource, e.Version}] = true
+		}
+	}
+	return out
+}
+
+// converged judges items: one digest a version, and in the end the source's with everybody.
+func converged(sc *plan.Scenario, r *record) (out []Verdict) {
+	for key, digests := range r.digests {
+		if len(digests) > 1 {
+			var who []string
+			at := int64(0)
+			for _, seen := range digests {
+				who = append(who, seen.follower)
+				at = max(at, seen.at)
+			}
+			slices.Sort(who)
+			out = append(out, Verdict{Check: Converged, At: at, What: fmt.Sprintf("%s of %s has different items with %s", key.version, key.resource, strings.Join(who, " and "))})
+		}
+	}
+	slices.SortFunc(out, func(a, b Verdict) int { return strings.Compare(a.What, b.What) })
+	for _, resource := range sc.Resources() {
+		if _, known := r.source[resource]; !known {
+			out = append(out, Verdict{Check: Converged, At: r.end, What: "the source was not asked for " + resource + " in the end"})
+		}
+	}
+	for _, key := range pairs(sc) {
+		want, last := r.source[key.resource], r.last(key)
+		if want.Version != last.Version || want.Digest != last.Digest {
+			out = append(out, Verdict{Check: Converged, At: r.end, What: fmt.Sprintf("%s has %s (%s) of %s in the end, the source %s (%s)",
+				key.follower, last.Version, last.Digest, key.resource, want.Version, want.Digest)})
+		}
+	}
+	return out
+}
+
+// last is what a follower has in force in the end. One that has started again with a version has no digest until the next.
+func (r *record) last(key follows) (last history.Event) {
+	for _, e := range r.states[key] {
+		if e.Kind != history.Refused {
+			last = e
+		}
+	}
+	return last
+}
+
+// status judges the source's reports: none says that a version is in force with more followers than ever had it, and the
+// last one says exactly what is.
+func status(sc *plan.Scenario, r *record) (out []Verdict) {
+	for _, resource := range sc.Resources() {
+		var keys []follows
+		for _, key := range pairs(sc) {
+			if key.resource == resource {
+				keys = append(keys, key)
+			}
+		}
+		reports := r.reports[resource]
+		for _, e := range reports {
+			for _, c := range e.Report.Counts {
+				had := r.hadBy(keys, c.Version, e.At)
+				if most := r.mostReported(sc, had, e.At); !c.Version.IsZero() && c.Proxies > most {
+					out = append(out, Verdict{Check: Status, At: e.At, What: fmt.Sprintf("%s of %s is reported in force with %d proxies, %d had it by then", c.Version, resource, c.Proxies, had)})
+				}
+			}
+		}
+		if len(reports) == 0 {
+			out = append(out, Verdict{Check: Status, At: r.end, What: "no report of " + resource})
+			continue
+		}
+		out = append(out, r.lastReport(keys, reports[len(reports)-1])...)
+	}
+	return out
+}
+
+// hadBy is how many followers had a version in force by a moment.
+func (r *record) hadBy(keys []follows, v distribution.Version, at int64) (n int) {
+	for _, key := range keys {
+		if slices.ContainsFunc(r.states[key], func(e history.Event) bool { return e.Kind != history.Refused && e.Version == v && e.At <= at }) {
+			n++
+		}
+	}
+	return n
+}
+
+// mostReported is how many proxies may be reported where so many had a version: a follower that has gone to another relay
+// counts at both until the first forgets it.
+func (r *record) mostReported(sc *plan.Scenario, had int, at int64) int {
+	after := beginsAnew*sc.Followers.Hold + movesBack
+	moved := slices.ContainsFunc(r.faults, func(f fault) bool { return f.from <= at && at <= f.to+after.Microseconds() })
+	if moved && had > 0 {
+		return had * sc.Relays.PerZone
+	}
+	return had
+}
+
+// lastReport judges the last report of a resource.
+func (r *record) lastReport(keys []follows, e history.Event) (out []Verdict) {
+	want := map[distribution.Version]int{}
+	for _, key := range keys {
+		want[r.last(key).Version]++
+	}
+	got := map[distribution.Version]int{}
+	for _, c := range e.Report.Counts {
+		if c.Proxies > 0 {
+			got[c.Version] += c.Proxies
+		}
+	}
+	same := len(want) == len(got)
+	for v, n := range want {
+		same = same && got[v] == n
+	}
+	if !same || len(e.Report.Refusals) > 0 || len(want) == 1 && len(e.Report.Behind) > 0 {
+		out = append(out, Verdict{Check: Status, At: e.At, What: fmt.Sprintf("%s: the last report is of %v, %d refusals and %d behind; in force are %v",
+			e.Resource, got, len(e.Report.Refusals), len(e.Report.Behind), want)})
+	}
+	return out
+}
+
+func processes(_ *plan.Scenario, r *record) (out []Verdict) {
+	ended := false
+	for _, e := range r.all {
+		switch {
+		case e.Kind == history.Gone && (strings.HasPrefix(e.Why, "by itself") || strings.Contains(e.Why, "exit status")):
+			out = append(out, Verdict{Check: Processes, At: e.At, What: fmt.Sprintf("%s has ended: %s", e.Who, e.Why)})
+		case e.Kind == history.Ended:
+			ended = true
+			if e.N > 0 {
+				out = append(out, Verdict{Check: Processes, At: e.At, What: fmt.Sprintf("%d processes are left", e.N)})
+			}
+		}
+	}
+	if !ended {
+		out = append(out, Verdict{Check: Processes, At: 0, What: "the history breaks off before the run's end"})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/rig/rollout/play.go
@@ -0,0 +1,239 @@
+package rollout
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"fernlanding/internal/distribution"
+	"fernlanding/internal/rig/actor"
+	"fernlanding/internal/rig/history"
+	"fernlanding/internal/rig/process"
+	"fernlanding/internal/rig/rollout/plan"
+	"fernlanding/internal/rig/scenario"
+)
+
+const (
+	askWithin   = time.Second // the source and relays, of what they know of themselves
+	askEvery    = 300 * time.Millisecond
+	answerBytes = 64 << 20
+	rigName     = "rig"
+)
+
+// step is the beginning or the end of a fault.
+type step struct {
+	at    time.Duration
+	fault int
+	end   bool
+}
+
+// play has the publisher write, carries out the schedule, waits until all has settled, and asks the source what there is.
+func (r *run) play(ctx context.Context) error {
+	began := time.Now()
+	r.zero = r.clock.Now()
+	if err := r.procs.Say(plan.PublisherName, actor.Command{Do: actor.DoBegin, At: r.zero}); err != nil {
+		return fmt.Errorf("rollout: %w", err)
+	}
+	asking, stop := context.WithCancel(ctx)
+	r.faults.Go(func() { r.ask(asking) })
+	r.faults.Go(func() { history.WatchLag(asking, rigName, r.clock, r.tell) })
+	defer stop()
+	if err := r.carryOut(ctx, began); err != nil {
+		return err
+	}
+	if !sleep(ctx, time.Until(began.Add(r.sc.For+r.sc.Settle))) {
+		return ctx.Err()
+	}
+	for _, resource := range r.sc.Resources() {
+		r.askResource(ctx, resource)
+		r.askStatus(ctx, resource)
+	}
+	return nil
+}
+
+// carryOut begins and ends all faults of the schedule.
+func (r *run) carryOut(ctx context.Context, began time.Time) error {
+	faults := r.sc.Schedule()
+	var steps []step
+	for i, f := range faults {
+		steps = append(steps, step{f.At, i, false}, step{f.At + f.For, i, true})
+	}
+	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
+	ends := make([]func() error, len(faults))
+	for _, s := range steps {
+		if !sleep(ctx, time.Until(began.Add(s.at))) {
+			return ctx.Err()
+		}
+		f := faults[s.fault]
+		e := history.Event{Kind: history.Fault, ID: f.Name(s.fault), Names: f.Names, Why: f.String(), To: f.Link}
+		var err error
+		if s.end {
+			err = ends[s.fault]() // what it disturbed is not well before that
+			r.tell(e)
+		} else {
+			e.N = 1
+			r.tell(e)
+			ends[s.fault], err = r.begin(ctx, f)
+		}
+		if err != nil {
+			return fmt.Errorf("rollout: %s: %w", f, err)
+		}
+	}
+	return nil
+}
+
+// begin begins a fault, and returns what ends it.
+func (r *run) begin(ctx context.Context, f plan.Fault) (end func() error, err error) {
+	each := func(do func(name string) error) error {
+		for _, name := range f.Names {
+			if err := do(name); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	switch f.Kind {
+	case scenario.Stop:
+		_ = each(func(name string) error { r.procs.Stop(name); return nil })
+		return func() error { return each(func(name string) error { r.procs.Continue(name); return nil }) }, nil
+	case scenario.Kill:
+		_ = each(func(name string) error { r.procs.Kill(name); return nil })
+		return func() error { return each(func(name string) error { return r.startAgain(ctx, name) }) }, nil
+	case plan.Between:
+		return r.betweenWrites(ctx, f), nil
+	case plan.Restart:
+		restart := func(name string) error { return r.procs.Say(name, actor.Command{Do: actor.DoRestart}) }
+		return func() error { return nil }, each(restart)
+	}
+	stop := r.net.Begin(f)
+	return func() error { stop(); return nil }, nil
+}
+
+// betweenWrites kills the publisher when its next write has been answered.
+func (r *run) betweenWrites(ctx context.Context, f plan.Fault) (end func() error) {
+	ctx, cancel := context.WithCancel(ctx)
+	killed := make(chan struct{})
+	select {
+	case <-r.wrote: // one before the fault
+	default:
+	}
+	r.faults.Go(func() {
+		defer close(killed)
+		select {
+		case <-r.wrote:
+			r.procs.Kill(plan.PublisherName)
+		case <-ctx.Done():
+		}
+	})
+	return func() error {
+		cancel()
+		<-killed
+		if r.procs.PID(plan.PublisherName) != 0 {
+			return nil // nothing was written in that time
+		}
+		return r.startAgain(ctx, plan.PublisherName)
+	}
+}
+
+// startAgain starts a process that was killed.
+func (r *run) startAgain(ctx context.Context, name string) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), startWithin)
+	defer cancel()
+	switch {
+	case name == plan.PublisherName:
+		return r.startPublisher(ctx)
+	case slices.Contains(r.sc.Names(plan.OnFollowers), name):
+		return r.startFollowers(ctx, name)
+	}
+	if err := r.startServer(name); err != nil {
+		return err
+	}
+	return r.healthy(ctx, name)
+}
+
+// ask asks the source and the relays what they use, and the source what is in force, until the context ends.
+func (r *run) ask(ctx context.Context) {
+	tick := time.NewTicker(askEvery)
+	defer tick.Stop()
+	for {
+		for _, name := range r.servers() {
+			r.askStats(ctx, name)
+		}
+		for _, resource := range r.sc.Resources() {
+			r.askStatus(ctx, resource)
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// askStats tells what a server says of itself, and what the system says of it.
+func (r *run) askStats(ctx context.Context, name string) {
+	var stats map[string]any
+	if r.get(ctx, name, "/v1/stats", &stats) != nil {
+		return // it is down, or stopped
+	}
+	figures := map[string]float64{history.UsedResident: float64(process.Resident(r.procs.PID(name)))}
+	for field, value := range stats {
+		if number, ok := value.(float64); ok {
+			figures[field] = number
+		}
+	}
+	r.tell(history.Event{Kind: history.Used, Who: name, Figures: figures})
+}
+
+// askStatus tells what the source knows of a resource's being in force.
+func (r *run) askStatus(ctx context.Context, resource string) {
+	var status distribution.ResourceStatus
+	if r.get(ctx, plan.Source, "/v1/status?resource="+url.QueryEscape(resource), &status) != nil {
+		return
+	}
+	r.tell(history.Event{Kind: history.Reported, Who: plan.Source, Resource: resource, Report: &status})
+}
+
+// askResource tells what the source has.
+func (r *run) askResource(ctx context.Context, resource string) {
+	var u distribution.Update
+	if err := r.get(ctx, plan.Source, "/v1/resource?name="+url.QueryEscape(resource), &u); err != nil {
+		r.tell(history.Event{Kind: history.Log, Who: plan.Source, Resource: resource, Why: err.Error()})
+		return
+	}
+	r.tell(history.Event{Kind: history.Source, Who: plan.Source, Resource: resource, Version: u.Version, Digest: actor.DigestOf(u.Items)})
+}
+
+// get asks a server directly, over no link.
+func (r *run) get(ctx context.Context, server, path string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.address(server)+path, nil)
+	if err != nil {
+		return err
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d", path, response.StatusCode)
+	}
+	return json.NewDecoder(io.LimitReader(response.Body, answerBytes)).Decode(into)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/rig/rollout/rollout_test.go
@@ -0,0 +1,234 @@
+package rollout_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"fernlanding/internal/distribution/follow"
+	"fernlanding/internal/rig/actor"
+	"fernlanding/internal/rig/history"
+	"fernlanding/internal/rig/rollout"
+	"fernlanding/internal/rig/rollout/check"
+	"fernlanding/internal/rig/rollout/plan"
+)
+
+// The test's own program is also the rig's actors and its stand-ins with a bug.
+const (
+	roleVar = "ROLLOUT_TEST_ROLE"
+	bugVar  = "ROLLOUT_TEST_BUG"
+	keepVar = "ROLLOUT_TEST_KEEP" // a directory for the histories that do not pass
+
+	roleActor      = "actor"
+	roleNaiveActor = "naive-actor"
+	roleNaiveNode  = "naive-node"
+)
+
+var program string // fernrelay, built from this tree
+
+func TestMain(m *testing.M) {
+	switch os.Getenv(roleVar) {
+	case roleActor:
+		exit(actor.Main(os.Stdin, os.Stdout))
+	case roleNaiveActor:
+		exit(actor.MainWith(os.Stdin, os.Stdout, func(c follow.Config) actor.Follower { return newNaiveFollower(c) }))
+	case roleNaiveNode:
+		exit(naive(os.Args[1:], bug(os.Getenv(bugVar))))
+	}
+	dir, err := os.MkdirTemp("", "rollouttest")
+	if err == nil {
+		program = filepath.Join(dir, "fernrelay")
+		build := exec.Command("go", "build", "-o", program, "fernlanding/cmd/fernrelay")
+		build.Stderr = os.Stderr
+		err = build.Run()
+	}
+	if err != nil {
+		exit(err)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func exit(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	os.Exit(0)
+}
+
+// self is the test's own program in a role.
+func self(role string) []string {
+	path, err := os.Executable()
+	if err != nil {
+		panic(err)
+	}
+	return []string{"/usr/bin/env", roleVar + "=" + role, path}
+}
+
+func decode(t testing.TB, text string) *plan.Scenario {
+	t.Helper()
+	sc, err := plan.Read("test.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return sc
+}
+
+// play plays a scenario and judges it.
+func play(t *testing.T, sc *plan.Scenario, o rollout.Options) ([]check.Verdict, check.Figures) {
+	t.Helper()
+	var log bytes.Buffer
+	o.Out = &log
+	if err := rollout.Run(context.Background(), sc, o); err != nil {
+		t.Error(err)
+		return nil, check.Figures{}
+	}
+	all, err := history.Read(bytes.NewReader(log.Bytes()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	verdicts := check.Run(sc, all)
+	if dir := os.Getenv(keepVar); dir != "" && len(verdicts) > 0 {
+		_ = os.WriteFile(filepath.Join(dir, fmt.Sprintf("%s-%d.jsonl", strings.ReplaceAll(t.Name(), "/", "-"), sc.Seed)), log.Bytes(), 0o600)
+	}
+	for _, v := range verdicts {
+		t.Logf("seed %d: %s", sc.Seed, v)
+	}
+	return verdicts, check.Measure(sc, all)
+}
+
+const naiveScenario = `
+name = "bugs"
+for = "3s"
+settle = "5s"
+[relays]
+regions = 1
+zones = 1
+per_zone = 2
+hold = "300ms"
+[followers]
+processes = 2
+each = 3
+hold = "300ms"
+follows = 3
+[publisher]
+rate = 10
+resources = 3
+items = 30
+urgent = 0.3
+[bounds]
+late = "1500ms"
+rest_bytes_per_s = 6000
+cache_bytes = 10000
+`
+
+const (
+	restartFaults = `
+[[faults]]
+at = "500ms"
+for = "1s"
+kind = "kill"
+on = "zones"
+names = ["zone-1"]
+[[faults]]
+at = "1600ms"
+for = "10ms"
+kind = "restart"
+`
+	stopFaults = `
+[[faults]]
+at = "1s"
+for = "1900ms"
+kind = "stop"
+on = "followers"
+`
+)
+
+// Each checker finds the stand-in with the one bug that it is there for, and only a stand-in without a bug passes all.
+func TestCheckersFindSeededBugs(t *testing.T) {
+	together := make(chan struct{}, 3)
+	for _, c := range []struct {
+		bug    bug
+		faults string
+		check  string
+	}{
+		{noBug, "", ""},
+		{noBug, restartFaults, ""},
+		{noBug, stopFaults, ""},
+		{bugBack, "", check.Backwards},
+		{bugForget, "", check.Late},
+		{bugHoldBack, "", check.Urgent},
+		{bugHeartbeat, "", check.Bounds},
+		{bugBacklog, "", check.Bounds},
+		{bugWhole, "", check.Whole},
+		{bugDropItem, "", check.Converged},
+		{bugEarly, stopFaults, check.Status},
+		{bugCrash, "", check.Processes},
+	} {
+		t.Run(fmt.Sprintf("%s/%s", c.bug, c.check), func(t *testing.T) {
+			t.Parallel()
+			together <- struct{}{}
+			defer func() { <-together }()
+			o := rollout.Options{Relay: self(roleNaiveNode), Actor: self(roleNaiveActor), Env: []string{bugVar + "=" + string(c.bug)}, Logs: os.Stderr}
+			verdicts, f := play(t, decode(t, naiveScenario+c.faults), o)
+			if c.faults == "" && f.Judged < 20 {
+				t.Errorf("%d urgent updates judged: the run shows nothing", f.Judged)
+			}
+			if c.check == "" {
+				for _, v := range verdicts {
+					t.Error(v)
+				}
+				return
+			}
+			if !slices.ContainsFunc(verdicts, func(v check.Verdict) bool { return v.Check == c.check }) {
+				t.Errorf("%s is not found by %s; verdicts: %v", c.bug, c.check, verdicts)
+			}
+			t.Logf("%d verdicts, the first: %v", len(verdicts), verdicts[:min(len(verdicts), 1)])
+		})
+	}
+}
+
+// The programs keep the rules under drawn faults.
+func TestRulesHoldUnderFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("plays whole runs in real time")
+	}
+	data, err := os.ReadFile("../../../deploy/rig/rollout/small.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all sync.WaitGroup
+	for seed := range uint64(3) {
+		all.Go(func() {
+			sc := decode(t, string(data))
+			sc.Seed += seed
+			verdicts, f := play(t, sc, rollout.Options{Relay: []string{program}, Actor: self(roleActor)})
+			for _, v := range verdicts {
+				t.Errorf("seed %d: %s", sc.Seed, v)
+			}
+			if f.InForce < 500 || f.Judged < 50 {
+				t.Errorf("seed %d: %d updates in force, %d urgent ones judged: the run shows nothing", sc.Seed, f.InForce, f.Judged)
+			}
+			if len(verdicts) > 0 {
+				t.Logf("seed %d's faults:\n%s", sc.Seed, strings.Join(describe(sc), "\n"))
+			}
+		})
+	}
+	all.Wait()
+}
+
+func describe(sc *plan.Scenario) (out []string) {
+	for _, f := range sc.Schedule() {
+		out = append(out, f.String())
+	}
+	return out
+}
--- /dev/null
+++ b/internal/rig/rollout/run.go
@@ -0,0 +1,392 @@
+// Package rollout plays distribution on the rig: a source, two levels of relays, followers and a publisher in processes of
+// their own, with faults on the links between them, and writes down what happens. Package check judges that.
+package rollout
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"fernlanding/internal/rig/actor"
+	"fernlanding/internal/rig/history"
+	"fernlanding/internal/rig/link"
+	"fernlanding/internal/rig/process"
+	"fernlanding/internal/rig/rollout/plan"
+)
+
+// Options say how a run is carried out.
+type Options struct {
+	Relay []string // the program under test and its first arguments; "source ..." or "relay ..." is added
+	Actor []string // the program that is an actor
+	Env   []string // further environment of both
+	Out   io.Writer
+	Dir   string    // for the source's state; empty: a temporary one that is removed
+	Logs  io.Writer // of the programs under test; nil: discarded
+}
+
+const (
+	startWithin = 30 * time.Second // all processes, until every follower has every resource that it follows
+	firstPort   = 20_000           // below those that the kernel deals out
+	portSpan    = 10_000
+	networks    = 200
+	lookEvery   = 20 * time.Millisecond
+	maxLine     = 4 << 20
+)
+
+// run is one run.
+type run struct {
+	sc     *plan.Scenario
+	opts   Options
+	clock  history.Clock
+	events *history.Writer
+	procs  *process.Set
+	net    *link.Net
+	client *http.Client
+	dir    string
+	places map[string]link.Place // of all that open connections or listen, by name
+	port   int                   // where the source and relays listen
+	relay  map[entrance]int      // ports of the links to them
+	zero   int64                 // when the faults began
+	has    *firstUpdates
+	wrote  chan struct{} // the publisher has written something
+	faults sync.WaitGroup
+}
+
+// Run plays a scenario and writes its history. It returns when none of its processes is left; at the context's end it
+// breaks off.
+func Run(ctx context.Context, sc *plan.Scenario, opts Options) (err error) {
+	r := &run{
+		sc:     sc,
+		opts:   opts,
+		clock:  history.NewClock(),
+		events: history.NewWriter(opts.Out),
+		client: &http.Client{Timeout: askWithin, Transport: &http.Transport{}},
+		relay:  map[entrance]int{},
+		has:    newFirstUpdates(sc),
+		wrote:  make(chan struct{}, 1),
+	}
+	if r.dir = opts.Dir; r.dir == "" {
+		if r.dir, err = os.MkdirTemp("", "rollout"); err != nil {
+			return fmt.Errorf("rollout: %w", err)
+		}
+		defer os.RemoveAll(r.dir)
+	}
+	r.tell(history.Event{Kind: history.Began, ID: sc.Name, N: int64(sc.Seed)})
+	r.procs = process.New(r.tell)
+	defer func() {
+		left := r.procs.End()
+		if r.net != nil {
+			r.net.Close()
+		}
+		r.client.CloseIdleConnections()
+		r.faults.Wait()
+		r.tell(history.Event{Kind: history.Ended, N: int64(left)})
+		err = errors.Join(err, r.events.Flush())
+	}()
+	if err := r.lay(); err != nil {
+		return fmt.Errorf("rollout: %w", err)
+	}
+	if err := r.start(ctx); err != nil {
+		return fmt.Errorf("rollout: %w", err)
+	}
+	return r.play(ctx)
+}
+
+func (r *run) tell(e history.Event) {
+	if e.At == 0 {
+		e.At = r.clock.Now()
+	}
+	r.events.Write(e)
+}
+
+// servers are the source and all relays.
+func (r *run) servers() []string {
+	return slices.Concat(r.sc.Names(plan.OnSource), r.sc.Names(plan.OnRegions), r.sc.Names(plan.OnZones))
+}
+
+// lay finds places and ports that nobody uses, and opens the links.
+func (r *run) lay() error {
+	servers := r.servers()
+	for try := range networks {
+		network := (os.Getpid()*11 + try) % networks
+		base := firstPort + (os.Getpid()*137+try*991)%(portSpan-len(servers)-3)
+		guard, err := net.Listen("tcp4", net.JoinHostPort(link.PlaceOf(network, 0).String(), strconv.Itoa(base)))
+		if err != nil {
+			continue
+		}
+		guard.Close()
+		r.port = base
+		r.places = map[string]link.Place{}
+		for i, name := range slices.Concat(servers, []string{plan.PublisherName}, r.sc.FollowerNames()) {
+			r.places[name] = link.PlaceOf(network, i)
+		}
+		r.net = link.New(unwatched{})
+		if err = r.links(); err == nil {
+			return nil
+		}
+		r.net.Close()
+		r.net = nil
+		if try == networks-1 {
+			return err
+		}
+	}
+	return errors.New("no free ports between 20000 and 30000")
+}
+
+// links opens the links to the source and to each relay.
+func (r *run) links() error {
+	names := map[link.Place]string{}
+	for name, place := range r.places {
+		names[place] = name
+	}
+	port := r.port
+	for _, server := range r.servers() {
+		to := func(at link.Place) (link.Ends, string, bool) {
+			name, known := names[at]
+			return link.Ends{From: name, To: server}, r.address(server), known
+		}
+		for _, group := range r.sc.LinksTo(server) {
+			port++
+			r.relay[entrance{group, server}] = port
+			if err := r.net.Listen(link.Relay{Group: group, Port: port, To: to}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// entrance is where a link leads to a server.
+type entrance struct{ link, server string }
+
+// unwatched is a link.Watcher that tells nothing: what passes is told by those at its ends.
+type unwatched struct{}
+
+// Opened implements link.Watcher.
+func (unwatched) Opened(link.Ends) {}
+
+// Sent implements link.Watcher.
+func (unwatched) Sent(link.Ends, string, int64, time.Time) {}
+
+// Delivered implements link.Watcher.
+func (unwatched) Delivered(link.Ends, string, int64) {}
+
+// address is where the source or a relay itself listens.
+func (r *run) address(server string) string {
+	return net.JoinHostPort(r.places[server].String(), strconv.Itoa(r.port))
+}
+
+// linkTo is where a caller reaches a server over its link.
+func (r *run) linkTo(caller, server string) string {
+	return net.JoinHostPort(r.places[caller].String(), strconv.Itoa(r.relay[entrance{r.sc.LinkBetween(caller, server), server}]))
+}
+
+// start starts all processes, writes all resources once, and waits until every follower has those that it follows.
+func (r *run) start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startWithin)
+	defer cancel()
+	for _, name := range r.servers() {
+		if err := r.startServer(name); err != nil {
+			return err
+		}
+		if err := r.healthy(ctx, name); err != nil {
+			return err
+		}
+	}
+	if err := r.startPublisher(ctx); err != nil {
+		return err
+	}
+	for _, name := range r.sc.Names(plan.OnFollowers) {
+		if err := r.startFollowers(ctx, name); err != nil {
+			return err
+		}
+	}
+	if err := r.procs.Say(plan.PublisherName, actor.Command{Do: actor.DoFirst}); err != nil {
+		return err
+	}
+	select {
+	case <-r.has.all:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("%d times a follower does not get a resource that it follows: %w", r.has.lacking(), ctx.Err())
+	}
+}
+
+// startServer starts the source or a relay.
+func (r *run) startServer(name string) error {
+	args := []string{"relay", "-listen", r.address(name), "-name", name, "-hold", r.sc.Relays.Hold.String()}
+	var upstream []string
+	switch {
+	case name == plan.Source:
+		args = []string{"source", "-listen", r.address(name), "-state", filepath.Join(r.dir, "state")}
+	case slices.Contains(r.sc.Names(plan.OnRegions), name):
+		upstream = r.sc.Names(plan.OnSource)
+	default:
+		upstream = r.sc.Names(plan.OnRegions)
+	}
+	if name != plan.Source {
+		var addresses []string
+		for _, server := range upstream {
+			addresses = append(addresses, r.linkTo(name, server))
+		}
+		args = append(args, "-upstream", strings.Join(addresses, ","))
+	}
+	return r.procs.Start(process.Spec{Name: name, Args: append(slices.Clone(r.opts.Relay), args...), Env: r.opts.Env, ReadErr: r.log})
+}
+
+// log hands on what a program under test logs.
+func (r *run) log(from io.Reader) {
+	to := r.opts.Logs
+	if to == nil {
+		to = io.Discard
+	}
+	_, _ = io.Copy(to, from)
+	_, _ = io.Copy(io.Discard, from)
+}
+
+// healthy waits until a server answers.
+func (r *run) healthy(ctx context.Context, name string) error {
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		response, err := r.client.Get("http://" + r.address(name) + "/_health")
+		if err == nil {
+			response.Body.Close()
+			return nil
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return fmt.Errorf("%s does not answer: %w", name, err)
+		}
+	}
+}
+
+func (r *run) startPublisher(ctx context.Context) error {
+	return r.actor(ctx, actor.Spec{
+		Name:   plan.PublisherName,
+		Group:  plan.OnPublisher,
+		Source: r.linkTo(plan.PublisherName, plan.Source),
+		First:  r.sc.First(),
+		Puts:   r.sc.Puts(),
+		Began:  r.zero,
+	})
+}
+
+// startFollowers starts one process of followers.
+func (r *run) startFollowers(ctx context.Context, name string) error {
+	spec := actor.Spec{Name: name, Group: plan.OnFollowers, Hold: r.sc.Followers.Hold, Seed: r.sc.Seed}
+	for _, follower := range r.sc.FollowerNames() {
+		if r.sc.ProcessOf(follower) != name {
+			continue
+		}
+		one := actor.FollowerSpec{Name: follower, Names: r.sc.RelaysOf(follower), Follows: r.sc.ResourcesOf(follower)}
+		for _, relay := range one.Names {
+			one.Relays = append(one.Relays, r.linkTo(follower, relay))
+		}
+		spec.Followers = append(spec.Followers, one)
+	}
+	return r.actor(ctx, spec)
+}
+
+// actor starts an actor, whose events go into the history, and waits for its first line.
+func (r *run) actor(ctx context.Context, spec actor.Spec) error {
+	spec.Zero = r.clock.Zero()
+	first, err := json.Marshal(spec)
+	if err != nil {
+		return err
+	}
+	hello := make(chan bool, 1)
+	err = r.procs.Start(process.Spec{Name: spec.Name, Args: r.opts.Actor, Env: r.opts.Env, Talks: true, Read: func(out io.Reader) {
+		lines := bufio.NewScanner(out)
+		lines.Buffer(make([]byte, 1<<16), maxLine)
+		if lines.Scan() {
+			hello <- true
+		}
+		close(hello)
+		for lines.Scan() {
+			var e history.Event
+			if json.Unmarshal(lines.Bytes(), &e) == nil && e.Kind != "" {
+				r.heard(e)
+			}
+		}
+		_, _ = io.Copy(io.Discard, out)
+	}})
+	if err != nil {
+		return err
+	}
+	if err := r.procs.Write(spec.Name, first); err != nil {
+		return err
+	}
+	select {
+	case begun := <-hello:
+		if !begun {
+			return fmt.Errorf("%s has ended at its start", spec.Name)
+		}
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("%s does not start: %w", spec.Name, ctx.Err())
+	}
+}
+
+// heard takes an event of an actor.
+func (r *run) heard(e history.Event) {
+	r.events.Write(e)
+	switch {
+	case e.Kind == history.InForce:
+		r.has.note(e.Who, e.Resource)
+	case e.Kind == history.Put && e.Status == http.StatusOK:
+		select {
+		case r.wrote <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// firstUpdates waits until every follower has got every resource that it follows.
+type firstUpdates struct {
+	all chan struct{} // closed then
+
+	mu   sync.Mutex
+	want map[[2]string]bool // followers and resources
+}
+
+func newFirstUpdates(sc *plan.Scenario) *firstUpdates {
+	f := &firstUpdates{all: make(chan struct{}), want: map[[2]string]bool{}}
+	for _, follower := range sc.FollowerNames() {
+		for _, resource := range sc.ResourcesOf(follower) {
+			f.want[[2]string{follower, resource}] = true
+		}
+	}
+	return f
+}
+
+func (f *firstUpdates) note(follower, resource string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	key := [2]string{follower, resource}
+	if !f.want[key] {
+		return
+	}
+	if delete(f.want, key); len(f.want) == 0 {
+		close(f.all)
+	}
+}
+
+func (f *firstUpdates) lacking() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.want)
+}
