--- a/internal/rig/rollout/check/figures.go
+++ b/internal/rig/rollout/check/figures.go
@@ -18,7 +18,7 @@
 
 	Puts       int `json:"puts"`
 	Unanswered int `json:"puts_unanswered"`
-	Twins      int `json:"puts_within_1ms"` // to the same resource as another put
+	Twins      int `json:"puts_within_1ms"` // begun so soon after another one to the same resource
 	InForce    int `json:"in_force"`        // updates that followers put in force
 	Wholes     int `json:"whole_updates"`   // of those
 	Refused    int `json:"refused"`
@@ -92,7 +92,7 @@
 	const twin = 1000 // microseconds
 	for _, writes := range r.writes {
 		for i := 1; i < len(writes); i++ {
-			if gap := writes[i].At - writes[i-1].At; -twin < gap && gap < twin {
+			if gap := (writes[i].At - writes[i].Took) - (writes[i-1].At - writes[i-1].Took); -twin < gap && gap < twin {
 				f.Twins++
 			}
 		}
