--- a/internal/scale/sweep/team.go
+++ b/internal/scale/sweep/team.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
-	"fernlanding/internal/rig"
 	"fernlanding/internal/rig/history"
+	"fernlanding/internal/rig/process"
 	"fernlanding/internal/scale/worker"
 )
 
@@ -22,7 +22,7 @@
 
 // team is the processes of one size. Each dies with this one.
 type team struct {
-	group *rig.Group
+	group *process.Set
 	args  []string // that start a worker
 
 	mu      sync.Mutex
@@ -34,7 +34,7 @@
 
 func newTeam(args []string) *team {
 	t := &team{args: args, replies: map[string]chan []byte{}, gone: map[string]chan struct{}{}}
-	t.group = rig.NewGroup(t.tell)
+	t.group = process.New(t.tell)
 	return t
 }
 
@@ -74,7 +74,7 @@
 			replies <- append([]byte(nil), lines.Bytes()...)
 		}
 	}
-	if err := t.group.Start(name, t.args, read); err != nil {
+	if err := t.group.Start(process.Spec{Name: name, Args: t.args, Talks: true, Read: read}); err != nil {
 		return worker.Reply{}, err
 	}
 	return t.ask(ctx, name, spec)
@@ -85,7 +85,7 @@
 	t.mu.Lock()
 	t.gone[name] = make(chan struct{})
 	t.mu.Unlock()
-	return t.group.Start(name, args, nil)
+	return t.group.Start(process.Spec{Name: name, Args: args})
 }
 
 // ask writes a line to a worker and returns its reply.
