--- a/internal/membership/catalog/push_test.go
+++ b/internal/membership/catalog/push_test.go
@@ -66,6 +66,7 @@
 
 // An agent that turns calls away speaks: the waits between calls grow.
 func TestCallsThatAreTurnedAwayAreSpacedMoreAndMore(t *testing.T) {
+	t.Parallel()
 	var r refusals
 	addr := script(t, func(n int, w http.ResponseWriter, req *http.Request) {
 		r.came()
@@ -86,6 +87,7 @@
 
 // What a service asks for is kept, but not for so long that what it has at its return is told too late.
 func TestARetryAfterIsKeptUpToABound(t *testing.T) {
+	t.Parallel()
 	var r refusals
 	addr := script(t, func(n int, w http.ResponseWriter, req *http.Request) {
 		r.came()
@@ -108,6 +110,7 @@
 
 // A watch that is turned away is repeated from its version, after a wait as well.
 func TestARefusedWatchOfAPushedListWaits(t *testing.T) {
+	t.Parallel()
 	var r refusals
 	addr := script(t, func(n int, w http.ResponseWriter, req *http.Request) {
 		r.came()
@@ -134,6 +137,7 @@
 
 // Where a second call is turned away while the first still waits its turn, the first is neither given up nor has calls beside it.
 func TestACallInTheQueueOfAServiceThatSpeaksIsWaitedFor(t *testing.T) {
+	t.Parallel()
 	const turn = 1500 * time.Millisecond // by which a silent agent would be called anew
 	full := make(chan struct{})
 	addr := script(t, func(n int, w http.ResponseWriter, req *http.Request) {
@@ -164,6 +168,7 @@
 
 // An agent that turned a call away and then falls silent is called again and again, whatever became of the calls before.
 func TestAnAgentThatFallsSilentAfterARefusalIsCalledAgain(t *testing.T) {
+	t.Parallel()
 	const hang = 4
 	release := make(chan struct{})
 	addr := script(t, func(n int, w http.ResponseWriter, req *http.Request) {
@@ -196,6 +201,7 @@
 
 // An agent that was silent and then turns away all that it was asked meanwhile has refused once: the waits begin at the least.
 func TestAnAgentThatTurnsAllAwayAfterSilenceIsAskedLater(t *testing.T) {
+	t.Parallel()
 	const hang = 2
 	var r refusals
 	speaks := make(chan struct{})
