--- a/internal/distribution/follow/follower.go
+++ b/internal/distribution/follow/follower.go
@@ -204,8 +204,9 @@
 		return
 	}
 	r := newReader(f, ctx)
+	seed := f.cfg.Rand.Uint64() // Rand is readLoop's
 	others.Go(func() { r.reportLoop() })
-	others.Go(func() { r.probeLoop(f.cfg.Rand.Uint64()) })
+	others.Go(func() { r.probeLoop(seed) })
 	r.readLoop()
 }
 
--- a/internal/distribution/node/node.go
+++ b/internal/distribution/node/node.go
@@ -455,6 +455,7 @@
 	var whole *distribution.Update
 	if update != nil {
 		whole = n.store.Preview(update)
+		n.revision = next.Revision // never used again, also where the write fails: it may be on the disk all the same
 	}
 	n.mu.Unlock()
 	if err != nil {
@@ -471,7 +472,6 @@
 	if err := n.apply(update); err != nil {
 		return distribution.Version{}, err
 	}
-	n.revision = next.Revision
 	n.stats.Puts++
 	return next, nil
 }
--- a/internal/distribution/node/socket_test.go
+++ b/internal/distribution/node/socket_test.go
@@ -26,6 +26,7 @@
 	server  *http.Server
 	cancel  context.CancelFunc
 	parts   sync.WaitGroup
+	state   *statedir.Dir // of a source
 }
 
 type runner interface {
@@ -57,6 +58,9 @@
 	_ = s.server.Close()
 	s.Node.Close()
 	s.parts.Wait()
+	if s.state != nil {
+		_ = s.state.Close()
+	}
 }
 
 func startSource(t *testing.T, dir, address string, clock int64) *served {
@@ -70,7 +74,7 @@
 		t.Fatal(err)
 	}
 	s := serve(t, n, n, address)
-	t.Cleanup(func() { _ = d.Close() })
+	s.state = d
 	return s
 }
 
--- a/internal/distribution/store_test.go
+++ b/internal/distribution/store_test.go
@@ -181,6 +181,9 @@
 	if !u.Version.After(r.at) || !u.Whole() && u.From != r.at {
 		t.Fatalf("at %v: update from %v to %v", r.at, u.From, u.Version)
 	}
+	if err := u.Validate(); err != nil {
+		t.Fatal(err)
+	}
 	if u.Whole() {
 		clear(r.items)
 	}
