--- a/internal/distribution/follow/follower.go
+++ b/internal/distribution/follow/follower.go
@@ -204,9 +204,9 @@
 		return
 	}
 	r := newReader(f, ctx)
-	seed := f.cfg.Rand.Uint64() // Rand is readLoop's
 	others.Go(func() { r.reportLoop() })
-	others.Go(func() { r.probeLoop(seed) })
+	probeSeed := f.cfg.Rand.Uint64() // drawn here: readLoop draws from the same source
+	others.Go(func() { r.probeLoop(probeSeed) })
 	r.readLoop()
 }
 
--- a/internal/distribution/sessions.go
+++ b/internal/distribution/sessions.go
@@ -156,14 +156,14 @@
 // move takes a follower's position.
 func (s *Sessions) move(session *Session, to *Position) error {
 	f := s.followed[to.Resource]
+	if f == nil && len(s.followed) >= MaxResources {
+		return fmt.Errorf("%w: %d resources are followed, %d at most expected", ErrFull, len(s.followed), MaxResources)
+	}
 	if f == nil {
 		f = s.follow(to.Resource)
 	}
 	at, found := session.find(f)
 	if !found {
-		if len(session.positions) >= MaxResources {
-			return fmt.Errorf("positions: more than %d found, that many at most expected", MaxResources)
-		}
 		session.positions = slices.Insert(session.positions, at, position{resource: f})
 		f.sessions[session] = struct{}{}
 	}
--- a/internal/distribution/sessions_test.go
+++ b/internal/distribution/sessions_test.go
@@ -140,6 +140,24 @@
 	}
 }
 
+// Followers that name ever more resources are turned away, and leave nothing behind.
+func TestFollowedResourcesAreBounded(t *testing.T) {
+	s := NewSessions(DefaultSessionLimits())
+	session := open(t, s, "s1", opening("p1", KindProxy), began)
+	var err error
+	for i := 0; err == nil && i <= 2*MaxResources; i++ {
+		req := &FollowRequest{Follower: "p1", Kind: KindProxy, Session: "s1", Positions: []Position{has(fmt.Sprint("r", i), at(1, 1))}}
+		_, err = s.Take(req, began)
+	}
+	if !errors.Is(err, ErrFull) || len(s.followed) != MaxResources {
+		t.Errorf("%v, %d resources", err, len(s.followed))
+	}
+	s.Close(session)
+	if len(s.followed) != 0 {
+		t.Errorf("%d resources left", len(s.followed))
+	}
+}
+
 // Reports of relays are snapshots: the last counts, and one that is gone counts no more.
 func TestMergedStatus(t *testing.T) {
 	s := NewSessions(DefaultSessionLimits())
