--- a/internal/distribution/follow/follower.go
+++ b/internal/distribution/follow/follower.go
@@ -59,7 +59,7 @@
 	Name   string // of this follower, unique in the fleet, the same after a restart
 	Kind   distribution.Kind
 	Relays []string      // host:port
-	Hold   time.Duration // of a read; 0: DefaultHold
+	Hold   time.Duration // of a read, a minute at most; 0: DefaultHold
 	Rand   *rand.Rand    // nil: a seed of its own
 	Log    *slog.Logger  // nil: none
 	// Dial opens connections; nil: the usual one.
@@ -121,6 +121,7 @@
 	if cfg.Hold == 0 {
 		cfg.Hold = DefaultHold
 	}
+	cfg.Hold = min(cfg.Hold, distribution.MaxHoldMs*time.Millisecond)
 	if cfg.Rand == nil {
 		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
--- /dev/null
+++ b/internal/distribution/follow/follower_test.go
@@ -0,0 +1,230 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fernlanding/internal/distribution"
+	"fernlanding/internal/distribution/httpapi"
+)
+
+const within = 20 * time.Second
+
+// call is one call of a Follower, which the test answers.
+type call struct {
+	address string
+	req     distribution.FollowRequest
+	answer  chan answer
+}
+
+type answer struct {
+	response *distribution.FollowResponse
+	err      error
+}
+
+// scripted is a Transport whose calls the test answers.
+type scripted struct{ calls chan call }
+
+func (s *scripted) Follow(ctx context.Context, address string, req *distribution.FollowRequest) (*distribution.FollowResponse, error) {
+	c := call{address, *req, make(chan answer, 1)}
+	select {
+	case s.calls <- c:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	select {
+	case a := <-c.answer:
+		return a.response, a.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (s *scripted) Healthy(context.Context, string) error { return errors.New("not healthy") }
+func (s *scripted) Close()                                {}
+
+// fixture is a running Follower on a scripted Transport.
+type fixture struct {
+	t *testing.T
+	*Follower
+	transport *scripted
+	updates   chan distribution.Update
+	refuse    error
+	missed    chan bool
+}
+
+func start(t *testing.T, has distribution.Version, relays ...string) *fixture {
+	t.Helper()
+	f := &fixture{t: t, transport: &scripted{make(chan call)}, updates: make(chan distribution.Update, 10), missed: make(chan bool, 100)}
+	cfg := Config{Name: "p", Kind: distribution.KindProxy, Relays: relays, Rand: testRand(), Hold: time.Minute}
+	f.Follower = newFollower(cfg, f.transport, new(wireCounter))
+	f.Subscribe("r", has, f)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { f.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return f
+}
+
+func (f *fixture) Updated(u distribution.Update) error {
+	f.updates <- u
+	return f.refuse
+}
+
+func (f *fixture) Missed() { f.missed <- true }
+
+// next is the next call.
+func (f *fixture) next() call {
+	f.t.Helper()
+	select {
+	case c := <-f.transport.calls:
+		return c
+	case <-time.After(within):
+		f.t.Fatal("no call")
+		return call{}
+	}
+}
+
+// read is the next call that waits for news; reports beside it are answered.
+func (f *fixture) read() call {
+	f.t.Helper()
+	for {
+		c := f.next()
+		if c.req.HoldMs > 0 {
+			return c
+		}
+		c.ok()
+	}
+}
+
+func (c call) ok(updates ...distribution.Update) {
+	c.answer <- answer{response: &distribution.FollowResponse{Session: "s", Updates: updates}}
+}
+
+func (c call) fail(err error) { c.answer <- answer{err: err} }
+
+func version(revision uint64) distribution.Version {
+	return distribution.Version{Epoch: 1, Revision: revision}
+}
+
+// A session begins with all positions, and goes on with those that have changed.
+func TestPositions(t *testing.T) {
+	f := start(t, version(3), "a")
+	first := f.read()
+	if want := []distribution.Position{{Resource: "r", InForce: version(3)}}; first.req.Session != "" || !slices.Equal(first.req.Positions, want) {
+		t.Errorf("%+v", first.req)
+	}
+	first.ok()
+	quiet := f.read()
+	if quiet.req.Session != "s" || len(quiet.req.Positions) > 0 || quiet.req.HoldMs != time.Minute.Milliseconds() {
+		t.Errorf("%+v", quiet.req)
+	}
+	quiet.ok(distribution.Update{Resource: "r", From: version(3), Version: version(5)})
+	after := f.read()
+	if want := []distribution.Position{{Resource: "r", InForce: version(5)}}; !slices.Equal(after.req.Positions, want) {
+		t.Errorf("%+v", after.req)
+	}
+	after.fail(distribution.ErrUnknownSession)
+	if again := f.read(); again.req.Session != "" || len(again.req.Positions) != 1 {
+		t.Errorf("%+v", again.req)
+	}
+}
+
+// What is refused is reported with its reason, cut to its bound; what stood is still what changes are made to.
+func TestRefusalIsReported(t *testing.T) {
+	f := start(t, version(1), "a")
+	f.refuse = errors.New(strings.Repeat("ü", distribution.MaxReasonBytes))
+	f.read().ok(distribution.Update{Resource: "r", From: version(1), Version: version(2)})
+	next := f.read()
+	p := next.req.Positions[0]
+	if p.InForce != version(1) || p.Refused != version(2) || p.Reason != strings.Repeat("ü", distribution.MaxReasonBytes/2) {
+		t.Errorf("%+v", p)
+	}
+	if err := next.req.Validate(); err != nil {
+		t.Error(err)
+	}
+	if s := f.Stats(); s.Refused != 1 || s.Updates != 0 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// An older version, and changes to a version that does not stand, never come to the subscriber: the relay is left.
+func TestNeverBack(t *testing.T) {
+	for _, bad := range []distribution.Update{
+		{Resource: "r", Version: version(2)},
+		{Resource: "r", Version: version(3)},
+		{Resource: "r", From: version(2), Version: version(9)},
+	} {
+		f := start(t, version(3), "a", "b")
+		first := f.read()
+		first.ok()
+		f.read().ok(bad)
+		next := f.read()
+		if next.address == first.address || next.req.Session != "" || next.req.Positions[0].InForce != version(3) {
+			t.Errorf("after %+v: %+v", bad, next)
+		}
+		select {
+		case u := <-f.updates:
+			t.Errorf("%+v came to the subscriber", u)
+		default:
+		}
+	}
+}
+
+// What is followed anew, or no more, is said beside the read that waits.
+func TestSubscribeWhileAReadWaits(t *testing.T) {
+	f := start(t, version(1), "a")
+	f.read().ok()
+	waiting := f.read()
+	cancel := f.Subscribe("q", version(7), f)
+	report := f.next()
+	if want := []distribution.Position{{Resource: "q", InForce: version(7)}}; report.req.HoldMs != 0 || !slices.Equal(report.req.Positions, want) {
+		t.Errorf("%+v", report.req)
+	}
+	report.ok()
+	cancel()
+	report = f.next()
+	if !slices.Equal(report.req.Unfollowed, []string{"q"}) {
+		t.Errorf("%+v", report.req)
+	}
+	report.fail(errors.New("lost"))
+	report = f.next()
+	if !slices.Equal(report.req.Unfollowed, []string{"q"}) {
+		t.Errorf("after a lost report: %+v", report.req)
+	}
+	report.ok()
+	waiting.ok(distribution.Update{Resource: "q", Version: version(8)}, distribution.Update{Resource: "r", From: version(1), Version: version(2)})
+	if u := <-f.updates; u.Resource != "r" {
+		t.Errorf("%+v of a resource that is followed no more", u)
+	}
+	if next := f.read(); !slices.Equal(next.req.Unfollowed, []string{"q"}) || len(next.req.Positions) != 1 {
+		t.Errorf("%+v", next.req)
+	}
+}
+
+// A relay that is busy is left for as long as it asks, and the other is asked at once.
+func TestBusyRelay(t *testing.T) {
+	f := start(t, version(1), "a", "b")
+	first := f.read()
+	first.fail(&httpapi.BusyError{RetryAfter: time.Hour})
+	second := f.read()
+	if second.address == first.address {
+		t.Errorf("%s asked again at once", second.address)
+	}
+	second.ok()
+	f.read().fail(errors.New("broken"))
+	if third := f.read(); third.address != second.address {
+		t.Errorf("%s asked, which is busy", third.address)
+	}
+	if h := f.Health(); h.Silent.IsZero() || h.Relay != second.address {
+		t.Errorf("%+v", h)
+	}
+}
--- a/internal/distribution/node/bench_test.go
+++ b/internal/distribution/node/bench_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,19 +29,7 @@
 // BenchmarkRelayAtRest measures a relay process of its own with followers that have all they follow: run it with
 // -benchtime 1x.
 func BenchmarkRelayAtRest(b *testing.B) {
-	program := filepath.Join(b.TempDir(), "fernrelay")
-	if out, err := exec.Command("go", "build", "-o", program, "fernlanding/cmd/fernrelay").CombinedOutput(); err != nil {
-		b.Fatalf("%v: %s", err, out)
-	}
-	source, _ := startProcess(b, program, "source", "-listen", "127.0.0.1:0", "-state", b.TempDir())
-	for r := range benchResources {
-		items := make([]distribution.Item, 23)
-		for i := range items {
-			items[i] = item(fmt.Sprintf("backend-%d", i), strings.Repeat("x", 100))
-		}
-		benchPut(b, source, fmt.Sprintf("service-%d", r), items...)
-	}
-	relay, pid := startProcess(b, program, "relay", "-listen", "127.0.0.1:0", "-name", "relay", "-upstream", source)
+	_, relay, pid := startFleet(b)
 	followAll(b, relay)
 	client := httpapi.NewClient(nil)
 	defer client.Close()
@@ -58,27 +48,149 @@
 	}
 }
 
-// followAll starts the followers and waits until they have everything.
-func followAll(b *testing.B, relay string) {
+// startFleet starts a source with resources, and a relay behind it.
+func startFleet(b *testing.B) (source, relay string, pid int) {
+	program := filepath.Join(b.TempDir(), "fernrelay")
+	if out, err := exec.Command("go", "build", "-o", program, "fernlanding/cmd/fernrelay").CombinedOutput(); err != nil {
+		b.Fatalf("%v: %s", err, out)
+	}
+	source, _ = startProcess(b, program, "source", "-listen", "127.0.0.1:0", "-state", b.TempDir())
+	for r := range benchResources {
+		items := make([]distribution.Item, 23)
+		for i := range items {
+			items[i] = item(fmt.Sprintf("backend-%d", i), strings.Repeat("x", 100))
+		}
+		benchPut(b, source, fmt.Sprintf("service-%d", r), items...)
+	}
+	relay, pid = startProcess(b, program, "relay", "-listen", "127.0.0.1:0", "-name", "relay", "-upstream", source)
+	return source, relay, pid
+}
+
+// BenchmarkChange measures what one urgent change costs that goes to all followers of a relay process.
+func BenchmarkChange(b *testing.B) {
+	source, relay, pid := startFleet(b)
+	got := followAll(b, relay)
+	client := httpapi.NewClient(nil)
+	defer client.Close()
+	awaitWaiting(b, client, relay)
+	before, cpu := benchStats(b, client, relay), cpuSeconds(b, pid)
+	changes := 0
+	for b.Loop() {
+		got.Add(benchSessions)
+		changes++
+		benchPut(b, source, "service-0", urgently(item("backend-0", fmt.Sprint(changes))))
+		got.Wait()
+		b.StopTimer()
+		awaitWaiting(b, client, relay)
+		b.StartTimer()
+	}
+	after, spent := benchStats(b, client, relay), cpuSeconds(b, pid)-cpu
+	sent := float64(changes * benchSessions)
+	b.ReportMetric(1e6*spent/sent, "cpu-us/update")
+	b.ReportMetric(float64(after.Encodings-before.Encodings)/float64(changes), "encodings/change")
+	b.ReportMetric(float64(after.BytesOut-before.BytesOut)/sent, "B-out/update")
+}
+
+// awaitWaiting waits until all followers wait for news.
+func awaitWaiting(b *testing.B, client *httpapi.Client, relay string) {
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for benchStats(b, client, relay).WaitingReads < benchSessions {
+		<-ticker.C
+	}
+}
+
+// BenchmarkHeartbeat counts the allocations of a relay for a read without news; its time is mostly the hold.
+func BenchmarkHeartbeat(b *testing.B) {
+	n := New(Config{Name: "relay"})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := httpapi.NewServer(n)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = server.Serve(httpapi.Listener(l, 10, n.traffic))
+	}()
+	defer func() {
+		_ = server.Close()
+		<-ended
+	}()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	answer := make([]byte, 4<<10)
+	ask := func(body string) string {
+		_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: 127.0.0.1:12345\r\nContent-Length: %d\r\n\r\n%s", httpapi.PathFollow, len(body), body)
+		if err != nil {
+			b.Fatal(err)
+		}
+		size, err := conn.Read(answer)
+		if err != nil {
+			b.Fatal(err)
+		}
+		return string(answer[:size])
+	}
+	_, opened, _ := strings.Cut(ask(`{"follower":"proxy-12345","kind":"proxy","hold_ms":1,"positions":[{"resource":"r","in_force":"1.1"}]}`), `"session":"`)
+	session, _, _ := strings.Cut(opened, `"`)
+	request := fmt.Sprintf(`{"follower":"proxy-12345","kind":"proxy","session":"%s","hold_ms":1}`, session)
+	b.ReportAllocs()
+	for b.Loop() {
+		ask(request)
+	}
+}
+
+// BenchmarkSessionMemory tells what a relay keeps of a follower of ten resources, beside its connection.
+func BenchmarkSessionMemory(b *testing.B) {
+	for b.Loop() {
+		before := heapBytes()
+		sessions := distribution.NewSessions(distribution.DefaultSessionLimits())
+		for i := range benchSessions {
+			req := &distribution.FollowRequest{Follower: fmt.Sprint("proxy-", i), Kind: distribution.KindProxy, HoldMs: 4_000}
+			for r := range benchResources {
+				req.Positions = append(req.Positions, distribution.Position{Resource: fmt.Sprint("service-", r)})
+			}
+			if _, _, err := sessions.Open(fmt.Sprint("s", i), req, time.Unix(0, 0)); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(heapBytes()-before)/benchSessions, "B/session")
+		runtime.KeepAlive(sessions)
+	}
+}
+
+func heapBytes() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// followAll starts the followers and waits until they have everything. What is returned counts each further update down.
+func followAll(b *testing.B, relay string) *sync.WaitGroup {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	b.Cleanup(func() {
 		cancel()
 		running.Wait()
 	})
-	var have sync.WaitGroup
+	have := new(sync.WaitGroup)
 	have.Add(benchSessions * benchResources)
 	for i := range benchSessions {
 		f := follow.New(follow.Config{Name: fmt.Sprintf("proxy-%d", i), Kind: distribution.KindProxy, Relays: []string{relay}})
 		for r := range benchResources {
-			f.Subscribe(fmt.Sprintf("service-%d", r), distribution.Version{}, countDown{&have})
+			f.Subscribe(fmt.Sprintf("service-%d", r), distribution.Version{}, countDown{have})
 		}
 		running.Go(func() { f.Run(ctx) })
 	}
 	have.Wait()
+	return have
 }
 
-// countDown counts the first update of each resource.
+// countDown counts updates.
 type countDown struct{ left *sync.WaitGroup }
 
 func (c countDown) Updated(distribution.Update) error {
--- a/internal/distribution/sessions_test.go
+++ b/internal/distribution/sessions_test.go
@@ -228,7 +228,6 @@
 	now      time.Time
 	lastID   int
 	revision uint64
-	release  time.Time
 }
 
 // Under random writes, lost answers, slow and dead readers, and restarts of the relay: a read that waits is answered
