Say positions with the next read, not beside it, once a session has begun

After a session's first answer the follower sent a report beside its next read, which took the position of an update just put in force: a message more, and a test that looked for it in the read failed now and then.

--- a/internal/distribution/follow/reader.go
+++ b/internal/distribution/follow/reader.go
@@ -137,7 +137,7 @@
 	r.session = response.Session
 	r.health = Health{Relay: req.address, Heard: now, SourceAge: time.Duration(response.SourceAgeMs) * time.Millisecond}
 	r.missedAt, r.saidAt = time.Time{}, time.Time{}
-	if req.Session == "" {
+	if len(r.unreported) > 0 { // what else is to be said goes with the next read
 		r.reportSoon()
 	}
 }
