Describe distribution; probe only while away from the first choice

Each follower had a goroutine that woke every 1 to 3 s to find nothing to do; it runs now while a later choice is read from.

--- a/internal/distribution/follow/follower.go
+++ b/internal/distribution/follow/follower.go
@@ -206,8 +206,6 @@
 	}
 	r := newReader(f, ctx)
 	others.Go(func() { r.reportLoop() })
-	probeSeed := f.cfg.Rand.Uint64() // drawn here: readLoop draws from the same source
-	others.Go(func() { r.probeLoop(probeSeed) })
 	r.readLoop()
 }
 
--- a/internal/distribution/follow/reader.go
+++ b/internal/distribution/follow/reader.go
@@ -27,11 +27,12 @@
 	choice    int  // the relay that is read from
 	preferred int  // an earlier choice that can be returned to
 	returning bool // preferred is set
+	probing   bool // a probe runs
 
-	began     time.Time
-	missedAt  time.Time
-	saidAt    time.Time
-	farewells sync.WaitGroup
+	began    time.Time
+	missedAt time.Time
+	saidAt   time.Time
+	beside   sync.WaitGroup // probe and farewells
 }
 
 // request is what a request to a relay says, and what has to be said again should it fail.
@@ -46,7 +47,7 @@
 
 // readLoop reads again and again.
 func (r *reader) readLoop() {
-	defer r.farewells.Wait()
+	defer r.beside.Wait()
 	choice, open := 0, false
 	for r.ctx.Err() == nil {
 		leaving := ""
@@ -81,6 +82,9 @@
 		}
 		open = true
 		r.picker.answered(choice)
+		if choice > 0 {
+			r.startProbe()
+		}
 	}
 }
 
@@ -197,7 +201,7 @@
 	}
 	r.stats.MessagesOut++
 	r.mu.Unlock()
-	r.farewells.Go(func() {
+	r.beside.Go(func() {
 		ctx, cancel := context.WithTimeout(r.ctx, reportTimeout)
 		defer cancel()
 		_, _ = r.transport.Follow(ctx, address, req) // the session ends by itself too
@@ -299,13 +303,25 @@
 	return req
 }
 
-// probeLoop asks earlier choices for their health while a later one is read from.
-func (r *reader) probeLoop(seed uint64) {
-	random := rand.New(rand.NewPCG(seed, 1))
+// startProbe has earlier choices asked for their health while a later one is read from.
+func (r *reader) startProbe() {
+	r.choosing.Lock()
+	defer r.choosing.Unlock()
+	if r.probing {
+		return
+	}
+	r.probing = true
+	random := rand.New(rand.NewPCG(r.cfg.Rand.Uint64(), r.cfg.Rand.Uint64()))
+	r.beside.Go(func() { r.probe(random) })
+}
+
+// probe asks until the first choice is read from.
+func (r *reader) probe(random *rand.Rand) {
 	for r.sleep(probeEvery/2 + time.Duration(random.Int64N(int64(probeEvery)))) {
-		r.choosing.Lock()
-		choice := r.choice
-		r.choosing.Unlock()
+		choice, needed := r.probed()
+		if !needed {
+			return
+		}
 		for i := range choice {
 			if !r.healthy(i) {
 				continue
@@ -321,6 +337,14 @@
 	}
 }
 
+// probed is the choice that is read from, and whether there are earlier ones; else the probe ends.
+func (r *reader) probed() (choice int, needed bool) {
+	r.choosing.Lock()
+	defer r.choosing.Unlock()
+	r.probing = r.choice > 0
+	return r.choice, r.probing
+}
+
 func (r *reader) healthy(choice int) bool {
 	ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
 	defer cancel()
