Bound how often a follower begins sessions that end at once

Two processes of one name end each other's session at a relay, and an unknown session was begun anew without a wait: both went round as fast as the relay answered. A session that ends within a hold of its beginning now counts as a failure of the relay. rollout wait takes the number of proxies that must have the version.

--- a/cmd/fernctl/rollout.go
+++ b/cmd/fernctl/rollout.go
@@ -30,7 +30,8 @@
 			{Name: "put", Usage: "write the items in FILE to RESOURCE", ArgsUsage: "RESOURCE FILE", Action: rolloutPut, Flags: []cli.Flag{to}},
 			{Name: "status", Usage: "who lacks the latest version of RESOURCE, and why", ArgsUsage: "RESOURCE", Action: rolloutStatus, Flags: []cli.Flag{from, jsonFlag()}},
 			{Name: "wait", Usage: "wait until VERSION of RESOURCE is in force everywhere", ArgsUsage: "RESOURCE VERSION", Action: rolloutWait,
-				Flags: []cli.Flag{from, &cli.DurationFlag{Name: "timeout", Value: 30 * time.Second, Usage: "wait for `TIME` at most"}}},
+				Flags: []cli.Flag{from, &cli.DurationFlag{Name: "timeout", Value: 30 * time.Second, Usage: "wait for `TIME` at most"},
+					&cli.IntFlag{Name: "proxies", Usage: "in force at `N` proxies at least: fewer are known while relays start anew"}}},
 		}}
 }
 
@@ -168,23 +169,25 @@
 	}
 	client := httpapi.NewClient(nil)
 	defer client.Close()
-	progress, err := awaitVersion(ctx, client, c.String("from"), args[0], version, c.Duration("timeout"))
+	done := func(p *distribution.Progress) bool { return p.Done() && p.Proxies >= int(c.Int("proxies")) }
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	defer cancel()
+	progress, err := awaitVersion(ctx, client, c.String("from"), args[0], version, done)
 	if err != nil {
 		return fmt.Errorf("rollout wait: %w", err)
 	}
 	fmt.Fprintf(c.Root().Writer, "%s: %d of %d proxies have version %v or a later one\n", args[0], progress.InForce, progress.Proxies, version)
-	if progress.Done() {
+	if done(progress) {
 		return nil
 	}
 	printLaggards(c.Root().Writer, progress.Refused, progress.Behind)
 	return errFaults
 }
 
-// awaitVersion asks until a version is in force everywhere, somebody has refused it, or the time is over. An error: it
+// awaitVersion asks until a version is in force as it is to be, somebody has refused it, or the context ends. An error: it
 // could not be asked at the end.
-func awaitVersion(ctx context.Context, client *httpapi.Client, address, resource string, version distribution.Version, timeout time.Duration) (*distribution.Progress, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+func awaitVersion(ctx context.Context, client *httpapi.Client, address, resource string, version distribution.Version,
+	done func(*distribution.Progress) bool) (*distribution.Progress, error) {
 	ticker := time.NewTicker(askEvery)
 	defer ticker.Stop()
 	var last *distribution.Progress
@@ -195,7 +198,7 @@
 		case err == nil:
 			progress := status.Progress(version)
 			last, failed = &progress, nil
-			if progress.Done() || len(progress.Refused) > 0 {
+			if done(last) || len(last.Refused) > 0 {
 				return last, nil
 			}
 		case ctx.Err() == nil || last == nil:
--- a/cmd/fernctl/rollout_test.go
+++ b/cmd/fernctl/rollout_test.go
@@ -59,6 +59,7 @@
 
 	follower(t, address, "p1", distribution.Position{Resource: "service-a", InForce: distribution.Version{Epoch: 1, Revision: 1}})
 	expect(t, 0, "1 of 1 proxies", "rollout", "wait", "-from", address, "service-a", version)
+	expect(t, 1, "1 of 1 proxies", "rollout", "wait", "-timeout", "300ms", "-proxies", "2", "-from", address, "service-a", version)
 	follower(t, address, "p2", distribution.Position{Resource: "service-a"})
 	expect(t, 1, "p2 has none yet", "rollout", "wait", "-timeout", "300ms", "-from", address, "service-a", version)
 	follower(t, address, "p2", distribution.Position{Resource: "service-a", Refused: distribution.Version{Epoch: 1, Revision: 1}, Reason: "no zone"})
--- a/internal/distribution/follow/follower_test.go
+++ b/internal/distribution/follow/follower_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,6 +58,7 @@
 	refuse    error
 	missed    chan bool
 	told      map[string]distribution.Position // by reads and reports
+	passed    atomic.Int64                     // time, beside what passes
 }
 
 func start(t *testing.T, has distribution.Version, relays ...string) *fixture {
@@ -65,6 +67,7 @@
 		told: make(map[string]distribution.Position)}
 	cfg := Config{Name: "p", Kind: distribution.KindProxy, Relays: relays, Rand: testRand(), Hold: time.Minute}
 	f.Follower = newFollower(cfg, f.transport, new(wireCounter))
+	f.now = func() time.Time { return time.Now().Add(time.Duration(f.passed.Load())) }
 	f.Subscribe("r", has, f)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -215,6 +218,26 @@
 	}
 }
 
+// A session that is unknown after a while is begun anew at the same relay, which has restarted. One that ends as soon as it
+// has begun (another process has the same name, say) is begun elsewhere, and here later.
+func TestUnknownSession(t *testing.T) {
+	f := start(t, version(1), "a", "b")
+	first := f.read()
+	first.ok()
+	waiting := f.read()
+	f.passed.Add(int64(f.cfg.Hold))
+	waiting.fail(distribution.ErrUnknownSession)
+	again := f.read()
+	if again.address != first.address {
+		t.Errorf("%s left for %s", first.address, again.address)
+	}
+	again.ok()
+	f.read().fail(distribution.ErrUnknownSession)
+	if next := f.read(); next.address == first.address {
+		t.Errorf("%s asked again at once", next.address)
+	}
+}
+
 // A relay that is busy is left for as long as it asks, and the other is asked at once.
 func TestBusyRelay(t *testing.T) {
 	f := start(t, version(1), "a", "b")
--- a/internal/distribution/follow/reader.go
+++ b/internal/distribution/follow/reader.go
@@ -17,7 +17,12 @@
 type reader struct {
 	*Follower
 	ctx    context.Context
-	picker *picker // of readLoop
+	picker *picker // of readLoop, as are those up to began
+
+	current int       // the relay to read from
+	open    bool      // there is a session
+	opened  time.Time // since when
+	left    *session  // the one that was left for an earlier choice
 
 	// sending is held while a request is put together, and by reportLoop until its request is answered: what a later request
 	// says does not overtake it.
@@ -35,6 +40,9 @@
 	beside   sync.WaitGroup // probe and farewells
 }
 
+// session is one at a relay.
+type session struct{ address, id string }
+
 // request is what a request to a relay says, and what has to be said again should it fail.
 type request struct {
 	distribution.FollowRequest
@@ -48,49 +56,35 @@
 // readLoop reads again and again.
 func (r *reader) readLoop() {
 	defer r.beside.Wait()
-	choice, open := 0, false
-	for r.ctx.Err() == nil {
-		leaving := ""
-		if open {
-			if to, ok := r.returnTo(choice); ok {
-				leaving = r.currentSession()
-				r.leave()
-				choice, open = to, false
-			}
-		}
-		if !open {
-			var wait time.Duration
-			if leaving == "" {
-				choice, wait = r.picker.next(r.now())
-			}
-			if !r.sleep(wait) {
-				return
-			}
-		}
-		from := r.relayInUse()
-		err := r.read(choice)
-		if r.ctx.Err() != nil {
+	for r.sleep(r.choose()) {
+		err := r.read()
+		switch {
+		case r.ctx.Err() != nil:
 			return
+		case err != nil:
+			r.failed(err)
+		default:
+			r.succeeded()
 		}
-		if err != nil {
-			open = false
-			r.failed(choice, err)
-			continue
-		}
-		if leaving != "" && from != r.picker.relays[choice].address {
-			r.farewell(from, leaving)
-		}
-		open = true
-		r.picker.answered(choice)
-		if choice > 0 {
-			r.startProbe()
-		}
 	}
 }
 
-// read reads once from a relay: where there is no session, one begins, and the answer does not wait.
-func (r *reader) read(choice int) error {
-	req := r.compose(choice)
+// choose decides from which relay to read next, and returns how long to wait before.
+func (r *reader) choose() (wait time.Duration) {
+	if !r.open {
+		r.current, wait = r.picker.next(r.now())
+		return wait
+	}
+	if to, returning := r.returnTo(r.current); returning {
+		r.left = r.leave()
+		r.current, r.open = to, false
+	}
+	return 0
+}
+
+// read reads once: where there is no session, one begins, and the answer does not wait.
+func (r *reader) read() error {
+	req := r.compose(r.current)
 	patience := answerWithin
 	if req.Session != "" {
 		patience += r.cfg.Hold
@@ -101,10 +95,26 @@
 	if err != nil {
 		return err
 	}
-	r.heard(choice, req, response)
+	r.heard(r.current, req, response)
 	return r.take(response.Updates)
 }
 
+// succeeded takes that a read has been answered.
+func (r *reader) succeeded() {
+	if r.open {
+		r.picker.answered(r.current) // a session that goes on, not one that was only begun
+	} else {
+		r.open, r.opened = true, r.now()
+	}
+	if r.left != nil {
+		r.farewell(r.left)
+		r.left = nil
+	}
+	if r.current > 0 {
+		r.startProbe()
+	}
+}
+
 // compose is the next read.
 func (r *reader) compose(choice int) *request {
 	r.sending.Lock()
@@ -147,11 +157,15 @@
 }
 
 // failed takes that a read has failed: the next begins a session, here or at another relay.
-func (r *reader) failed(choice int, err error) {
+func (r *reader) failed(err error) {
 	now := r.now()
+	early := r.open && now.Sub(r.opened) < r.cfg.Hold
+	r.open, r.left = false, nil
 	r.leave()
-	if !errors.Is(err, distribution.ErrUnknownSession) {
-		r.picker.failedNow(choice, now, busy(err), r.cfg.Rand)
+	// A relay that restarts knows no session, and a new one begins at once. One that ends as soon as it has begun is another
+	// matter: a second process of the same name, say.
+	if early || !errors.Is(err, distribution.ErrUnknownSession) {
+		r.picker.failedNow(r.current, now, busy(err), r.cfg.Rand)
 	}
 	r.mu.Lock()
 	if r.health.Silent.IsZero() {
@@ -172,30 +186,20 @@
 	}
 }
 
-// leave ends the session on this side.
-func (r *reader) leave() {
-	r.mu.Lock()
-	r.session = ""
-	r.mu.Unlock()
-}
-
-func (r *reader) currentSession() string {
+// leave ends the session on this side, and returns it.
+func (r *reader) leave() *session {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.session
-}
-
-func (r *reader) relayInUse() string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.relay
+	left := &session{r.relay, r.session}
+	r.session = ""
+	return left
 }
 
 // farewell tells a relay that is left that nothing is followed there any more, lest its count have this follower for some
 // holds more.
-func (r *reader) farewell(address, session string) {
+func (r *reader) farewell(to *session) {
 	r.mu.Lock()
-	req := &distribution.FollowRequest{Follower: r.cfg.Name, Kind: r.cfg.Kind, Session: session}
+	req := &distribution.FollowRequest{Follower: r.cfg.Name, Kind: r.cfg.Kind, Session: to.id}
 	for name := range r.subscribed {
 		req.Unfollowed = append(req.Unfollowed, name)
 	}
@@ -204,7 +208,7 @@
 	r.beside.Go(func() {
 		ctx, cancel := context.WithTimeout(r.ctx, reportTimeout)
 		defer cancel()
-		_, _ = r.transport.Follow(ctx, address, req) // the session ends by itself too
+		_, _ = r.transport.Follow(ctx, to.address, req) // the session ends by itself too
 	})
 }
 
