--- a/internal/distribution/node/node.go
+++ b/internal/distribution/node/node.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	mathrand "math/rand/v2"
 	"sync"
@@ -225,7 +226,7 @@
 func (n *Node) session(req *distribution.FollowRequest, now time.Time) (*distribution.Session, error) {
 	if req.Session != "" {
 		session, err := n.sessions.Take(req, now)
-		if err != nil {
+		if errors.Is(err, distribution.ErrUnknownSession) {
 			n.stats.UnknownSessions++
 		}
 		return session, err
@@ -399,7 +400,7 @@
 		return err
 	}
 	now := n.now()
-	urgent := !had.IsZero() && n.store.Urgent(u.Resource, had)
+	urgent := n.store.Urgent(u.Resource, had)
 	for _, session := range n.sessions.Changed(u.Resource, urgent, now) {
 		w := n.readers[session]
 		if urgent && w.urgent.IsZero() {
@@ -455,6 +456,7 @@
 	var whole *distribution.Update
 	if update != nil {
 		whole = n.store.Preview(update)
+		n.revision = next.Revision // never used again, also where the write fails: it may be on the disk all the same
 	}
 	n.mu.Unlock()
 	if err != nil {
@@ -471,7 +473,6 @@
 	if err := n.apply(update); err != nil {
 		return distribution.Version{}, err
 	}
-	n.revision = next.Revision
 	n.stats.Puts++
 	return next, nil
 }
