Follow a list from the making of its source, so that a reload does not read it again

Change: a source acquires its list when it is made and releases it when Run ends. A unit test forces the crossing: a source made before the others end, and run after.

--- a/internal/membership/relayed/list.go
+++ b/internal/membership/relayed/list.go
@@ -37,6 +37,8 @@
 	log  *slog.Logger
 	now  func() time.Time
 
+	users int // guarded by Lists.mu
+
 	following sync.Mutex
 	follower  Follower // nil: none
 	cancel    func()   // of the subscription there; nil: none
@@ -83,12 +85,11 @@
 	}
 }
 
-// remove has a sink told no more, once a call of it that is under way has returned. It returns how many are left.
-func (l *list) remove(sink membership.Sink) (left int) {
+// remove has a sink told no more, once a call of it that is under way has returned.
+func (l *list) remove(sink membership.Sink) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sinks = slices.DeleteFunc(l.sinks, func(s membership.Sink) bool { return s == sink })
-	return len(l.sinks)
 }
 
 // Updated implements follow.Subscriber. Once it has returned without an error, the update is in force.
--- a/internal/membership/relayed/list_test.go
+++ b/internal/membership/relayed/list_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -104,7 +105,7 @@
 	}
 }
 
-// run runs a source until stop, which waits until it has ended.
+// run runs a source until stop, which waits until it has ended. It returns once the sink is told of the list.
 func run(t *testing.T, s *Source, to membership.Sink) (stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -118,9 +119,21 @@
 		next(t, "end of Run", done)
 	})
 	t.Cleanup(stop)
+	for late := time.Now().Add(patience); !s.list.tells(to); time.Sleep(time.Millisecond) { // it has no channel
+		if time.Now().After(late) {
+			t.Fatal("the sink is not told")
+		}
+	}
 	return stop
 }
 
+// tells tells whether a sink is told of the list.
+func (l *list) tells(sink membership.Sink) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Contains(l.sinks, sink)
+}
+
 func version(revision uint64) distribution.Version {
 	return distribution.Version{Epoch: 1, Revision: revision}
 }
@@ -232,6 +245,7 @@
 	one.expect(t, "2 b")
 	stopTwo := run(t, NewSource(lists, "s"), two)
 	two.expect(t, "2 whole a b")
+	later := NewSource(lists, "s") // made before the others end, run after
 	put(t, sub.to, change(8, 9, drained("a")))
 	one.expect(t, "3 a~")
 	two.expect(t, "3 a~")
@@ -242,9 +256,15 @@
 	next(t, "word that it was missed", two.missed)
 	one.expectNothing(t)
 	stopTwo()
+	put(t, sub.to, change(10, 11, item("c")))
+	three := newSink()
+	stopThree := run(t, later, three)
+	three.expect(t, "5 whole b c")
+	stopThree()
 	next(t, "end of the subscription", f.ended)
-	put(t, sub.to, change(10, 11, item("c"))) // crossed its end
+	put(t, sub.to, change(11, 12, item("d"))) // crossed its end
 	two.expectNothing(t)
+	three.expectNothing(t)
 	if len(f.begun) > 0 || len(f.ended) > 0 || len(one.missed) > 0 {
 		t.Error("another subscription, another end, or word to a source that has ended")
 	}
@@ -279,8 +299,8 @@
 	at := time.Now()
 	lists.now = func() time.Time { return at }
 	src, to := NewSource(lists, "s"), newSink()
-	if h := src.Health(); h.Age(at.Add(time.Second)) < time.Second {
-		t.Errorf("before Run: %+v", h)
+	if age := src.Health().Age(at.Add(time.Second)); age != time.Second {
+		t.Errorf("before Run: %v", age)
 	}
 	run(t, src, to)
 	sub := next(t, "subscription", f.begun)
@@ -304,12 +324,9 @@
 		{"a follower that has heard nothing", follow.Health{}, time.Hour, time.Hour},
 	} {
 		f.set(x.h)
-		lists.mu.Lock()
-		l := lists.lists["s"]
-		lists.mu.Unlock()
-		l.mu.Lock()
-		l.now = func() time.Time { return at.Add(x.now) }
-		l.mu.Unlock()
+		src.list.mu.Lock()
+		src.list.now = func() time.Time { return at.Add(x.now) }
+		src.list.mu.Unlock()
 		if age := src.Health().Age(at.Add(x.now)); age != x.age {
 			t.Errorf("%s: %v old, want %v", x.what, age, x.age)
 		}
--- a/internal/membership/relayed/lists.go
+++ b/internal/membership/relayed/lists.go
@@ -7,7 +7,6 @@
 
 	"fernlanding/internal/distribution"
 	"fernlanding/internal/distribution/follow"
-	"fernlanding/internal/membership"
 )
 
 // resourcePrefix begins the names of resources that are lists.
@@ -50,32 +49,25 @@
 	}
 }
 
-// join has a sink follow the list of a source until leave is called. It is told the list that stands, if there is one.
-func (l *Lists) join(s *Source, sink membership.Sink) (leave func()) {
+// acquire returns the list of a name, which is followed until each that has acquired it has released it.
+func (l *Lists) acquire(name string) *list {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	one := l.lists[s.name]
+	one := l.lists[name]
 	if one == nil {
-		one = newList(s.name, l.log, l.now)
-		l.lists[s.name] = one
+		one = newList(name, l.log, l.now)
+		l.lists[name] = one
 		one.follow(l.follower)
 	}
-	s.list = one
-	one.add(sink)
-	return func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		s.list = nil
-		if left := one.remove(sink); left == 0 {
-			delete(l.lists, s.name)
-			one.follow(nil)
-		}
-	}
+	one.users++
+	return one
 }
 
-// listOf is the list of a source; nil: it does not run.
-func (l *Lists) listOf(s *Source) *list {
+func (l *Lists) release(one *list) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return s.list
+	if one.users--; one.users == 0 {
+		delete(l.lists, one.name)
+		one.follow(nil)
+	}
 }
--- a/internal/membership/relayed/relayed.go
+++ b/internal/membership/relayed/relayed.go
@@ -15,29 +15,23 @@
 // Source is a membership.Source of one list.
 type Source struct {
 	lists *Lists
-	name  string
-	began membership.Health // until it runs
-	list  *list             // while it runs; guarded by lists.mu
+	list  *list
 }
 
-// NewSource returns a source of the list of a name that has not run.
+// NewSource returns a source of the list of a name, which is followed from here on, until Run ends. So a list does not
+// lapse between the end of a source and the Run of another that was made before.
 func NewSource(lists *Lists, name string) *Source {
-	return &Source{lists: lists, name: name, began: membership.Health{Silent: lists.now()}}
+	return &Source{lists: lists, list: lists.acquire(name)}
 }
 
 // Run implements membership.Source.
 func (s *Source) Run(ctx context.Context, sink membership.Sink) {
-	leave := s.lists.join(s, sink)
+	s.list.add(sink)
 	<-ctx.Done()
-	leave()
+	s.list.remove(sink)
+	s.lists.release(s.list)
 }
 
 // Health implements membership.Source. The list counts as silent while no relay answers, while the relays hear nothing from
 // the source, and after an update that was refused.
-func (s *Source) Health() membership.Health {
-	l := s.lists.listOf(s)
-	if l == nil {
-		return s.began
-	}
-	return l.health()
-}
+func (s *Source) Health() membership.Health { return s.list.health() }
