--- a/cmd/fernlanding/confined_test.go
+++ b/cmd/fernlanding/confined_test.go
@@ -223,7 +223,7 @@
 }
 
 // cpu is the processor time that a process has used.
-func cpu(t *testing.T, pid int) time.Duration {
+func cpu(t testing.TB, pid int) time.Duration {
 	t.Helper()
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
--- a/cmd/fernlanding/relays_test.go
+++ b/cmd/fernlanding/relays_test.go
@@ -28,7 +28,7 @@
 )
 
 // programs builds commands of the module, and returns the folder that has them.
-func programs(t *testing.T) string {
+func programs(t testing.TB) string {
 	t.Helper()
 	dir := t.TempDir()
 	build := exec.Command("go", "build", "-o", dir, "fernlanding/cmd/fernlanding", "fernlanding/cmd/fernrelay")
@@ -46,7 +46,7 @@
 }
 
 // startProgram starts one until the test ends.
-func startProgram(t *testing.T, path string, args ...string) *process {
+func startProgram(t testing.TB, path string, args ...string) *process {
 	t.Helper()
 	p := &process{cmd: exec.Command(path, args...), lines: make(chan string, 1000), ended: make(chan struct{})}
 	out, in, err := os.Pipe()
@@ -80,7 +80,7 @@
 }
 
 // line waits for a line that has a text.
-func (p *process) line(t *testing.T, with string) string {
+func (p *process) line(t testing.TB, with string) string {
 	t.Helper()
 	late := time.After(eventually)
 	for {
@@ -98,14 +98,14 @@
 }
 
 // listening is the address that a relay or source says it listens at.
-func (p *process) listening(t *testing.T) string {
+func (p *process) listening(t testing.TB) string {
 	t.Helper()
 	_, address, _ := strings.Cut(p.line(t, "listening "), "listening ")
 	return address
 }
 
 // until waits for something that has no channel.
-func until(t *testing.T, what string, ok func() bool) {
+func until(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	for late := time.Now().Add(eventually); !ok(); time.Sleep(poll) {
 		if time.Now().After(late) {
@@ -160,7 +160,7 @@
 	return startProgram(f.t, filepath.Join(f.dir, program), args...)
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/distribution/node/nodetest/gate.go
+++ b/internal/distribution/node/nodetest/gate.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 )
 
@@ -12,6 +13,7 @@
 	target   string
 	listener net.Listener
 	parts    sync.WaitGroup
+	carried  atomic.Int64
 
 	mu       sync.Mutex
 	state    gateState
@@ -63,6 +65,9 @@
 	return g.accepted
 }
 
+// Carried is how many bytes have been passed on, both ways together.
+func (g *Gate) Carried() int64 { return g.carried.Load() }
+
 func (g *Gate) set(state gateState) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -151,6 +156,7 @@
 		if !g.pass() {
 			return
 		}
+		g.carried.Add(int64(n))
 		if _, werr := to.Write(buffer[:n]); werr != nil {
 			return
 		}
