--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -122,6 +122,29 @@
 	}
 }
 
+// A file whose lists come by relays has them, and asks for a program that knows them; others ask for what they did.
+func TestRelaysAskForTheirProgram(t *testing.T) {
+	files := Start()
+	plain, _ := Read(files)
+	before, _ := plain.Generate("local")
+	for _, o := range before.Outputs {
+		if !bytes.Contains(o.Data, []byte("requires = \"0.3\"\n")) || bytes.Contains(o.Data, []byte("distribution")) {
+			t.Errorf("without relays:\n%s", o.Data)
+		}
+	}
+	name := before.Outputs[0].Application
+	files = append(files, File{Name: "relays.toml", Data: fmt.Appendf(nil, "catalogue = 1\n[environments.local.applications.%s.distribution]\nrelays = [\"127.0.0.1:7401\"]\n", name)})
+	relayed, faults := Read(files)
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	after, _ := relayed.Generate("local")
+	d := config.Read("f", after.Outputs[0].Data)
+	if d.App == nil || d.App.Head.Requires != RequiresRelay || !slices.Equal(d.App.Distribution.Relays, []string{"127.0.0.1:7401"}) {
+		t.Errorf("with relays:\n%s\n%v", after.Outputs[0].Data, d.Faults)
+	}
+}
+
 // Any text gives a plan or faults that name a place, and what is generated reads as TOML whatever stands in strings.
 func FuzzCatalogue(f *testing.F) {
 	for _, s := range Start() {
--- a/internal/config/decode_test.go
+++ b/internal/config/decode_test.go
@@ -253,6 +253,10 @@
 		s.PassAll || s.Trusted {
 		t.Errorf("got %+v, %+v", a, s)
 	}
+	named := strings.Replace(platform, `"later":1,`, `"distribution":{"relays":["127.0.0.1:1"]},"membership":"relay",`, 1)
+	if a, err := DecodePlatform("f", []byte(named), "", ""); err != nil || len(a.Distribution.Relays) > 0 || a.Services[0].Source.Kind != Catalog {
+		t.Errorf("relays on the platform: %+v, %v", a, err)
+	}
 	bare := strings.Replace(platform, `"listen":"127.0.0.1:0",`, "", 1)
 	if a, err := DecodePlatform("f", []byte(bare), "127.0.0.1:9", ""); err != nil || a.Listeners[0].Address != "127.0.0.1:9" {
 		t.Errorf("got %+v, %v", a, err)
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -138,6 +138,25 @@
 	}
 }
 
+// A pool whose list comes by relays names them.
+func TestAPoolByRelaysNamesThem(t *testing.T) {
+	text := strings.Replace(file, "discovery = \"127.0.0.1:8500\"\n", "as = \"tariff.live\"\n", 1)
+	text = strings.Replace(text, "membership = \"catalog\"", "membership = \"relay\"", 1)
+	text = strings.Replace(text, "[[listeners]]", "[distribution]\nrelays = [\"127.0.0.1:7401\", \"127.0.0.1:7402\"]\n[[listeners]]", 1)
+	d := config.Read("f", []byte(text))
+	if d.App == nil {
+		t.Fatal(d.Faults)
+	}
+	r, err := ParseRequest("GET", "http://x.example.org/v1/tariffs/7", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := Explain(d, "", r)
+	if got := find(a, "pool"); err != nil || !strings.HasSuffix(got, "as the relays 127.0.0.1:7401, 127.0.0.1:7402 say of the list tariff.live") {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
 func TestRequestsThatMakeNoSense(t *testing.T) {
 	for _, c := range []struct{ method, url, field string }{{"G T", "/", ""}, {"GET", "x", ""}, {"GET", "ftp://x/", ""}, {"GET", "/%zz", ""}, {"GET", "/", "a b: c"}, {"GET", "/", "ab"}} {
 		var fields []string
