Follow lists by relays in scale tests, and measure memory before a size

source = "relay" starts fernrelay source and a stated number of fernrelay relay processes; a worker of its own writes all lists to the source and changes them. Hollow sidecars open the connections to relays with their own dial function.

The memory of a proxy is measured as the difference of two plays with 50 and 200 proxies in one process: one play with 40 counted the runtime's own memory to them (1,551 KB a proxy where 1,600 proxies held 900). gc_percent says how often hollow processes collect, settle how long a span's last changes are waited for.

A size whose first process can't be started ended in a nil dereference; the new test of a worker that fails was seen to panic without the change.

--- a/cmd/fernctl/scale.go
+++ b/cmd/fernctl/scale.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"fernlanding/internal/catalogue/dir"
+	"fernlanding/internal/scale/result"
 	"fernlanding/internal/scale/scenario"
 	"fernlanding/internal/scale/sweep"
 	"fernlanding/internal/scale/worker"
@@ -34,6 +35,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "json", Usage: "the `OUT` file; printed without it"},
 			&cli.StringFlag{Name: "sidecar", Usage: "the `PROGRAM` of real proxies; the fernlanding beside this program by default"},
+			&cli.StringFlag{Name: "relay", Usage: "the `PROGRAM` of sources and relays; the fernrelay beside this program by default"},
 			&cli.FloatFlag{Name: "memory-gb", Usage: "of memory that all processes may use, `N`; half of the machine's by default"},
 			&cli.BoolFlag{Name: "held-out", Usage: "play the held-out size alone"},
 			&cli.BoolFlag{Name: "without-held-out", Usage: "leave the held-out size out"},
@@ -102,13 +104,24 @@
 	} else {
 		o.MemoryBytes = int64(gigabytes * (1 << 30))
 	}
-	program := c.String("sidecar")
-	if program == "" {
-		program = filepath.Join(filepath.Dir(self), "fernlanding")
+	if !sc.Hollow {
+		if o.Sidecar, err = besideSelf(self, c.String("sidecar"), "fernlanding"); err != nil {
+			return o, fmt.Errorf("scale run: the program of real proxies: %w", err)
+		}
 	}
-	if _, err := os.Stat(program); err != nil && !sc.Hollow {
-		return o, fmt.Errorf("scale run: the program of real proxies: %w", err)
+	if sc.Source == result.SourceRelay {
+		if o.Relay, err = besideSelf(self, c.String("relay"), "fernrelay"); err != nil {
+			return o, fmt.Errorf("scale run: the program of sources and relays: %w", err)
+		}
 	}
-	o.Sidecar = []string{program}
 	return o, nil
 }
+
+// besideSelf is a program that a flag names, or the one of a name beside this program.
+func besideSelf(self, flag, name string) ([]string, error) {
+	if flag == "" {
+		flag = filepath.Join(filepath.Dir(self), name)
+	}
+	_, err := os.Stat(flag)
+	return []string{flag}, err
+}
--- a/internal/scale/layout/layout.go
+++ b/internal/scale/layout/layout.go
@@ -80,6 +80,9 @@
 	var t strings.Builder
 	fmt.Fprintf(&t, "version = 2\nname = %q\n\n[process]\nmemory_mb = %d\nsockets = %d\n\n", Proxy(proxy), memoryMB, sockets)
 	fmt.Fprintf(&t, "[[listeners]]\naddress = %q\n\n", Listen(proxy))
+	if l.Source == result.SourceRelay {
+		fmt.Fprintf(&t, "[distribution]\nname = %q\nrelays = [%s]\n\n", Proxy(proxy), quoted(l.Relays))
+	}
 	followed := l.Followed(proxy)
 	for _, n := range followed {
 		fmt.Fprintf(&t, "[services.%s]\ntrusted = true\n", Service(n))
@@ -96,6 +99,8 @@
 	switch l.Source {
 	case result.SourceConsul:
 		fmt.Fprintf(t, "membership = \"consul\"\ndiscovery = %q\n", l.Lists[service%len(l.Lists)])
+	case result.SourceRelay:
+		fmt.Fprintf(t, "membership = \"relay\"\n")
 	default:
 		fmt.Fprintf(t, "membership = \"static\"\nendpoints = [\n")
 		for n := range l.Size.Backends {
@@ -104,3 +109,11 @@
 		fmt.Fprintf(t, "]\n")
 	}
 }
+
+func quoted(words []string) string {
+	out := make([]string, len(words))
+	for i, w := range words {
+		out[i] = strconv.Quote(w)
+	}
+	return strings.Join(out, ", ")
+}
--- a/internal/scale/result/result.go
+++ b/internal/scale/result/result.go
@@ -67,7 +67,7 @@
 	Lists   Cost    `json:"lists"`   // of the list service, or of distribution's source
 	Relays  Cost    `json:"relays"`  // zero where there are none
 	InForce Spread  `json:"in_force"`
-	Late    int64   `json:"late,omitempty"` // changes, each counted for each proxy that follows its service, that were not in force 2.5 s after the span
+	Late    int64   `json:"late,omitempty"` // changes, each counted for each proxy that follows its service, that were not in force a while after the span (2.5 s if not said otherwise)
 	Call    Spread  `json:"call"`           // of one call's decision and bookkeeping; zero where no calls are made
 }
 
--- a/internal/scale/scenario/scenario.go
+++ b/internal/scale/scenario/scenario.go
@@ -43,6 +43,7 @@
 	Seed      uint64
 	WarmUp    time.Duration // at each size, before its first round
 	Span      time.Duration // of a round
+	Settle    time.Duration // after a span, until its last changes are to be in force
 	Rounds    int
 	Size      result.Size // what is not varied
 	Dimension result.Dimension
@@ -53,8 +54,9 @@
 
 // Processes say how many there are.
 type Processes struct {
-	Proxies int // of hollow proxies; real ones have a process each
-	Relays  int // with source = "relay"
+	Proxies   int // of hollow proxies; real ones have a process each
+	Relays    int // with source = "relay"
+	GCPercent int // of what lives, in those with hollow proxies, before the next collection: less takes less memory and more time
 }
 
 // Points are the sizes to be played, ascending; the held-out one is last.
@@ -109,6 +111,7 @@
 	x := &Scenario{Name: s.Text("name", ""), Seed: uint64(s.Whole("seed", 1, 0, 1<<62)), Hollow: true,
 		Source: result.Source(s.Word("source", string(result.SourceConsul), string(result.SourceStatic), string(result.SourceConsul), string(result.SourceRelay))),
 		WarmUp: s.Span("warm_up", 3*time.Second, 0, MaxSpan), Span: s.Span("span", 5*time.Second, 10*time.Millisecond, MaxSpan),
+		Settle: s.Span("settle", 2500*time.Millisecond, 0, MaxSpan),
 		Rounds: int(s.Whole("rounds", 3, 1, MaxRounds))}
 	if x.Name == "" {
 		s.Bad(rules.Missing, "name", "the scenario's name expected")
@@ -119,7 +122,8 @@
 	x.Size = readSize(s.Sub("size"))
 	x.readSweep(s.Sub("sweep"))
 	p := s.Sub("processes")
-	x.Processes = Processes{Proxies: int(p.Whole("proxies", 4, 1, MaxProcesses)), Relays: int(p.Whole("relays", 1, 1, MaxProcesses))}
+	x.Processes = Processes{Proxies: int(p.Whole("proxies", 4, 1, MaxProcesses)), Relays: int(p.Whole("relays", 1, 1, MaxProcesses)),
+		GCPercent: int(p.Whole("gc_percent", 100, 5, 1000))}
 	p.Done()
 	if largest := x.largest(); !x.Hollow && largest.Proxies > MaxReal {
 		s.Bad(rules.Range, "hollow", "%d real proxies at most expected, %d found", MaxReal, largest.Proxies)
--- a/internal/scale/sweep/cast.go
+++ b/internal/scale/sweep/cast.go
@@ -14,7 +14,6 @@
 )
 
 const (
-	settle      = 2500 * time.Millisecond // after a span, until its last changes are in force
 	listenPoll  = 20 * time.Millisecond
 	listensWith = time.Minute
 	realGap     = 10 * time.Millisecond // between the starts of two real proxies
@@ -26,7 +25,9 @@
 	team    *team
 	layout  layout.Layout
 	plan    plan
-	lists   []string // workers that are list services
+	lists   []string // workers that are list services, or the one that writes to the source
+	source  []server // of distribution
+	relays  []server
 	workers []string // those with hollow proxies
 	real    []string // processes of real proxies
 
@@ -34,34 +35,51 @@
 }
 
 // begin starts the processes of a size. Their proxies are not started yet.
-func (s *player) begin(ctx context.Context, size result.Size, p plan) (c *cast, err error) {
-	c = &cast{player: s, team: newTeam(s.opts.Worker), plan: p, layout: layout.Layout{Source: s.sc.Source, Size: size, Seed: s.sc.Seed}}
-	defer func() {
-		if err != nil {
-			c.team.end()
-		}
-	}()
-	for i := range p.lists {
-		name := fmt.Sprintf("lists-%d", i+1)
-		hello, err := c.team.worker(ctx, name, worker.Spec{Role: worker.Lists, Layout: c.layout, Index: i, Of: p.lists})
-		if err != nil {
-			return nil, err
+func (s *player) begin(ctx context.Context, size result.Size, p plan) (*cast, error) {
+	c := &cast{player: s, team: newTeam(s.opts.Worker), plan: p, layout: layout.Layout{Source: s.sc.Source, Size: size, Seed: s.sc.Seed}}
+	if err := c.hire(ctx); err != nil {
+		c.team.end()
+		return nil, err
+	}
+	return c, nil
+}
+
+// hire starts all processes but real proxies.
+func (c *cast) hire(ctx context.Context) error {
+	s, size, p := c.player, c.layout.Size, c.plan
+	if s.sc.Source == result.SourceRelay {
+		if err := c.distribute(ctx); err != nil {
+			return err
 		}
-		c.lists = append(c.lists, name)
-		c.layout.Lists = append(c.layout.Lists, hello.Address)
+	} else if err := c.serveLists(ctx); err != nil {
+		return err
 	}
 	if !s.sc.Hollow {
-		return c, nil
+		return nil
 	}
 	for i := range p.workers {
 		name := fmt.Sprintf("hollow-%d", i+1)
 		first, next := size.Proxies*i/p.workers, size.Proxies*(i+1)/p.workers
-		if _, err := c.team.worker(ctx, name, worker.Spec{Role: worker.Proxies, Layout: c.layout, First: first, Count: next - first}); err != nil {
-			return nil, err
+		if _, err := c.team.worker(ctx, name, worker.Spec{Role: worker.Proxies, Layout: c.layout, First: first, Count: next - first, GC: s.sc.Processes.GCPercent}); err != nil {
+			return err
 		}
 		c.workers = append(c.workers, name)
 	}
-	return c, nil
+	return nil
+}
+
+// serveLists starts the list services.
+func (c *cast) serveLists(ctx context.Context) error {
+	for i := range c.plan.lists {
+		name := fmt.Sprintf("lists-%d", i+1)
+		hello, err := c.team.worker(ctx, name, worker.Spec{Role: worker.Lists, Layout: c.layout, Index: i, Of: c.plan.lists})
+		if err != nil {
+			return err
+		}
+		c.lists = append(c.lists, name)
+		c.layout.Lists = append(c.layout.Lists, hello.Address)
+	}
+	return nil
 }
 
 // start starts the proxies, the changes and the calls.
@@ -124,7 +142,7 @@
 	for _, role := range []struct {
 		names []string
 		sum   *int64
-	}{{c.workers, &m.proxies}, {c.real, &m.proxies}, {c.lists, &m.lists}} {
+	}{{c.workers, &m.proxies}, {c.real, &m.proxies}, {c.listNames(), &m.lists}, {names(c.relays), &m.relays}} {
 		for _, name := range role.names {
 			n, err := residentBytes(c.team.pid(name))
 			if err != nil {
@@ -141,7 +159,10 @@
 	at      time.Time
 	proxies []worker.Usage
 	lists   []worker.Usage
+	relays  []worker.Usage
 	real    float64 // seconds of processor time
+
+	followed []worker.Usage // what went between relays and proxies alone
 }
 
 func (c *cast) used(ctx context.Context) (u used, err error) {
@@ -149,7 +170,10 @@
 	if u.proxies, err = c.usages(ctx, c.workers); err != nil {
 		return u, err
 	}
-	if u.lists, err = c.usages(ctx, c.lists); err != nil {
+	if u.lists, err = c.listUsages(ctx); err != nil {
+		return u, err
+	}
+	if u.relays, u.followed, err = c.serverUsages(ctx, c.relays); err != nil {
 		return u, err
 	}
 	for _, name := range c.real {
@@ -195,13 +219,16 @@
 		return r, err
 	}
 	r.Seconds = after.at.Sub(before.at).Seconds()
-	r.Proxies, r.Lists = cost(before.proxies, after.proxies), cost(before.lists, after.lists)
-	r.Proxies.RSSBytes, r.Lists.RSSBytes = held.proxies, held.lists
+	r.Proxies, r.Lists, r.Relays = cost(before.proxies, after.proxies), cost(before.lists, after.lists), cost(before.relays, after.relays)
+	r.Proxies.RSSBytes, r.Lists.RSSBytes, r.Relays.RSSBytes = held.proxies, held.lists, held.relays
 	if !c.player.sc.Hollow {
 		r.Proxies = facing(r.Lists)
+		if len(c.relays) > 0 {
+			r.Proxies = facing(cost(before.followed, after.followed))
+		}
 		r.Proxies.Processes, r.Proxies.CPUSeconds, r.Proxies.RSSBytes = len(c.real), after.real-before.real, held.proxies
 	}
-	if len(changes) > 0 && !sleep(ctx, settle) {
+	if len(changes) > 0 && !sleep(ctx, c.player.sc.Settle) {
 		return r, ctx.Err()
 	}
 	return r, c.collect(ctx, changes, &r)
@@ -266,6 +293,9 @@
 	}
 	r.Late = c.due(changes) - inForce.TotalCount()
 	r.InForce, r.Call = spread(inForce, time.Microsecond), spread(calls, time.Nanosecond)
+	if c.player.sc.Source == result.SourceRelay {
+		return nil // what sources and relays have alive they do not tell
+	}
 	if replies, err = c.team.askAll(ctx, c.lists, worker.Command{Do: worker.DoCollect}); err != nil {
 		return err
 	}
--- a/internal/scale/sweep/plan.go
+++ b/internal/scale/sweep/plan.go
@@ -12,7 +12,8 @@
 	listConnections  = 8000
 	maxLists         = 64      // list services
 	kernelPerConn    = 8 << 10 // bytes that the kernel holds for both ends of a connection on loopback, about
-	probeProxies     = 40      // that are measured before a large size is played
+	probeProxies     = 50      // and probeMore are measured before a larger size is played
+	probeMore        = 200
 )
 
 // plan is how a size is spread over processes.
--- a/internal/scale/sweep/run.go
+++ b/internal/scale/sweep/run.go
@@ -21,6 +21,7 @@
 type Options struct {
 	Worker      []string  // the program that is a worker, with its arguments
 	Sidecar     []string  // the program that real proxies run, with its first arguments
+	Relay       []string  // the program that is a source or a relay of distribution
 	MemoryBytes int64     // that all processes may use; 0: half of the machine's
 	HeldOut     Selection // whether the held-out size is played
 	Log         io.Writer // takes a line for each round
@@ -121,50 +122,56 @@
 	if err := p.refusal(s.sc.Source, each, footprint{}, bound); err != nil {
 		return err
 	}
-	if largest.Proxies <= probeProxies {
+	if largest.Proxies <= probeMore {
 		return nil
 	}
 	f, err := s.probe(ctx, largest)
 	if err != nil {
 		return fmt.Errorf("probe: %w", err)
 	}
-	s.logf("measured %d proxies: %.1f KB a proxy and %.1f KB beside it, %.1f MB without any; %d fit in %.1f GB", probeProxies,
+	s.logf("measured %d and %d proxies: %.1f KB a proxy and %.1f KB beside it, %.1f MB without any; %d fit in %.1f GB", probeProxies, probeMore,
 		float64(f.proxy)/(1<<10), float64(f.service)/(1<<10), float64(f.base)/(1<<20), f.fit(bound), float64(bound)/(1<<30))
 	return p.refusal(s.sc.Source, each, f, bound)
 }
 
-// probe measures what a proxy of a size costs in memory.
+// probe measures what a proxy of a size costs in memory, from two plays with few proxies in one process.
 func (s *player) probe(ctx context.Context, size result.Size) (f footprint, err error) {
-	proxies := size.Proxies
-	size.Proxies = probeProxies
-	c, err := s.begin(ctx, size, planOf(s.sc, size))
+	few, err := s.weigh(ctx, size, probeProxies)
 	if err != nil {
 		return f, err
 	}
-	defer c.team.end()
-	before, err := c.resident()
+	more, err := s.weigh(ctx, size, probeMore)
 	if err != nil {
 		return f, err
 	}
-	if err := c.start(ctx); err != nil {
-		return f, err
-	}
-	if !sleep(ctx, s.sc.WarmUp) {
-		return f, ctx.Err()
+	const extra = probeMore - probeProxies
+	f.proxy = max(0, more.proxies-few.proxies) / extra
+	f.service = max(0, more.lists+more.relays-few.lists-few.relays)/extra + int64(connections(s.sc.Source, size))*kernelPerConn
+	p := planOf(s.sc, size)
+	if s.sc.Hollow {
+		f.base = max(0, few.proxies-probeProxies*f.proxy) * int64(p.workers)
 	}
-	after, err := c.resident()
+	f.base += few.lists*int64(max(1, p.lists)) + few.relays*int64(p.relays)
+	return f, nil
+}
+
+// weigh is what the processes of a size with few proxies hold, with one process for each role.
+func (s *player) weigh(ctx context.Context, size result.Size, proxies int) (m memory, err error) {
+	size.Proxies = proxies
+	p := planOf(s.sc, size)
+	p.workers, p.lists, p.relays = min(1, p.workers), min(1, p.lists), min(1, p.relays)
+	c, err := s.begin(ctx, size, p)
 	if err != nil {
-		return f, err
+		return m, err
 	}
-	kernel := int64(connections(s.sc.Source, size)) * kernelPerConn
-	f.proxy = max(0, after.proxies-before.proxies) / probeProxies
-	f.service = max(0, after.lists+after.relays-before.lists-before.relays)/probeProxies + kernel
-	workers := int64(planOf(s.sc, result.Size{Proxies: proxies, Services: size.Services, ServicesInAll: size.ServicesInAll}).workers)
-	f.base = before.proxies/int64(max(1, len(c.workers)))*workers + before.lists + before.relays
-	if !s.sc.Hollow { // a real proxy is a process of its own
-		f.base, f.proxy = before.lists+before.relays, after.proxies/probeProxies
+	defer c.team.end()
+	if err := c.start(ctx); err != nil {
+		return m, err
 	}
-	return f, nil
+	if !sleep(ctx, s.sc.WarmUp) {
+		return m, ctx.Err()
+	}
+	return c.resident()
 }
 
 // play plays one size.
--- /dev/null
+++ b/internal/scale/sweep/sweep_test.go
@@ -0,0 +1,125 @@
+package sweep_test
+
+import (
+	"context"
+	"os"
+	"strings"
+	"testing"
+
+	"fernlanding/internal/scale/result"
+	"fernlanding/internal/scale/scenario"
+	"fernlanding/internal/scale/sweep"
+	"fernlanding/internal/scale/worker"
+)
+
+// workerVariable is set in the processes that this test starts from itself.
+const workerVariable = "SCALE_TEST_WORKER"
+
+// TestMain has the test's own program be the workers.
+func TestMain(m *testing.M) {
+	if os.Getenv(workerVariable) == "" {
+		os.Exit(m.Run())
+	}
+	if err := worker.Main(os.Stdin, os.Stdout); err != nil {
+		os.Stderr.WriteString(err.Error() + "\n")
+		os.Exit(1)
+	}
+}
+
+func read(t *testing.T, text string) *scenario.Scenario {
+	t.Helper()
+	sc, err := scenario.Read("s.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return sc
+}
+
+func options(t *testing.T) sweep.Options {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv(workerVariable, "yes")
+	return sweep.Options{Worker: []string{self}}
+}
+
+const small = `format = 1
+name = "small"
+warm_up = "100ms"
+span = "300ms"
+settle = "300ms"
+rounds = 1
+
+[size]
+services = 2
+services_in_all = 4
+backends = 5
+changes_per_second = 20
+calls_per_second = 10
+
+[processes]
+proxies = 2
+
+[sweep]
+dimension = "proxies"
+sizes = [1, 2, 4, 8, 16]
+held_out = 20
+`
+
+// A sweep of 20 hollow proxies: all that is counted is there, and each change comes in force in each proxy that follows it.
+func TestSmallSweep(t *testing.T) {
+	out, err := sweep.Run(context.Background(), read(t, small), options(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(out.Points) != 6 || out.Format != result.Format || !out.Hollow {
+		t.Fatalf("%+v", out)
+	}
+	inForce, calls := int64(0), int64(0)
+	for i, p := range out.Points {
+		if p.HeldOut != (i == 5) || len(p.Rounds) != 1 {
+			t.Fatalf("%+v", p)
+		}
+		r := p.Rounds[0]
+		inForce, calls = inForce+r.InForce.Count, calls+r.Call.Count
+		if r.Proxies.Processes != min(2, p.Size.Proxies) || r.Proxies.Connections < 2*p.Size.Proxies || r.Lists.Processes != 1 || r.Relays.Processes != 0 {
+			t.Errorf("%d proxies: %+v", p.Size.Proxies, r)
+		}
+		for _, c := range []result.Cost{r.Proxies, r.Lists} {
+			if c.CPUSeconds <= 0 || c.RSSBytes <= 0 || c.HeapBytes <= 0 || c.Goroutines <= 0 || c.Allocations <= 0 || c.BytesIn <= 0 {
+				t.Errorf("%d proxies: %+v", p.Size.Proxies, c)
+			}
+		}
+	}
+	if inForce == 0 || calls == 0 {
+		t.Errorf("%d changes in force, %d calls", inForce, calls)
+	}
+}
+
+// A size that does not fit is refused in one line that says how many do, and nothing is started.
+func TestTooLarge(t *testing.T) {
+	const text = "format = 1\nname = \"x\"\n[size]\nservices = 100\nservices_in_all = 100\n[sweep]\ndimension = \"proxies\"\nsizes = [1, 2, 4, 8, 100_000]\n"
+	opts := sweep.Options{Worker: []string{"/nonexistent"}}
+	_, err := sweep.Run(context.Background(), read(t, text), opts)
+	if err == nil || !strings.Contains(err.Error(), "100000 proxies do not fit: ") || !strings.Contains(err.Error(), " do, by the ") || strings.Contains(err.Error(), "\n") {
+		t.Errorf("%v", err)
+	}
+	fits := strings.Replace(text, "100_000", "100", 1)
+	opts = options(t)
+	opts.MemoryBytes = 1
+	if _, err := sweep.Run(context.Background(), read(t, fits), opts); err != nil && strings.Contains(err.Error(), "descriptors") {
+		t.Errorf("%v", err)
+	}
+}
+
+// A worker that can't be started, and one that ends, fail the sweep with a reason.
+func TestWorkersThatFail(t *testing.T) {
+	for _, program := range []string{"/nonexistent", "/bin/true"} {
+		_, err := sweep.Run(context.Background(), read(t, small), sweep.Options{Worker: []string{program}})
+		if err == nil || !strings.Contains(err.Error(), "lists-1") {
+			t.Errorf("%s: %v", program, err)
+		}
+	}
+}
--- a/internal/scale/sweep/team.go
+++ b/internal/scale/sweep/team.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -80,6 +81,37 @@
 	return t.ask(ctx, name, spec)
 }
 
+// server starts a process that says "listening ADDRESS" in its first line, and returns the address.
+func (t *team) server(ctx context.Context, name string, args []string) (address string, err error) {
+	first := make(chan string, 1)
+	t.mu.Lock()
+	gone := make(chan struct{})
+	t.gone[name] = gone
+	t.mu.Unlock()
+	read := func(out io.Reader) {
+		lines := bufio.NewScanner(out)
+		if lines.Scan() {
+			first <- lines.Text()
+		}
+		_, _ = io.Copy(io.Discard, out)
+	}
+	if err := t.group.Start(process.Spec{Name: name, Args: args, Read: read}); err != nil {
+		return "", err
+	}
+	select {
+	case line := <-first:
+		address, found := strings.CutPrefix(line, "listening ")
+		if !found {
+			return "", fmt.Errorf("%s: %q; \"listening ADDRESS\" expected", name, line)
+		}
+		return address, nil
+	case <-gone:
+		return "", errors.Join(t.failure(), fmt.Errorf("%s: ended before it listened", name))
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+}
+
 // program starts a process that is told nothing.
 func (t *team) program(name string, args []string) error {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/scale/worker/publisher.go
@@ -0,0 +1,114 @@
+package worker
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"fernlanding/internal/distribution"
+	"fernlanding/internal/distribution/httpapi"
+	"fernlanding/internal/membership/relayed"
+	"fernlanding/internal/scale/churn"
+	"fernlanding/internal/scale/hollow"
+	"fernlanding/internal/scale/layout"
+)
+
+// putWithin bounds one write to the source.
+const putWithin = 10 * time.Second
+
+// publisher writes lists to a source of distribution.
+type publisher struct {
+	spec    Spec
+	client  *httpapi.Client
+	changer *changer
+}
+
+func newPublisher(spec Spec) *publisher {
+	p := &publisher{spec: spec, client: httpapi.NewClient(nil)}
+	size := spec.Layout.Size
+	p.changer = newChanger(layout.Services(size, 0, 1), size.Backends, size.ChangesPerSecond, p.change)
+	return p
+}
+
+// entry is a backend as an item of a list words it.
+type entry struct {
+	Address string  `json:"address"`
+	Status  string  `json:"status"`
+	Weight  float64 `json:"weight"`
+}
+
+// item is a backend of a service as it is in a list.
+func item(service, number int, status string) (distribution.Item, error) {
+	value, err := json.Marshal(entry{Address: layout.Backend(service, number), Status: status, Weight: 1})
+	if err != nil {
+		return distribution.Item{}, fmt.Errorf("item: %w", err)
+	}
+	return distribution.Item{Key: churn.Name(layout.Service(service), number), Value: value}, nil
+}
+
+func (p *publisher) do(ctx context.Context, c Command, r *Reply) error {
+	switch c.Do {
+	case DoStart:
+		return p.writeAll(ctx)
+	case DoLoad:
+		p.changer.start()
+		return nil
+	case DoChanges:
+		r.Changes = p.changer.take()
+		return p.changer.failure()
+	}
+	return errNoCommand
+}
+
+// writeAll writes the first list of each service.
+func (p *publisher) writeAll(ctx context.Context) error {
+	size := p.spec.Layout.Size
+	for _, service := range layout.Services(size, 0, 1) {
+		put := distribution.PutRequest{Resource: relayed.Resource(layout.Service(service)), Replace: true}
+		for number := range size.Backends {
+			one, err := item(service, number, "serving")
+			if err != nil {
+				return err
+			}
+			put.Items = append(put.Items, one)
+		}
+		if err := p.put(ctx, &put); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// change makes a change of a service's list. What takes a backend out is urgent.
+func (p *publisher) change(service int, c churn.Change) error {
+	status := "serving"
+	if c.Kind == churn.Drain {
+		status = "draining"
+	}
+	one, err := item(service, c.Backend, status)
+	if err != nil {
+		return err
+	}
+	if c.Kind == churn.Delete {
+		one.Value, one.Deleted = nil, true
+	}
+	one.Urgent = c.Kind != churn.Join
+	return p.put(context.Background(), &distribution.PutRequest{Resource: relayed.Resource(layout.Service(service)), Items: []distribution.Item{one}})
+}
+
+func (p *publisher) put(ctx context.Context, put *distribution.PutRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, putWithin)
+	defer cancel()
+	if _, err := p.client.Put(ctx, p.spec.Source, put); err != nil {
+		return fmt.Errorf("put %s: %w", put.Resource, err)
+	}
+	return nil
+}
+
+func (p *publisher) traffic() hollow.Traffic { return hollow.Traffic{} }
+
+func (p *publisher) close() {
+	p.changer.close()
+	p.client.Close()
+}
--- a/internal/scale/worker/worker.go
+++ b/internal/scale/worker/worker.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/signal"
 	"runtime"
+	"runtime/debug"
 	"runtime/metrics"
 	"syscall"
 	"time"
@@ -30,16 +31,19 @@
 const (
 	Proxies Role = "proxies" // has hollow proxies
 	Lists   Role = "lists"   // is a list service, and changes its lists
+	Publish Role = "publish" // writes lists to a source of distribution, and changes them
 )
 
 // Spec is what a worker is told first.
 type Spec struct {
 	Role   Role          `json:"role"`
 	Layout layout.Layout `json:"layout"`
-	First  int           `json:"first,omitempty"` // of Proxies: the number of the first
-	Count  int           `json:"count,omitempty"` // of Proxies
-	Index  int           `json:"index,omitempty"` // of Lists: its number among them
-	Of     int           `json:"of,omitempty"`    // of Lists: how many there are
+	First  int           `json:"first,omitempty"`  // of Proxies: the number of the first
+	GC     int           `json:"gc,omitempty"`     // of Proxies: percent of what lives before the next collection; 0: the usual
+	Count  int           `json:"count,omitempty"`  // of Proxies
+	Index  int           `json:"index,omitempty"`  // of Lists: its number among them
+	Of     int           `json:"of,omitempty"`     // of Lists: how many there are
+	Source string        `json:"source,omitempty"` // of Publish: the source's address
 }
 
 // Do is what a command asks for.
@@ -47,10 +51,10 @@
 
 // The commands.
 const (
-	DoStart   Do = "start"   // Proxies: start them and wait until they have all lists
-	DoLoad    Do = "load"    // Proxies: begin to make calls; Lists: begin to change them
+	DoStart   Do = "start"   // Proxies: start them and wait until they have all lists; Publish: write all lists
+	DoLoad    Do = "load"    // Proxies: begin to make calls; Lists, Publish: begin to change lists
 	DoUsage   Do = "usage"   // say what has been used so far
-	DoChanges Do = "changes" // Lists: say what was changed since this was last asked
+	DoChanges Do = "changes" // Lists, Publish: say what was changed since this was last asked
 	DoCollect Do = "collect" // say what lives after a collection; Proxies: and how long Changes took, and what became of calls
 )
 
@@ -156,6 +160,9 @@
 func begin(spec Spec) (part, Reply, error) {
 	switch spec.Role {
 	case Proxies:
+		if spec.GC > 0 {
+			debug.SetGCPercent(spec.GC)
+		}
 		return newProxies(spec), Reply{}, nil
 	case Lists:
 		l, err := newLists(spec)
@@ -163,8 +170,10 @@
 			return nil, Reply{}, err
 		}
 		return l, Reply{Address: l.registry.Addr()}, nil
+	case Publish:
+		return newPublisher(spec), Reply{}, nil
 	}
-	return nil, Reply{}, fmt.Errorf("role %q: %s or %s expected", spec.Role, Proxies, Lists)
+	return nil, Reply{}, fmt.Errorf("role %q: %s, %s or %s expected", spec.Role, Proxies, Lists, Publish)
 }
 
 // carryOut carries a command out.
--- a/internal/sidecar/relays.go
+++ b/internal/sidecar/relays.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"os"
 	"reflect"
 	"sync"
@@ -19,6 +20,7 @@
 type relays struct {
 	lists *relayed.Lists
 	log   *slog.Logger
+	dial  func(ctx context.Context, network, address string) (net.Conn, error) // nil: the usual one
 
 	mu       sync.Mutex // held while the follower changes
 	running  bool
@@ -28,8 +30,8 @@
 	done     chan struct{}       // closed when it has ended
 }
 
-func newRelays(log *slog.Logger) *relays {
-	return &relays{lists: relayed.NewLists(log), log: log}
+func newRelays(log *slog.Logger, dial func(ctx context.Context, network, address string) (net.Conn, error)) *relays {
+	return &relays{lists: relayed.NewLists(log), log: log, dial: dial}
 }
 
 // use follows the relays of a configuration from here on.
@@ -48,7 +50,7 @@
 		r.lists.Use(nil)
 		return
 	}
-	r.follower = follow.New(follow.Config{Name: cfg.Name, Kind: distribution.KindProxy, Relays: cfg.Relays, Log: r.log})
+	r.follower = follow.New(follow.Config{Name: cfg.Name, Kind: distribution.KindProxy, Relays: cfg.Relays, Dial: r.dial, Log: r.log})
 	r.lists.Use(r.follower)
 	r.run()
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -60,7 +60,7 @@
 func open(app *config.App, log *slog.Logger, hollow *Hollow) (*Sidecar, error) {
 	s := &Sidecar{log: log, ended: make(chan struct{}), remind: notReadyEvery, services: map[string]*service{}, leaving: map[*service]bool{},
 		with: parted{clock: core.NewClock(), log: log, memoryMB: app.Process.MemoryMB, paced: app.Wording == config.Application,
-			stateDir: app.StateDir, listAge: app.ListAge, hollow: hollow, relays: newRelays(log)}}
+			stateDir: app.StateDir, listAge: app.ListAge, hollow: hollow, relays: newRelays(log, hollow.dial())}}
 	s.halt, s.halted = context.WithCancel(context.Background())
 	parts, err := app.Descriptors()
 	if err != nil {
