--- a/internal/scale/predict/evidence.go
+++ b/internal/scale/predict/evidence.go
@@ -80,7 +80,7 @@
 	m := e.models[w]
 	for _, f := range e.Files {
 		if m != nil && f.Result.Source == w && f.Result.Hollow == m.Hollow {
-			names = append(names, f.Name)
+			names = append(names, "`"+f.Name+"`")
 		}
 	}
 	return names
--- a/internal/scale/predict/measured.go
+++ b/internal/scale/predict/measured.go
@@ -114,15 +114,16 @@
 		}
 		for i := range m.Of {
 			if slices.Contains(figures, m.Of[i].Figure) {
-				t.Rows = append(t.Rows, ModelRow(&m.Of[i]))
+				t.Rows = append(t.Rows, modelRow(&m.Of[i]))
 			}
 		}
+		t.Notes = append(t.Notes, fmt.Sprintf("%s is fitted through %s.", w, strings.Join(e.runs(w), ", ")))
 	}
 	return t
 }
 
-// ModelRow is a model as a row of Models.
-func ModelRow(m *fit.Model) []string {
+// modelRow is a model as a row of Models.
+func modelRow(m *fit.Model) []string {
 	unit, base := m.Figure.Unit()
 	var terms []string
 	for _, x := range m.Terms {
@@ -150,7 +151,7 @@
 		}
 		for _, x := range e.models[w].HeldOut(results) {
 			if slices.Contains(figures, x.Figure) {
-				t.Rows = append(t.Rows, HeldOutRow(x))
+				t.Rows = append(t.Rows, heldOutRow(x))
 				if all++; !x.Within() {
 					missed++
 				}
@@ -163,8 +164,8 @@
 	return t
 }
 
-// HeldOutRow is a comparison as a row of HeldOut.
-func HeldOutRow(x fit.Comparison) []string {
+// heldOutRow is a comparison as a row of HeldOut.
+func heldOutRow(x fit.Comparison) []string {
 	unit, base := x.Figure.Unit()
 	yes := "yes"
 	if !x.Within() {
--- a/internal/scale/predict/roles.go
+++ b/internal/scale/predict/roles.go
@@ -27,9 +27,9 @@
 
 // proxyNeeds is what one proxy needs for control.
 type proxyNeeds struct {
-	bytes, cores, memory                amount
-	in, out, messagesIn, messagesOut    amount
-	controlConnections, dataConnections amount
+	bytes, cores, memory             amount
+	in, out, messagesIn, messagesOut amount
+	controlConnections               amount
 }
 
 func (c *Calculator) proxyNeeds(w way, d fit.Drivers) proxyNeeds {
