--- a/internal/scale/fit/sweep.go
+++ b/internal/scale/fit/sweep.go
@@ -60,7 +60,7 @@
 	Role      Role
 	Figure    Figure
 	Line      Line
-	PerProxy  bool // the figure is divided by the number of proxies
+	PerProxy  bool // the figure is divided by the number of proxies; where that is varied, the slope is a proxy's share
 }
 
 // Sweeps returns the lines of all figures that a result has.
@@ -68,7 +68,7 @@
 	for _, role := range Roles() {
 		for _, figure := range Figures() {
 			s := Sweep{Scenario: res.Scenario, Source: res.Source, Dimension: res.Dimension, Hollow: res.Hollow, Role: role, Figure: figure,
-				PerProxy: role == Proxies && !figure.IsTime()}
+				PerProxy: role == Proxies && res.Dimension != result.Proxies && !figure.IsTime()}
 			seen := observe(res, role, figure)
 			if s.PerProxy {
 				for i := range seen {
--- a/internal/scale/predict/measured.go
+++ b/internal/scale/predict/measured.go
@@ -82,7 +82,7 @@
 
 // Lines is the table of how each figure grows along each sweep.
 func (e *Evidence) Lines(figures []fit.Figure) Table {
-	t := Table{Head: []string{"run", "role", "figure", "slope", "intercept", "R²", "growth"}}
+	t := Table{Head: []string{"run", "role", "figure", "along", "slope", "intercept", "R²", "growth"}}
 	for _, f := range e.Files {
 		for _, s := range fit.Sweeps(f.Result) {
 			if slices.Contains(figures, s.Figure) {
@@ -95,12 +95,12 @@
 
 func lineRow(file string, s fit.Sweep) []string {
 	unit, base := s.Figure.Unit()
-	what := string(s.Role)
+	what := string(s.Role) + ", all"
 	if s.PerProxy {
 		what = "a proxy"
 	}
 	l := s.Line
-	return []string{"`" + file + "`", what, strings.TrimSpace(fmt.Sprintf("%s, %s", s.Figure, unit)), fmt.Sprintf("%s ± %s", short(l.Slope/base), short(l.SlopeError/base)),
+	return []string{"`" + file + "`", what, strings.TrimSuffix(fmt.Sprintf("%s, %s", s.Figure, unit), ", "), string(s.Dimension), fmt.Sprintf("%s ± %s", short(l.Slope/base), short(l.SlopeError/base)),
 		fmt.Sprintf("%s ± %s", short(l.Intercept/base), short(l.InterceptError/base)), fmt.Sprintf("%.3f", l.R2), l.Shape.String()}
 }
 
