Give the renamed classes of a diff a type of their own

Cause: Diff found renamed classes, moved old paths and listed changes in one function of a cognitive complexity of 32.

Change: renames is a type with the paths, their changes and the mapping of an old path; Diff lists what is left.

--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -44,57 +45,80 @@
 // Diff lists what differs between two files, in the order of the newer and then of the older one; head tells that their
 // heads differ. A class that was renamed is one change.
 func Diff(old, fresh *Document) (changes []Change, heads bool) {
+	renames := renamedClasses(old, fresh)
+	changes = renames.changes()
 	oldPaths, oldValues := old.Values()
 	paths, values := fresh.Values()
-	renames := map[string]string{} // prefixes of paths, old to new
-	if fresh.App != nil && old.App != nil {
-		for _, s := range fresh.App.Services {
-			was := old.App.Service(s.Name)
-			for i, c := range s.Classes {
-				for _, f := range s.Rules[i].Formerly {
-					if was != nil && was.Class(f) >= 0 && was.Class(c) < 0 {
-						from, to := join(join(join("services", s.Name), "classes"), f)+".", join(join(join("services", s.Name), "classes"), c)+"."
-						renames[from] = to
-						changes = append(changes, Change{Kind: Renamed, Old: strings.TrimSuffix(from, "."), New: strings.TrimSuffix(to, ".")})
-					}
-				}
-			}
-		}
-	}
-	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(a.Old, b.Old) })
-	renamed := func(p string) string { // an old path as it would be now
-		for from, to := range renames {
-			if strings.HasPrefix(p, from) {
-				return to + p[len(from):]
-			}
-		}
-		return p
-	}
 	moved := map[string]string{} // new path to old value
 	for _, p := range oldPaths {
-		moved[renamed(p)] = oldValues[p]
+		moved[renames.path(p)] = oldValues[p]
+	}
+	add := func(c Change) {
+		if strings.HasPrefix(c.Path, head) {
+			heads = true
+		} else {
+			changes = append(changes, c)
+		}
 	}
 	for _, p := range paths {
 		was, known := moved[p]
-		switch {
-		case known && was == values[p]:
-		case strings.HasPrefix(p, head):
-			heads = true
-		case known:
-			changes = append(changes, Change{Changed, p, was, values[p]})
-		default:
-			changes = append(changes, Change{Kind: Added, Path: p, New: values[p]})
+		if !known {
+			add(Change{Kind: Added, Path: p, New: values[p]})
+		} else if was != values[p] {
+			add(Change{Changed, p, was, values[p]})
 		}
 	}
 	for _, p := range oldPaths {
-		if _, stays := values[renamed(p)]; stays {
-			continue
+		if _, stays := values[renames.path(p)]; !stays {
+			add(Change{Kind: Removed, Path: p, Old: oldValues[p]})
 		}
-		if strings.HasPrefix(p, head) {
-			heads = true
+	}
+	return changes, heads
+}
+
+// renames are the paths of classes that have another name now, old to new.
+type renames map[string]string
+
+// renamedClasses are the classes that the newer file says are renamed, and that are in the older one.
+func renamedClasses(old, fresh *Document) renames {
+	out := renames{}
+	if fresh.App == nil || old.App == nil {
+		return out
+	}
+	for _, s := range fresh.App.Services {
+		was := old.App.Service(s.Name)
+		if was == nil {
 			continue
 		}
-		changes = append(changes, Change{Kind: Removed, Path: p, Old: oldValues[p]})
+		for i, class := range s.Classes {
+			for _, former := range s.Rules[i].Formerly {
+				if was.Class(former) >= 0 && was.Class(class) < 0 {
+					out[classPath(s.Name, former)] = classPath(s.Name, class)
+				}
+			}
+		}
 	}
-	return changes, heads
+	return out
+}
+
+func classPath(service, class string) string {
+	return join(join(join("services", service), "classes"), class)
+}
+
+// changes are the renamings, in the order of the old paths.
+func (r renames) changes() (out []Change) {
+	for _, from := range slices.Sorted(maps.Keys(r)) {
+		out = append(out, Change{Kind: Renamed, Old: from, New: r[from]})
+	}
+	return out
+}
+
+// path is an old path as it would be now.
+func (r renames) path(old string) string {
+	for from, to := range r {
+		if rest, within := strings.CutPrefix(old, from+"."); within {
+			return to + "." + rest
+		}
+	}
+	return old
 }
