Read the faults of links and of processes by functions of their own

Change: linkFault and processFault read what belongs to their kinds. Result: the tests of rig/scenario pass.

--- a/internal/rig/scenario/scenario.go
+++ b/internal/rig/scenario/scenario.go
@@ -327,31 +327,9 @@
 	f.Way, f.Link = v.Word("way", Both, Both, There, Back), ""
 	switch kinds[f.Kind] {
 	case ofLinks:
-		f.Link = v.Word("link", "", links...)
-		f.On = v.Word("on", OnSidecars, OnSidecars, OnBackends, OnLists)
-		if f.On != OnSidecars && !strings.HasSuffix(f.Link, f.On) {
-			v.Bad(rules.Exclusive, "on", "%s are at no end of the link %s", f.On, f.Link)
-		}
-		if f.Kind == OneWay && f.Way == Both {
-			v.Bad(rules.Missing, "way", "the direction expected: there or back")
-		}
-		if f.Kind == Delay && f.Delay+f.More == 0 {
-			v.Bad(rules.Missing, "delay", "the delay expected")
-		}
-		if f.Kind == Slow && f.Rate == 0 {
-			v.Bad(rules.Missing, "rate", "bytes a second expected")
-		}
-		if f.Across && (f.Site == "" || f.Link == links[0]) {
-			v.Bad(rules.Missing, "across", "a site expected beside it, and a link between processes that have one")
-		}
+		x.linkFault(v, &f)
 	case ofProcesses:
-		f.On = v.Word("on", OnSidecars, OnSidecars, OnLists, OnBackends, OnSites)
-		if n := len(x.Sidecars.Sites); f.On == OnSites && (f.Site == "" || x.Backends.Processes%n != 0 || x.Lists.Count%n != 0) {
-			v.Bad(rules.Missing, "site", "one of the sites expected, and as many list services and processes of backends for each")
-		}
-		if f.On == OnBackends && (f.Share > 0 || f.Site != "" || len(f.Names) > 0) && f.Kind != Stop {
-			v.Bad(rules.Exclusive, "on", "backends share processes: all of them, or single ones by kind = %q, expected", Replace)
-		}
+		x.processFault(v, &f)
 	case ofLists:
 		f.On = OnLists
 		v.Take("on")
@@ -372,6 +350,39 @@
 	return f
 }
 
+// linkFault reads which links a fault is of, and checks what its kind needs.
+func (x *Scenario) linkFault(v doc.Scope, f *Fault) {
+	f.Link = v.Word("link", "", links...)
+	f.On = v.Word("on", OnSidecars, OnSidecars, OnBackends, OnLists)
+	if f.On != OnSidecars && !strings.HasSuffix(f.Link, f.On) {
+		v.Bad(rules.Exclusive, "on", "%s are at no end of the link %s", f.On, f.Link)
+	}
+	switch {
+	case f.Kind == OneWay && f.Way == Both:
+		v.Bad(rules.Missing, "way", "the direction expected: there or back")
+	case f.Kind == Delay && f.Delay+f.More == 0:
+		v.Bad(rules.Missing, "delay", "the delay expected")
+	case f.Kind == Slow && f.Rate == 0:
+		v.Bad(rules.Missing, "rate", "bytes a second expected")
+	}
+	if f.Across && (f.Site == "" || f.Link == links[0]) {
+		v.Bad(rules.Missing, "across", "a site expected beside it, and a link between processes that have one")
+	}
+}
+
+// processFault reads which processes a fault is of, and checks that they can be told apart.
+func (x *Scenario) processFault(v doc.Scope, f *Fault) {
+	f.On = v.Word("on", OnSidecars, OnSidecars, OnLists, OnBackends, OnSites)
+	sites := len(x.Sidecars.Sites)
+	if f.On == OnSites && (f.Site == "" || x.Backends.Processes%sites != 0 || x.Lists.Count%sites != 0) {
+		v.Bad(rules.Missing, "site", "one of the sites expected, and as many list services and processes of backends for each")
+	}
+	chosen := f.Share > 0 || f.Site != "" || len(f.Names) > 0
+	if f.On == OnBackends && chosen && f.Kind != Stop {
+		v.Bad(rules.Exclusive, "on", "backends share processes: all of them, or single ones by kind = %q, expected", Replace)
+	}
+}
+
 func single(group string) string { return strings.TrimSuffix(group, "s") }
 
 // Names are the members of a group, in order.
