Split the writing of a replayed request's head into steps

Change: redactBody, copyField and addFields are one step each, on a headWriter. What is written stays.

Result: the tests of internal/pcap pass.

--- a/internal/pcap/replay/plan.go
+++ b/internal/pcap/replay/plan.go
@@ -177,80 +177,110 @@
 
 // word writes the head of a step as it goes out.
 func (p *Plan) word(s *Step, q *http.Message) error {
-	size := q.Body.Size
-	if slices.ContainsFunc(p.opts.Redact, func(r Redaction) bool { return r.Field == "" }) && size > 0 {
-		if size > mostRedacted {
-			s.Skip = fmt.Sprintf("a body of %d bytes cannot be redacted, of at most %d", size, mostRedacted)
-			return nil
-		}
-		body, err := q.Body.Bytes()
-		if err != nil {
-			return err
-		}
-		for _, r := range p.opts.Redact {
-			if r.Field == "" {
-				body = r.Pattern.ReplaceAll(body, []byte(r.With))
-			}
-		}
-		s.Bytes, s.Redacted, size = body, true, int64(len(body))
+	size, err := p.redactBody(s, q)
+	if err != nil || s.Skip != "" {
+		return err
 	}
-	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\n", q.Method, q.Target)
-	said := map[string]bool{}
-	put := func(name, value string) {
-		value = p.clean(name, value)
-		fmt.Fprintf(&b, "%s: %s\r\n", name, value)
-		said[strings.ToLower(name)] = true
+	h := &headWriter{plan: p}
+	fmt.Fprintf(&h.text, "%s %s HTTP/1.1\r\n", q.Method, q.Target)
+	for _, f := range q.Header {
+		p.copyField(h, s, f)
 	}
-	own := func(name string) bool {
-		for _, names := range []map[string]string{p.opts.Set, p.opts.Copy} {
-			for n := range names {
-				if strings.EqualFold(n, name) {
-					return true
-				}
-			}
+	p.addFields(h, s, q)
+	if !h.host {
+		h.text.WriteString("Host: replay\r\n")
+	}
+	if size > 0 || s.Repeat != Safe {
+		fmt.Fprintf(&h.text, "Content-Length: %d\r\n", size)
+	}
+	s.Head = []byte(h.text.String() + "\r\n")
+	return nil
+}
+
+// redactBody gives a step the body that goes out instead of the captured one, if bodies are redacted, and returns the size of
+// what goes out. A body that is too large to be redacted has the step skipped.
+func (p *Plan) redactBody(s *Step, q *http.Message) (size int64, err error) {
+	size = q.Body.Size
+	redacted := slices.ContainsFunc(p.opts.Redact, func(r Redaction) bool { return r.Field == "" })
+	if !redacted || size <= 0 {
+		return size, nil
+	}
+	if size > mostRedacted {
+		s.Skip = fmt.Sprintf("a body of %d bytes cannot be redacted, of at most %d", size, mostRedacted)
+		return size, nil
+	}
+	body, err := q.Body.Bytes()
+	if err != nil {
+		return size, err
+	}
+	for _, r := range p.opts.Redact {
+		if r.Field == "" {
+			body = r.Pattern.ReplaceAll(body, []byte(r.With))
 		}
-		return framing(name)
 	}
-	for _, f := range q.Header {
-		switch {
-		case own(f.Name):
-		case p.opts.ID != "" && strings.EqualFold(f.Name, p.opts.ID):
-			if s.NewID == "" {
-				s.NewID = p.fresh()
-				put(f.Name, s.NewID)
-			}
-		case p.opts.NewKeys && strings.EqualFold(f.Name, keyField):
-			if p.keys[f.Value] == "" { // a repeat in the capture stays one
-				p.keys[f.Value] = p.fresh()
+	s.Bytes, s.Redacted = body, true
+	return int64(len(body)), nil
+}
+
+// headWriter writes the head of a request, with its fields redacted.
+type headWriter struct {
+	plan *Plan
+	text strings.Builder
+	host bool // a Host field has been written
+}
+
+func (h *headWriter) field(name, value string) {
+	fmt.Fprintf(&h.text, "%s: %s\r\n", name, h.plan.clean(name, value))
+	h.host = h.host || strings.EqualFold(name, "Host")
+}
+
+// copyField writes a captured field, unless the plan has its own; ids and keys are made anew where that is asked for.
+func (p *Plan) copyField(h *headWriter, s *Step, f http.Field) {
+	switch {
+	case p.owns(f.Name):
+	case p.opts.ID != "" && strings.EqualFold(f.Name, p.opts.ID):
+		if s.NewID == "" {
+			s.NewID = p.fresh()
+			h.field(f.Name, s.NewID)
+		}
+	case p.opts.NewKeys && strings.EqualFold(f.Name, keyField):
+		if p.keys[f.Value] == "" { // a repeat in the capture stays one
+			p.keys[f.Value] = p.fresh()
+		}
+		h.field(f.Name, p.keys[f.Value])
+	default:
+		h.field(f.Name, f.Value)
+	}
+}
+
+// owns tells whether the plan writes a field itself.
+func (p *Plan) owns(name string) bool {
+	for _, names := range []map[string]string{p.opts.Set, p.opts.Copy} {
+		for n := range names {
+			if strings.EqualFold(n, name) {
+				return true
 			}
-			put(f.Name, p.keys[f.Value])
-		default:
-			put(f.Name, f.Value)
 		}
 	}
+	return framing(name)
+}
+
+// addFields writes the fields that the plan has of its own.
+func (p *Plan) addFields(h *headWriter, s *Step, q *http.Message) {
 	if p.opts.ID != "" && s.NewID == "" {
 		s.NewID = p.fresh()
-		put(p.opts.ID, s.NewID)
+		h.field(p.opts.ID, s.NewID)
 	}
 	for _, name := range sorted(p.opts.Copy) {
 		if v := q.Get(p.opts.Copy[name]); v != "" {
-			put(name, v)
+			h.field(name, v)
 		}
 	}
 	for _, name := range sorted(p.opts.Set) {
 		if v := p.opts.Set[name]; v != "" {
-			put(name, v)
+			h.field(name, v)
 		}
 	}
-	if !said["host"] {
-		b.WriteString("Host: replay\r\n")
-	}
-	if size > 0 || s.Repeat != Safe {
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", size)
-	}
-	s.Head = []byte(b.String() + "\r\n")
-	return nil
 }
 
 // clean is a field's value after redaction.
