--- a/internal/rig/draw/draw.go
+++ b/internal/rig/draw/draw.go
@@ -52,63 +52,12 @@
 	for _, e := range all {
 		end = max(end, int(e.At/second))
 	}
-	series := func(name string, c color.RGBA) *line { return &line{name, c, make([]float64, end+1)} }
-	asked, served, turned, failed := series("asked", blue), series("served", green), series("turned away", red), series("failed or nothing", purple)
-	whole, further, refused := series("whole readings", red), series("further calls", blue), series("refused", purple)
-	opened, ready, pushed := series("connections to backends", blue), series("sidecars ready", green), series("cold backends over what they bear", red)
-	up, over := 0, 0
-	upAt, overAt := map[int]int{}, map[int]int{}
-	is := map[string]bool{}
+	c := newChart(end)
 	for _, e := range all {
-		s := int(e.At / second)
-		switch e.Kind {
-		case history.Asked:
-			switch asked.at[s]++; {
-			case e.Status == http.StatusOK:
-				served.at[s]++
-			case e.Status == http.StatusServiceUnavailable || e.Status == http.StatusTooManyRequests:
-				turned.at[s]++
-			default:
-				failed.at[s]++
-			}
-		case history.Call:
-			began := int((e.At - e.Took) / second)
-			if e.N < 0 {
-				whole.at[began]++
-			} else {
-				further.at[began]++
-			}
-			if e.Status == http.StatusServiceUnavailable {
-				refused.at[s]++
-			}
-		case history.Opened:
-			if strings.HasPrefix(e.To, "backend-") {
-				opened.at[s]++
-			}
-		case history.Ready:
-			if !is[e.To] {
-				is[e.To] = true
-				up++
-			}
-		case history.Gone:
-			if is[e.Who] {
-				delete(is, e.Who)
-				up--
-			}
-		case history.Pushed:
-			over += int(2*e.N - 1)
-		}
-		upAt[s], overAt[s] = up, max(overAt[s], over)
-	}
-	last, lastOver := 0, 0
-	for s := range ready.at {
-		if n, ok := upAt[s]; ok {
-			last, lastOver = n, overAt[s]
-		}
-		ready.at[s], pushed.at[s] = float64(last), float64(lastOver)
+		c.take(e)
 	}
-	panels := []panel{{"requests a second", []*line{asked, served, turned, failed}}, {"calls for lists a second", []*line{whole, further, refused}},
-		{"connections a second", []*line{opened}}, {"processes", []*line{ready, pushed}}}
+	c.finish()
+	panels := c.panels()
 	plots := make([][]*plot.Plot, len(panels))
 	for i, x := range panels {
 		p, err := x.plot(all, end)
@@ -118,8 +67,13 @@
 		plots[i] = []*plot.Plot{p}
 	}
 	plots[0][0].Title.Text = fmt.Sprintf("%s, seed %d", sc.Name, sc.Seed)
-	svg := vgsvg.New(wide, high*vg.Length(len(panels)))
-	tiles := draw.Tiles{Rows: len(panels), Cols: 1, PadY: 3 * vg.Millimeter, PadTop: 2 * vg.Millimeter, PadBottom: 2 * vg.Millimeter, PadLeft: 2 * vg.Millimeter, PadRight: 4 * vg.Millimeter}
+	return write(w, plots)
+}
+
+// write draws plots below each other.
+func write(w io.Writer, plots [][]*plot.Plot) error {
+	svg := vgsvg.New(wide, high*vg.Length(len(plots)))
+	tiles := draw.Tiles{Rows: len(plots), Cols: 1, PadY: 3 * vg.Millimeter, PadTop: 2 * vg.Millimeter, PadBottom: 2 * vg.Millimeter, PadLeft: 2 * vg.Millimeter, PadRight: 4 * vg.Millimeter}
 	canvases := plot.Align(plots, tiles, draw.New(svg))
 	for i := range plots {
 		plots[i][0].Draw(canvases[i][0])
@@ -128,6 +82,88 @@
 	return err
 }
 
+// chart gathers what is drawn, by seconds.
+type chart struct {
+	asked, served, turned, failed *line
+	whole, further, refused       *line
+	opened                        *line
+	ready, pushed                 *line
+
+	serving  map[string]bool // sidecars that are ready
+	overload int             // cold backends that hold more than they bear
+	eventful map[int]bool    // seconds with an event; in others ready and pushed stay as they were
+}
+
+func newChart(end int) *chart {
+	series := func(name string, c color.RGBA) *line { return &line{name, c, make([]float64, end+1)} }
+	return &chart{
+		asked: series("asked", blue), served: series("served", green), turned: series("turned away", red), failed: series("failed or nothing", purple),
+		whole: series("whole readings", red), further: series("further calls", blue), refused: series("refused", purple),
+		opened: series("connections to backends", blue), ready: series("sidecars ready", green), pushed: series("cold backends over what they bear", red),
+		serving: map[string]bool{}, eventful: map[int]bool{}}
+}
+
+func (c *chart) panels() []panel {
+	return []panel{{"requests a second", []*line{c.asked, c.served, c.turned, c.failed}}, {"calls for lists a second", []*line{c.whole, c.further, c.refused}},
+		{"connections a second", []*line{c.opened}}, {"processes", []*line{c.ready, c.pushed}}}
+}
+
+// take takes in the next event.
+func (c *chart) take(e history.Event) {
+	s := int(e.At / second)
+	switch e.Kind {
+	case history.Asked:
+		c.asked.at[s]++
+		c.outcome(e.Status).at[s]++
+	case history.Call:
+		c.call(e)
+	case history.Opened:
+		if strings.HasPrefix(e.To, "backend-") {
+			c.opened.at[s]++
+		}
+	case history.Ready:
+		c.serving[e.To] = true
+	case history.Gone:
+		delete(c.serving, e.Who)
+	case history.Pushed:
+		c.overload += int(2*e.N - 1)
+	}
+	c.eventful[s] = true
+	c.ready.at[s], c.pushed.at[s] = float64(len(c.serving)), max(c.pushed.at[s], float64(c.overload))
+}
+
+// outcome is the line of those requests that had a status.
+func (c *chart) outcome(status int) *line {
+	switch status {
+	case http.StatusOK:
+		return c.served
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return c.turned
+	}
+	return c.failed
+}
+
+func (c *chart) call(e history.Event) {
+	began := int((e.At - e.Took) / second)
+	if e.N < 0 {
+		c.whole.at[began]++
+	} else {
+		c.further.at[began]++
+	}
+	if e.Status == http.StatusServiceUnavailable {
+		c.refused.at[e.At/second]++
+	}
+}
+
+// finish carries what was ready and pushed over seconds in which nothing has happened.
+func (c *chart) finish() {
+	for s := 1; s < len(c.ready.at); s++ {
+		if !c.eventful[s] {
+			c.ready.at[s], c.pushed.at[s] = c.ready.at[s-1], c.pushed.at[s-1]
+		}
+	}
+}
+
 func (x panel) plot(all []history.Event, end int) (*plot.Plot, error) {
 	p := plot.New()
 	p.Y.Label.Text, p.X.Min, p.X.Max, p.Y.Min = x.title, 0, float64(max(end, 1)), 0
