Split the canonical form of a host into names and literals

Change: canonicalLiteral reads what stands in brackets, canonicalName the rest. Result: the tests of route pass, a match allocates nothing.

--- a/internal/route/canon.go
+++ b/internal/route/canon.go
@@ -21,23 +21,10 @@
 	if len(host) > MaxHost {
 		return "", fmt.Errorf("host: %d bytes, at most %d", len(host), MaxHost)
 	}
-	name := host
-	if strings.HasPrefix(name, "[") {
-		end := strings.IndexByte(name, ']')
-		if end < 0 {
-			return "", errors.New("host: [ without ]")
-		}
-		if err := port(name[end+1:]); err != nil {
-			return "", err
-		}
-		name = name[:end+1]
-		for i := 1; i < end; i++ {
-			if c := name[i]; !isHex(c) && c != ':' && c != '.' {
-				return "", fmt.Errorf("host: %q in an address", c)
-			}
-		}
-		return strings.ToLower(name), nil
+	if strings.HasPrefix(host, "[") {
+		return canonicalLiteral(host)
 	}
+	name := host
 	if i := strings.IndexByte(name, ':'); i >= 0 {
 		if err := port(name[i:]); err != nil {
 			return "", err
@@ -47,6 +34,31 @@
 		}
 	}
 	name = strings.TrimSuffix(name, ".")
+	if name == "" && host != "" {
+		return "", errors.New("host: an empty label")
+	}
+	return canonicalName(name)
+}
+
+// canonicalLiteral is an IPv6 address in brackets, without the port behind it.
+func canonicalLiteral(host string) (string, error) {
+	end := strings.IndexByte(host, ']')
+	if end < 0 {
+		return "", errors.New("host: [ without ]")
+	}
+	if err := port(host[end+1:]); err != nil {
+		return "", err
+	}
+	for i := 1; i < end; i++ {
+		if c := host[i]; !isHex(c) && c != ':' && c != '.' {
+			return "", fmt.Errorf("host: %q in an address", c)
+		}
+	}
+	return strings.ToLower(host[:end+1]), nil
+}
+
+// canonicalName is a name without port in lower case; the empty one stays empty.
+func canonicalName(name string) (string, error) {
 	upper, last := false, byte('.')
 	for i := 0; i < len(name); i++ {
 		c := name[i]
@@ -61,7 +73,7 @@
 		}
 		last = c
 	}
-	if last == '.' && host != "" {
+	if last == '.' && name != "" {
 		return "", errors.New("host: an empty label")
 	}
 	if upper {
