Split fernctl's check and replay into steps, and print JSON in one place

Change: the flags, the plan's printing, the replay's own capture, and the judging of files and of a catalogue are a function each; asJSON serves all.

The tests of fernctl pass.

--- a/cmd/fernctl/commands.go
+++ b/cmd/fernctl/commands.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -209,45 +208,61 @@
 	if (name == "") == (len(names) == 0) {
 		return errors.New("check: either files or -catalogue DIR expected")
 	}
-	o := check.Options{RetryFactor: c.Float("retry-factor"), Each: spread}
+	o, err := checkOptions(c)
+	if err != nil {
+		return err
+	}
+	if name == "" {
+		return checkFiles(c, names, o)
+	}
+	return checkCatalogue(c, name, o)
+}
+
+// checkOptions are what the flags say of what is judged.
+func checkOptions(c *cli.Command) (o check.Options, err error) {
+	o = check.Options{RetryFactor: c.Float("retry-factor"), Each: spread}
 	if o.RetryFactor != 0 && !(o.RetryFactor >= 1 && o.RetryFactor <= 100) {
-		return fmt.Errorf("check: -retry-factor %g; 1 to 100 expected", o.RetryFactor)
+		return o, fmt.Errorf("check: -retry-factor %g; 1 to 100 expected", o.RetryFactor)
 	}
-	if at := c.String("deployed"); at != "" {
-		if _, err := os.Stat(at); err != nil {
-			return fmt.Errorf("check: %w", err)
-		}
-		var err error
-		if o.Deployed, err = dir.Deployed(at); err != nil {
-			return err
-		}
+	at := c.String("deployed")
+	if at == "" {
+		return o, nil
 	}
-	if name == "" {
-		if c.String("env") != "" {
-			return errors.New("check: -env goes with -catalogue")
-		}
-		var files []check.File
-		for _, n := range names {
-			data, err := dir.ReadFile(n)
-			if err != nil {
-				return fmt.Errorf("check: %w", err)
-			}
-			files = append(files, check.File{Name: n, Data: data})
+	if _, err := os.Stat(at); err != nil {
+		return o, fmt.Errorf("check: %w", err)
+	}
+	o.Deployed, err = dir.Deployed(at)
+	return o, err
+}
+
+// checkFiles judges applications' files.
+func checkFiles(c *cli.Command, names []string, o check.Options) error {
+	if c.String("env") != "" {
+		return errors.New("check: -env goes with -catalogue")
+	}
+	var files []check.File
+	for _, n := range names {
+		data, err := dir.ReadFile(n)
+		if err != nil {
+			return fmt.Errorf("check: %w", err)
 		}
-		_, faults := check.Files(files, o)
-		return report(c.Root().Writer, faults, c.Bool("json"))
+		files = append(files, check.File{Name: n, Data: data})
 	}
+	_, faults := check.Files(files, o)
+	return report(c.Root().Writer, faults, c.Bool("json"))
+}
+
+// checkCatalogue judges what is generated from a catalogue: for one environment, or for all of them.
+func checkCatalogue(c *cli.Command, name string, o check.Options) error {
 	s, err := load(name)
 	if err != nil {
 		return err
 	}
 	faults := s.faults
 	if s.cat != nil {
-		envs := []string{c.String("env")}
-		if all := s.cat.Environments(); envs[0] == "" && len(all) > 0 {
-			if envs = all; o.Deployed != nil && len(all) > 1 {
-				return fmt.Errorf("check: -deployed is of one environment: -env expected, one of %v", all)
-			}
+		envs, err := checkedEnvironments(c, s.cat, o)
+		if err != nil {
+			return err
 		}
 		for _, env := range envs {
 			_, _, more := check.Catalogue(s.cat, env, o)
@@ -257,6 +272,18 @@
 	return report(c.Root().Writer, s.at(faults), c.Bool("json"))
 }
 
+// checkedEnvironments is the one that -env names, or all; the empty one where the catalogue has none.
+func checkedEnvironments(c *cli.Command, cat *catalogue.Catalogue, o check.Options) ([]string, error) {
+	all := cat.Environments()
+	if env := c.String("env"); env != "" || len(all) == 0 {
+		return []string{env}, nil
+	}
+	if o.Deployed != nil && len(all) > 1 {
+		return nil, fmt.Errorf("check: -deployed is of one environment: -env expected, one of %v", all)
+	}
+	return all, nil
+}
+
 // said is a fault for machines.
 type said struct {
 	File     string   `json:"file"`
@@ -285,7 +312,7 @@
 			}
 			all = append(all, one)
 		}
-		if err := encode(out, all); err != nil {
+		if err := asJSON(out, all); err != nil {
 			return err
 		}
 	} else {
@@ -299,12 +326,6 @@
 	return nil
 }
 
-func encode(out io.Writer, v any) error {
-	e := json.NewEncoder(out)
-	e.SetIndent("", "  ")
-	return e.Encode(v)
-}
-
 func explainCommand() *cli.Command {
 	return &cli.Command{Name: "explain", Usage: "say what a sidecar would do with a request, and which line says so", ArgsUsage: "FILE METHOD URL",
 		Flags: []cli.Flag{
@@ -334,7 +355,7 @@
 				return fmt.Errorf("explain: %w", err)
 			}
 			if c.Bool("json") {
-				return encode(c.Root().Writer, a)
+				return asJSON(c.Root().Writer, a)
 			}
 			w := tabwriter.NewWriter(c.Root().Writer, 0, 0, 2, ' ', 0)
 			for _, l := range a.Lines {
@@ -413,7 +434,7 @@
 				all = append(all, rule{r.ID, r.Group, r.Severity.String(), r.Since, r.What, r.Why, r.Instead, rules.Page + "#" + r.Anchor()})
 			}
 			if c.Bool("json") {
-				return encode(out, all)
+				return asJSON(out, all)
 			}
 			w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 			for _, r := range all {
--- a/cmd/fernctl/fleet.go
+++ b/cmd/fernctl/fleet.go
@@ -75,6 +75,7 @@
 	return d, nil
 }
 
+// asJSON prints a value for machines.
 func asJSON(out io.Writer, v any) error {
 	e := json.NewEncoder(out)
 	e.SetIndent("", "  ")
--- a/cmd/fernctl/pcap.go
+++ b/cmd/fernctl/pcap.go
@@ -211,9 +211,7 @@
 	report := infoReport{c.Args().First(), to.requests, to.answers, to.paired, to.ends, to.kinds, first, sum}
 	out := c.Root().Writer
 	if c.Bool("json") {
-		e := json.NewEncoder(out)
-		e.SetIndent("", "  ")
-		if err := e.Encode(report); err != nil {
+		if err := asJSON(out, report); err != nil {
 			return err
 		}
 		return to.ended()
--- a/cmd/fernctl/replay.go
+++ b/cmd/fernctl/replay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -23,6 +22,8 @@
 	"fernlanding/internal/pcap/write"
 )
 
+const mostConns = 1 << 16 // of a replay
+
 func replayCommand() *cli.Command {
 	return &cli.Command{Name: "replay", Usage: "send the requests of a capture again, and set the outcomes side by side", ArgsUsage: "FILE",
 		Flags: pcapFlags(
@@ -116,30 +117,41 @@
 	}
 }
 
-func pcapReplay(ctx context.Context, c *cli.Command) (err error) {
+func pcapReplay(ctx context.Context, c *cli.Command) error {
 	opts, err := replayOptions(c)
 	if err != nil {
 		return err
 	}
-	target := replay.Target{Conns: c.Int("conns"), Wait: c.Duration("wait"), Pipeline: c.Bool("pipeline")}
-	if target.Conns < 1 || target.Conns > 1<<16 {
-		return fmt.Errorf("pcap replay: -conns: found %d, expected 1 to %d", target.Conns, 1<<16)
-	}
-	if !c.Bool("dry-run") {
-		if target.Addr, err = address(c); err != nil {
-			return err
-		}
+	target, err := replayTarget(c)
+	if err != nil {
+		return err
 	}
 	seed := c.Uint64("seed")
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
 	to := &planner{collector: newCollector()}
-	log := c.Root().ErrWriter
-	to.fault = func(f faultLine) { fmt.Fprintln(log, f) }
+	to.fault = func(f faultLine) { fmt.Fprintln(c.Root().ErrWriter, f) }
 	if to.plan, err = replay.New(opts, seed); err != nil {
 		return err
 	}
+	return replayCapture(ctx, c, to, target)
+}
+
+// replayTarget is what the flags say of where requests go.
+func replayTarget(c *cli.Command) (t replay.Target, err error) {
+	t = replay.Target{Conns: c.Int("conns"), Wait: c.Duration("wait"), Pipeline: c.Bool("pipeline")}
+	if t.Conns < 1 || t.Conns > mostConns {
+		return t, fmt.Errorf("pcap replay: -conns: found %d, expected 1 to %d", t.Conns, mostConns)
+	}
+	if !c.Bool("dry-run") {
+		t.Addr, err = address(c)
+	}
+	return t, err
+}
+
+// replayCapture reads a capture into a plan, and carries the plan out or prints it. The capture's bodies stay open until then.
+func replayCapture(ctx context.Context, c *cli.Command, to *planner, target replay.Target) (err error) {
 	in, store, err := openPcap(c)
 	if err != nil {
 		return err
@@ -153,34 +165,20 @@
 			return err
 		}
 	}
-	out := c.Root().Writer
 	if c.Bool("dry-run") {
-		for _, s := range to.plan.Steps {
-			if s.Skip != "" {
-				fmt.Fprintf(out, "%10.4f conn %d: %s %s (%s): left out: %s\n", s.At.Seconds(), s.Conn, s.Method, s.Target, s.Repeat, s.Skip)
-				continue
-			}
-			fmt.Fprintf(out, "%10.4f conn %d (%s)\n%s", s.At.Seconds(), s.Conn, s.Repeat, s.Head)
-		}
+		printPlan(c.Root().Writer, to.plan)
 		return to.ended()
 	}
-	if name := c.String("write"); name != "" {
-		f, err := os.Create(name)
-		if err != nil {
-			return fmt.Errorf("pcap replay: %w", err)
-		}
-		if target.Write, err = write.New(f, 0, "client"); err != nil {
-			return errors.Join(err, f.Close())
-		}
-		defer func() { err = errors.Join(err, target.Write.Flush(), f.Close()) }()
+	end, err := captureReplay(c.String("write"), &target)
+	if err != nil {
+		return err
 	}
+	defer func() { err = errors.Join(err, end()) }()
 	report := compare(to.plan, to.plan.Run(ctx, target))
 	if c.Bool("json") {
-		e := json.NewEncoder(out)
-		e.SetIndent("", "  ")
-		err = e.Encode(report)
+		err = asJSON(c.Root().Writer, report)
 	} else {
-		err = report.print(out)
+		err = report.print(c.Root().Writer)
 	}
 	if err == nil && ctx.Err() != nil {
 		return fmt.Errorf("pcap replay: %w", ctx.Err())
@@ -191,6 +189,32 @@
 	return errors.Join(err, to.ended())
 }
 
+// captureReplay has a target write what is sent and answered to a file, if it has a name; end ends the file.
+func captureReplay(name string, target *replay.Target) (end func() error, err error) {
+	if name == "" {
+		return func() error { return nil }, nil
+	}
+	f, err := os.Create(name)
+	if err != nil {
+		return nil, fmt.Errorf("pcap replay: %w", err)
+	}
+	if target.Write, err = write.New(f, 0, "client"); err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	return func() error { return errors.Join(target.Write.Flush(), f.Close()) }, nil
+}
+
+// printPlan prints what would be sent.
+func printPlan(out io.Writer, p *replay.Plan) {
+	for _, s := range p.Steps {
+		if s.Skip != "" {
+			fmt.Fprintf(out, "%10.4f conn %d: %s %s (%s): left out: %s\n", s.At.Seconds(), s.Conn, s.Method, s.Target, s.Repeat, s.Skip)
+			continue
+		}
+		fmt.Fprintf(out, "%10.4f conn %d (%s)\n%s", s.At.Seconds(), s.Conn, s.Repeat, s.Head)
+	}
+}
+
 func writeIDs(name string, steps []*replay.Step) error {
 	var b strings.Builder
 	for _, s := range steps {
