Split a rig client's exchange with a sidecar into steps

Change: dial, exchange, failure and answer are a step each; the bound of an answer's body has a name.

--- a/internal/rig/actor/clients.go
+++ b/internal/rig/actor/clients.go
@@ -55,6 +55,7 @@
 	keptFor      = 5 * time.Second // less than a sidecar keeps an idle one (10 s), lest its close cross a request
 	readyPolls   = 5               // times as long between two looks at one that is ready
 	spread       = 1_000_000
+	mostAnswer   = 1 << 20 // bytes of an answer's body that are read
 )
 
 // clients send requests to sidecars that are ready.
@@ -268,64 +269,91 @@
 	AfterAnswer  = "bytes after the answer"
 )
 
+// converse sends a request, and says what came of it. Where a kept connection breaks with no answer and the request is safe,
+// it is sent once more.
 func (c *clients) converse(name, text string, k Class, until time.Time, expect string) (status int, why string) {
 	for first := true; ; first = false {
 		l := c.take(name)
 		if l == nil {
-			conn, err := net.DialTimeout("tcp4", c.spec.Sidecars[name], time.Until(until))
-			if err != nil {
-				c.dead(name)
+			if l = c.dial(name, until); l == nil {
 				return 0, NoConnection
 			}
-			l = &line{Conn: conn, r: bufio.NewReader(conn)}
 		}
 		_ = l.SetDeadline(until)
-		_, err := io.WriteString(l, text)
-		var resp *http.Response
+		resp, err := l.exchange(text, k.Method)
 		if err == nil {
-			_, err = l.r.Peek(1)
+			return c.answer(name, l, resp, expect)
 		}
-		if err == nil {
-			resp, err = http.ReadResponse(l.r, &http.Request{Method: k.Method})
-		}
-		if err != nil {
-			l.Close()
-			var to net.Error
-			switch {
-			case errors.As(err, &to) && to.Timeout():
+		l.Close()
+		if why = failure(err); why != ClosedEarly {
+			if why == TimedOut {
 				c.dead(name) // ask for its health before the next
-				return 0, TimedOut
-			case errors.Is(err, io.ErrUnexpectedEOF):
-				return 0, NotWhole
-			case l.used && first && k.Repeat == "safe": // it was closed between two requests
-				continue
 			}
-			c.dead(name)
-			return 0, ClosedEarly
-		}
-		data, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
-		resp.Body.Close()
-		if err != nil {
-			l.Close()
-			return 0, NotWhole
-		}
-		if resp.StatusCode == http.StatusOK && string(data) != expect {
-			l.Close()
-			return resp.StatusCode, WrongAnswer
-		}
-		if l.r.Buffered() > 0 {
-			l.Close()
-			return resp.StatusCode, AfterAnswer
+			return 0, why
 		}
-		if l.used = true; resp.Close {
-			l.Close()
-		} else {
-			c.keep(name, l)
+		if !(l.used && first && k.Repeat == "safe") { // otherwise it was closed between two requests
+			c.dead(name)
+			return 0, why
 		}
-		return resp.StatusCode, ""
 	}
 }
 
+// dial connects to a sidecar; nil where that fails.
+func (c *clients) dial(name string, until time.Time) *line {
+	conn, err := net.DialTimeout("tcp4", c.spec.Sidecars[name], time.Until(until))
+	if err != nil {
+		c.dead(name)
+		return nil
+	}
+	return &line{Conn: conn, r: bufio.NewReader(conn)}
+}
+
+// exchange writes a request and reads the head of its answer.
+func (l *line) exchange(text, method string) (*http.Response, error) {
+	if _, err := io.WriteString(l, text); err != nil {
+		return nil, err
+	}
+	if _, err := l.r.Peek(1); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(l.r, &http.Request{Method: method})
+}
+
+// failure says why there is no head of an answer.
+func failure(err error) string {
+	var network net.Error
+	switch {
+	case errors.As(err, &network) && network.Timeout():
+		return TimedOut
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return NotWhole
+	}
+	return ClosedEarly
+}
+
+// answer reads the rest of an answer and compares it with what is expected; a connection that can serve again is kept.
+func (c *clients) answer(name string, l *line, resp *http.Response, expect string) (status int, why string) {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, mostAnswer))
+	resp.Body.Close()
+	switch {
+	case err != nil:
+		l.Close()
+		return 0, NotWhole
+	case resp.StatusCode == http.StatusOK && string(data) != expect:
+		l.Close()
+		return resp.StatusCode, WrongAnswer
+	case l.r.Buffered() > 0:
+		l.Close()
+		return resp.StatusCode, AfterAnswer
+	}
+	if l.used = true; resp.Close {
+		l.Close()
+	} else {
+		c.keep(name, l)
+	}
+	return resp.StatusCode, ""
+}
+
 // take takes a kept connection that its other end has left open and quiet.
 func (c *clients) take(name string) *line {
 	c.mu.Lock()
