Start the backends of the sidecar's and the upstream's tests in one place

Need: sidecar_test.go and upstream_test.go had the same backend on a loopback socket, line for line.

Change: it is a package for tests, standin/backendtest. What it does and what the tests assert stays.

--- a/internal/sidecar/departure_test.go
+++ b/internal/sidecar/departure_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"fernlanding/internal/standin/backendtest"
 )
 
 // hungListener is a backend whose queue of connections is full: what dials it hangs until it accepts.
@@ -65,12 +67,12 @@
 	if s.dial {
 		addr = hungListener(tb).Addr().String()
 	} else {
-		addr = startBackend(tb, func(w io.Writer, _ *http.Request, _ int) bool {
+		addr = backendtest.Start(tb, func(w io.Writer, _ *http.Request, _ int) bool {
 			came <- struct{}{}
 			_, _ = w.(net.Conn).Read(make([]byte, 1))
 			ended <- struct{}{}
 			return false
-		}).addr
+		}).Addr
 	}
 	p := startProxy(tb, startDiscovery(tb).addr, 200, listText(1, true, listed("a", addr, "SERVING")))
 	c := connect(tb, p)
@@ -116,8 +118,8 @@
 		_, _ = w.(net.Conn).Read(make([]byte, 1)) // until the attempt is ended
 		return false
 	}
-	a, b := startBackend(t, reply), startBackend(t, reply)
-	p := startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", a.addr, "SERVING"), listed("b", b.addr, "SERVING")))
+	a, b := backendtest.Start(t, reply), backendtest.Start(t, reply)
+	p := startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", a.Addr, "SERVING"), listed("b", b.Addr, "SERVING")))
 	c, other := connect(t, p), connect(t, p)
 	c.send(t, look("1", 8000)+"x")
 	wait(t, "request", came)
@@ -127,7 +129,7 @@
 	if resp, body := other.answer(t); resp.StatusCode != 200 || body != "ok" {
 		t.Errorf("got %s", resp.Status)
 	}
-	if n := a.requests.Load() + b.requests.Load(); n != 2 {
+	if n := a.Requests.Load() + b.Requests.Load(); n != 2 {
 		t.Errorf("%d requests came for two clients", n)
 	}
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -11,7 +11,6 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +18,7 @@
 	"fernlanding/internal/core"
 	"fernlanding/internal/front/http1"
 	"fernlanding/internal/membership"
+	"fernlanding/internal/standin/backendtest"
 )
 
 const siteText = `{"contract":{"cold_us":1000000,"start_capacity":0.3},"failure_domains":["a"],"limits":{` +
@@ -43,65 +43,7 @@
 	}
 }
 
-// fakeBackend is a backend on a loopback socket. For each request that has come whole, reply writes what
-// the backend answers and returns whether the connection stays open.
-type fakeBackend struct {
-	addr     string
-	requests atomic.Int32 // that have come whole
-	conns    atomic.Int32
-	closed   chan struct{} // one for each connection that has ended
-}
-
-func startBackend(t testing.TB, reply func(w io.Writer, r *http.Request, n int) bool) *fakeBackend {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	b := &fakeBackend{addr: l.Addr().String(), closed: make(chan struct{}, 1000)}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			b.conns.Add(1)
-			go func() {
-				defer func() { c.Close(); b.closed <- struct{}{} }()
-				for r := bufio.NewReader(c); ; {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					if _, err := io.Copy(io.Discard, req.Body); err != nil {
-						return
-					}
-					if !reply(c, req, int(b.requests.Add(1))) {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return b
-}
-
-func says(text string, keep bool) func(io.Writer, *http.Request, int) bool {
-	return func(w io.Writer, _ *http.Request, _ int) bool {
-		_, _ = io.WriteString(w, text)
-		return keep
-	}
-}
-
-const served = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-
-// hang answers nothing until the test ends.
-func hang(t *testing.T) func(io.Writer, *http.Request, int) bool {
-	over := make(chan struct{})
-	t.Cleanup(func() { close(over) })
-	return func(io.Writer, *http.Request, int) bool { <-over; return false }
-}
+const served = backendtest.Served
 
 func waitUntil(t testing.TB, ok func() bool) {
 	t.Helper()
@@ -204,10 +146,10 @@
 }
 
 // serving starts a proxy that knows one backend.
-func serving(t testing.TB, reply func(io.Writer, *http.Request, int) bool) (*running, *fakeBackend) {
+func serving(t testing.TB, reply func(io.Writer, *http.Request, int) bool) (*running, *backendtest.Backend) {
 	t.Helper()
-	b := startBackend(t, reply)
-	return startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, "SERVING"))), b
+	b := backendtest.Start(t, reply)
+	return startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.Addr, "SERVING"))), b
 }
 
 // client is one connection of a client.
@@ -253,8 +195,8 @@
 }
 
 func TestRequestsOfAllClassesAreServed(t *testing.T) {
-	b := startBackend(t, says(served, true))
-	p := startWith(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, "SERVING")), true)
+	b := backendtest.Start(t, backendtest.Says(served, true))
+	p := startWith(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.Addr, "SERVING")), true)
 	c := connect(t, p)
 	for i, text := range []string{look("1", 4000),
 		"POST /rate/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 2\r\nRequest-Class: rate\r\nRequest-Timeout-Ms: 4000\r\nIdempotency-Key: x\r\nContent-Length: 3\r\n\r\nabc",
@@ -265,8 +207,8 @@
 			t.Errorf("request %d: got %s %q", i, resp.Status, body)
 		}
 	}
-	if b.requests.Load() != 3 || b.conns.Load() != 1 {
-		t.Errorf("%d requests on %d connections", b.requests.Load(), b.conns.Load())
+	if b.Requests.Load() != 3 || b.Conns.Load() != 1 {
+		t.Errorf("%d requests on %d connections", b.Requests.Load(), b.Conns.Load())
 	}
 }
 
@@ -280,7 +222,7 @@
 // nor what stands in its body or behind it. Bodies that never come were waited for without end.
 func TestBadRequestsGoNoFurther(t *testing.T) {
 	t.Parallel()
-	p, b := serving(t, says(served, true))
+	p, b := serving(t, backendtest.Says(served, true))
 	for name, c := range map[string]struct {
 		text string
 		want int
@@ -327,7 +269,7 @@
 			}
 		})
 	}
-	if n := b.requests.Load(); n != 0 {
+	if n := b.Requests.Load(); n != 0 {
 		t.Errorf("%d requests went on", n)
 	}
 }
@@ -335,7 +277,7 @@
 // A connection that says nothing, or begins and never ends, is closed in time.
 func TestUnfinishedRequestsEnd(t *testing.T) {
 	t.Parallel()
-	p, b := serving(t, says(served, true))
+	p, b := serving(t, backendtest.Says(served, true))
 	var all sync.WaitGroup
 	for name, text := range map[string]string{"silent": "", "half a head": "GET /look/k HTTP/1.1\r\nHos",
 		"half a body": post("3", "Content-Length: 9") + "abc"} {
@@ -350,7 +292,7 @@
 	}
 	all.Wait()
 	waitUntil(t, func() bool { return p.stats().Open == 0 })
-	if n := b.requests.Load(); n != 0 {
+	if n := b.Requests.Load(); n != 0 {
 		t.Errorf("%d requests went on", n)
 	}
 }
@@ -388,7 +330,7 @@
 			t.Fatalf("got %s", resp.Status)
 		}
 	}
-	if n := b.requests.Load(); n != 40 {
+	if n := b.Requests.Load(); n != 40 {
 		t.Errorf("%d attempts for 40 requests", n)
 	}
 	c := connect(t, p)
@@ -400,21 +342,21 @@
 
 // The module's refusal comes at once and says when to come back.
 func TestARefusalIsAnsweredAtOnce(t *testing.T) {
-	p, b := serving(t, says("HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", true))
+	p, b := serving(t, backendtest.Says("HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", true))
 	c := connect(t, p)
 	c.send(t, look("1", 8000))
 	resp, _ := c.answer(t)
 	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
 		t.Errorf("got %s %v", resp.Status, resp.Header)
 	}
-	if n := b.requests.Load(); n < 1 || n > 3 {
+	if n := b.Requests.Load(); n < 1 || n > 3 {
 		t.Errorf("%d attempts", n)
 	}
 }
 
 func TestAHungBackendCostsTheClientNoAnswer(t *testing.T) {
 	t.Parallel()
-	p, b := serving(t, hang(t))
+	p, b := serving(t, backendtest.Hang(t))
 	c := connect(t, p)
 	start := time.Now()
 	c.send(t, "POST /post/k HTTP/1.1\r\nHost: h\r\nRequest-Id: 3\r\nRequest-Class: post\r\nRequest-Timeout-Ms: 1000\r\nContent-Length: 0\r\n\r\n")
@@ -422,7 +364,7 @@
 	if resp.StatusCode != http.StatusBadGateway && resp.StatusCode != http.StatusGatewayTimeout {
 		t.Errorf("got %s after %v", resp.Status, time.Since(start))
 	}
-	if n := b.requests.Load(); n != 1 {
+	if n := b.Requests.Load(); n != 1 {
 		t.Errorf("an unsafe request went out %d times", n)
 	}
 }
@@ -445,23 +387,23 @@
 }
 
 func TestAClientThatGoesInMidRequestLeavesNothing(t *testing.T) {
-	p, b := serving(t, says(served, true))
+	p, b := serving(t, backendtest.Says(served, true))
 	c := connect(t, p)
 	c.send(t, post("3", "Content-Length: 9")+"abc")
 	waitUntil(t, func() bool { return p.stats().Open == 1 })
 	c.Close()
 	waitUntil(t, func() bool { return p.stats().Open == 0 })
-	if n := b.requests.Load(); n != 0 {
+	if n := b.Requests.Load(); n != 0 {
 		t.Errorf("%d requests went on", n)
 	}
 }
 
 // Two requests under one id could not be told apart; the second was never answered.
 func TestASecondRequestUnderOneIDIsTurnedAway(t *testing.T) {
-	p, b := serving(t, hang(t))
+	p, b := serving(t, backendtest.Hang(t))
 	first, second := connect(t, p), connect(t, p)
 	first.send(t, look("1", 8000))
-	waitUntil(t, func() bool { return b.requests.Load() == 1 })
+	waitUntil(t, func() bool { return b.Requests.Load() == 1 })
 	second.send(t, look("1", 8000))
 	if resp, _ := second.answer(t); resp.StatusCode != 400 {
 		t.Errorf("got %s", resp.Status)
@@ -471,8 +413,8 @@
 // crowded starts a proxy with room for few connections of clients.
 func crowded(t testing.TB, reply func(io.Writer, *http.Request, int) bool) (p *running, most int) {
 	t.Helper()
-	b := startBackend(t, reply)
-	p = startProxy(t, startDiscovery(t).addr, 80, listText(1, true, listed("a", b.addr, "SERVING")))
+	b := backendtest.Start(t, reply)
+	p = startProxy(t, startDiscovery(t).addr, 80, listText(1, true, listed("a", b.Addr, "SERVING")))
 	d, err := p.app.Descriptors()
 	if err != nil {
 		t.Fatal(err)
@@ -483,7 +425,7 @@
 // Clients that ask once and keep their connection, and such that never ask, filled the proxy for good; the
 // rest waited in the kernel.
 func TestConnectionsThatAskNothingMakeRoom(t *testing.T) {
-	p, most := crowded(t, says(served, true))
+	p, most := crowded(t, backendtest.Says(served, true))
 	for i := range most {
 		c := connect(t, p)
 		if i%2 == 0 {
@@ -535,7 +477,7 @@
 
 // Each answer is applied, a garbled or broken one changes nothing and the next call asks for the full list.
 func TestTheWatchGoesOnThroughNonsenseAndBreaks(t *testing.T) {
-	a, b := startBackend(t, says(served, true)), startBackend(t, says(served, true))
+	a, b := backendtest.Start(t, backendtest.Says(served, true)), backendtest.Start(t, backendtest.Says(served, true))
 	d := startDiscovery(t)
 	p := startProxy(t, d.addr, 200, "")
 	health := func() int {
@@ -560,35 +502,35 @@
 	if got := health(); got != 503 {
 		t.Errorf("healthy without a list: %d", got)
 	}
-	d.say <- listText(5, true, listed("a", a.addr, "SERVING"))
+	d.say <- listText(5, true, listed("a", a.Addr, "SERVING"))
 	query("from=5&hold_ms=2000")
 	if got := health(); got != 200 {
 		t.Errorf("not healthy with a list: %d", got)
 	}
 	for _, nonsense := range []string{`{"index":6,"snap`, listText(6, false, listed("a", "nowhere", "SERVING")),
-		listText(6, false, listed("a", a.addr, "RESTING")), ""} {
+		listText(6, false, listed("a", a.Addr, "RESTING")), ""} {
 		d.say <- nonsense
 		if nonsense == "" {
 			query("from=5&hold_ms=2000") // net/http asks once more by itself; a question may be put twice
 		} else {
 			query("")
 		}
-		d.say <- listText(5, true, listed("a", a.addr, "SERVING"))
+		d.say <- listText(5, true, listed("a", a.Addr, "SERVING"))
 		query("from=5&hold_ms=2000")
 		if got := ask("x"); got != 200 {
 			t.Errorf("after %q: %d", nonsense, got)
 		}
 	}
-	d.say <- listText(7, false, listed("a", a.addr, "DRAINING"), listed("b", b.addr, "SERVING"))
+	d.say <- listText(7, false, listed("a", a.Addr, "DRAINING"), listed("b", b.Addr, "SERVING"))
 	query("from=7&hold_ms=2000")
-	served := a.requests.Load()
+	served := a.Requests.Load()
 	for i := range 20 {
 		if got := ask(fmt.Sprint("y", i)); got != 200 {
 			t.Errorf("after the drain: %d", got)
 		}
 	}
-	if a.requests.Load() != served || b.requests.Load() != 20 {
-		t.Errorf("%d requests to a draining backend", a.requests.Load()-served)
+	if a.Requests.Load() != served || b.Requests.Load() != 20 {
+		t.Errorf("%d requests to a draining backend", a.Requests.Load()-served)
 	}
 }
 
@@ -596,7 +538,7 @@
 // fake holds the watch and never answers: the next call is one for the whole list, on another connection.
 func TestASilentDiscoveryIsAskedAgain(t *testing.T) {
 	t.Parallel()
-	a := startBackend(t, says(served, true))
+	a := backendtest.Start(t, backendtest.Says(served, true))
 	d := startDiscovery(t)
 	p := startProxy(t, d.addr, 200, "")
 	for i, want := range []string{"", "from=5&hold_ms=2000", "", "from=6&hold_ms=2000"} {
@@ -604,7 +546,7 @@
 			t.Fatalf("call %d asked %q, want %q", i, got, want)
 		}
 		if want == "" {
-			d.say <- listText(5+i/2, true, listed("a", a.addr, "SERVING"))
+			d.say <- listText(5+i/2, true, listed("a", a.Addr, "SERVING"))
 		}
 	}
 	c := connect(t, p)
@@ -618,15 +560,15 @@
 // the old watch ends, and what the old address says later is not heard. The old list stands until then.
 func TestANewDiscoveryReplacesTheOldOne(t *testing.T) {
 	t.Parallel()
-	a, b := startBackend(t, says(served, true)), startBackend(t, says(served, true))
+	a, b := backendtest.Start(t, backendtest.Says(served, true)), backendtest.Start(t, backendtest.Says(served, true))
 	ds := []*fakeDiscovery{startDiscovery(t), startDiscovery(t)}
 	p := startProxy(t, ds[0].addr, 200, "")
-	ask := func(id string, of *fakeBackend) {
+	ask := func(id string, of *backendtest.Backend) {
 		t.Helper()
-		came, c := of.requests.Load(), connect(t, p)
+		came, c := of.Requests.Load(), connect(t, p)
 		c.send(t, look(id, 4000))
-		if resp, _ := c.answer(t); resp.StatusCode != 200 || of.requests.Load() != came+1 {
-			t.Errorf("%s: got %s, %d more requests", id, resp.Status, of.requests.Load()-came)
+		if resp, _ := c.answer(t); resp.StatusCode != 200 || of.Requests.Load() != came+1 {
+			t.Errorf("%s: got %s, %d more requests", id, resp.Status, of.Requests.Load()-came)
 		}
 	}
 	query := func(of *fakeDiscovery, want string) {
@@ -636,14 +578,14 @@
 		}
 	}
 	query(ds[0], "")
-	ds[0].say <- listText(50, true, listed("a", a.addr, "SERVING"))
+	ds[0].say <- listText(50, true, listed("a", a.Addr, "SERVING"))
 	query(ds[0], "from=50&hold_ms=2000")
 	ask("1", a)
 	p.renew(ds[0].addr) // the same again changes nothing
 	p.renew(ds[1].addr)
 	query(ds[1], "")
 	ask("2", a)
-	ds[1].say <- listText(3, true, listed("b", b.addr, "SERVING"))
+	ds[1].say <- listText(3, true, listed("b", b.Addr, "SERVING"))
 	query(ds[1], "from=3&hold_ms=2000")
 	ask("3", b)
 	for range 5 { // several in a row
@@ -652,13 +594,13 @@
 	}
 	p.renew(ds[0].addr)
 	for range cap(ds[0].say) { // some may go to calls that have ended
-		ds[0].say <- listText(1, true, listed("a", a.addr, "SERVING"))
+		ds[0].say <- listText(1, true, listed("a", a.Addr, "SERVING"))
 	}
 	waitUntil(t, func() bool {
 		c := connect(t, p)
 		c.send(t, look("again", 4000))
 		c.answer(t)
-		return a.requests.Load() > 2
+		return a.Requests.Load() > 2
 	})
 	ask("4", a)
 	p.stop()
@@ -695,7 +637,7 @@
 		held = append(held, connect(t, p))
 		held[i].send(t, look(fmt.Sprint("h", i), 8000))
 	}
-	waitUntil(t, func() bool { return b.requests.Load() == 11 })
+	waitUntil(t, func() bool { return b.Requests.Load() == 11 })
 	unused := connect(t, p)
 	p.stop()
 	waitUntil(t, func() bool { return p.stats().Draining })
@@ -744,7 +686,7 @@
 	for i, c := range all[:5] {
 		c.send(t, look(fmt.Sprint("h", i), 8000))
 	}
-	waitUntil(t, func() bool { return b.requests.Load() == 13 })
+	waitUntil(t, func() bool { return b.Requests.Load() == 13 })
 	for i := range 3 {
 		all[5].send(t, look(fmt.Sprint("h", 5+i), 8000))
 		resp, _ := all[5].answer(t)
@@ -767,10 +709,10 @@
 // SIGKILL follows: what a hung backend holds is failed before it comes.
 func TestSIGTERMEndsWhatHangs(t *testing.T) {
 	t.Parallel()
-	p, b := serving(t, hang(t))
+	p, b := serving(t, backendtest.Hang(t))
 	c := connect(t, p)
 	c.send(t, look("1", 8000))
-	waitUntil(t, func() bool { return b.requests.Load() == 1 })
+	waitUntil(t, func() bool { return b.Requests.Load() == 1 })
 	start := time.Now()
 	p.stop()
 	if resp, _ := c.answer(t); resp.StatusCode == 200 {
@@ -786,7 +728,7 @@
 
 // A long day brings ever new ids, keys, backends and zones; what has ended leaves nothing behind.
 func TestWhatHasEndedLeavesNothing(t *testing.T) {
-	p, _ := serving(t, says(served, true))
+	p, _ := serving(t, backendtest.Says(served, true))
 	const clients, each = 8, 250
 	var all sync.WaitGroup
 	for i := range clients {
--- a/internal/upstream/http1/begin_test.go
+++ b/internal/upstream/http1/begin_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fernlanding/internal/membership"
+	"fernlanding/internal/standin/backendtest"
 	"fernlanding/logic"
 )
 
@@ -50,8 +51,8 @@
 		"drained": {entry("a", "", membership.Draining)}, "gone": {entry("a", "", membership.Deleted)}, "restarted": {restarted},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := startBackend(t, says(served, true))
-			p := poolWith(4, b.addr)
+			b := backendtest.Start(t, backendtest.Says(served, true))
+			p := poolWith(4, b.Addr)
 			c := gatedConn{at: make(chan struct{}, 1), gate: make(chan struct{})}
 			dial := p.dialer
 			p.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -65,14 +66,14 @@
 			status := make(chan logic.Status, 1)
 			go func() { status <- a.run().Status }()
 			wait(t, "request at the gate", c.at)
-			entries[0].Address = b.addr
+			entries[0].Address = b.Addr
 			p.Apply(false, entries)
 			close(c.gate)
 			if s := wait(t, "outcome", status); s != logic.Moot {
 				t.Errorf("got %v", s)
 			}
-			wait(t, "close", b.closed)
-			if n := b.requests.Load(); n > 0 {
+			wait(t, "close", b.Closed)
+			if n := b.Requests.Load(); n > 0 {
 				t.Errorf("%d requests came after the word", n)
 			}
 		})
@@ -81,8 +82,8 @@
 
 // A repeat whose connection comes up after its time to begin is not sent: what its backend recalls may be over.
 func TestARepeatThatComesTooLateIsNotSent(t *testing.T) {
-	b := startBackend(t, says(served, true))
-	p := poolWith(4, b.addr)
+	b := backendtest.Start(t, backendtest.Says(served, true))
+	p := poolWith(4, b.Addr)
 	a := newAttempt(p, "a", patience)
 	dial := p.dialer
 	p.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -93,8 +94,8 @@
 	if res := a.run(); res.Status != logic.Moot {
 		t.Errorf("got %v", res.Status)
 	}
-	wait(t, "close", b.closed)
-	if n := b.requests.Load(); n > 0 {
+	wait(t, "close", b.Closed)
+	if n := b.Requests.Load(); n > 0 {
 		t.Errorf("%d requests came", n)
 	}
 }
--- a/internal/upstream/http1/paced_test.go
+++ b/internal/upstream/http1/paced_test.go
@@ -10,6 +10,7 @@
 
 	"fernlanding/internal/core"
 	"fernlanding/internal/membership"
+	"fernlanding/internal/standin/backendtest"
 	"fernlanding/logic"
 )
 
@@ -41,13 +42,13 @@
 }
 
 // paced is an upstream before one backend whose connections are let up one by one.
-func paced(t *testing.T) (*Upstream, *gate, *fakeBackend) {
+func paced(t *testing.T) (*Upstream, *gate, *backendtest.Backend) {
 	t.Helper()
-	b := startBackend(t, says(served, true))
+	b := backendtest.Start(t, backendtest.Says(served, true))
 	p := New(Config{DialTimeout: patience, IdleClose: 40 * time.Second, Quota: &fixed{most: 100}, Memory: make(slots, 1), MaxAnswer: maxAnswer, Free: maxBody, Paced: true})
 	g := &gate{came: make(chan struct{}, 100), pass: make(chan error, 100)}
 	p.dialer = g.dial
-	p.Apply(true, []membership.Endpoint{entry("a", b.addr, membership.Serving)})
+	p.Apply(true, []membership.Endpoint{entry("a", b.Addr, membership.Serving)})
 	t.Cleanup(func() { p.Apply(true, nil) })
 	return p, g, b
 }
@@ -86,7 +87,7 @@
 			t.Errorf("%v", res.Status)
 		}
 	}
-	if n := b.conns.Load(); n != 1 {
+	if n := b.Conns.Load(); n != 1 {
 		t.Errorf("%d connections have come up", n)
 	}
 	for range requests {
@@ -137,7 +138,7 @@
 		t.Errorf("its time is over: %v", res.Status)
 	}
 	third := carry(p, time.Now().Add(patience))
-	p.Apply(false, []membership.Endpoint{entry("a", b.addr, membership.Draining)})
+	p.Apply(false, []membership.Endpoint{entry("a", b.Addr, membership.Draining)})
 	if res := wait(t, "result", third); res.Status != logic.Moot {
 		t.Errorf("its backend drains: %v", res.Status)
 	}
@@ -148,7 +149,7 @@
 			t.Errorf("connected after the drain: %v", res.Status)
 		}
 	}
-	if n := b.requests.Load(); n != 0 {
+	if n := b.Requests.Load(); n != 0 {
 		t.Errorf("%d requests after the drain", n)
 	}
 }
--- a/internal/upstream/http1/upstream_test.go
+++ b/internal/upstream/http1/upstream_test.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -10,13 +9,13 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"fernlanding/internal/core"
 	"fernlanding/internal/membership"
 	"fernlanding/internal/sock"
+	"fernlanding/internal/standin/backendtest"
 	"fernlanding/logic"
 )
 
@@ -34,65 +33,7 @@
 	}
 }
 
-// fakeBackend is a backend on a loopback socket. For each request that has come whole, reply writes what
-// the backend answers and returns whether the connection stays open.
-type fakeBackend struct {
-	addr     string
-	requests atomic.Int32 // that have come whole
-	conns    atomic.Int32
-	closed   chan struct{} // one for each connection that has ended
-}
-
-func startBackend(t *testing.T, reply func(w io.Writer, r *http.Request, n int) bool) *fakeBackend {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	b := &fakeBackend{addr: l.Addr().String(), closed: make(chan struct{}, 1000)}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			b.conns.Add(1)
-			go func() {
-				defer func() { c.Close(); b.closed <- struct{}{} }()
-				for r := bufio.NewReader(c); ; {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					if _, err := io.Copy(io.Discard, req.Body); err != nil {
-						return
-					}
-					if !reply(c, req, int(b.requests.Add(1))) {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return b
-}
-
-func says(text string, keep bool) func(io.Writer, *http.Request, int) bool {
-	return func(w io.Writer, _ *http.Request, _ int) bool {
-		_, _ = io.WriteString(w, text)
-		return keep
-	}
-}
-
-const served = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-
-// hang answers nothing until the test ends.
-func hang(t *testing.T) func(io.Writer, *http.Request, int) bool {
-	over := make(chan struct{})
-	t.Cleanup(func() { close(over) })
-	return func(io.Writer, *http.Request, int) bool { <-over; return false }
-}
+const served = backendtest.Served
 
 func entry(name, addr string, status membership.Status) membership.Endpoint {
 	return membership.Endpoint{Name: name, Address: addr, Zone: "a", Status: status}
@@ -199,13 +140,13 @@
 		{"noise behind", served + "\xfai\x19\xce", logic.OK},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			b := startBackend(t, says(c.text, false))
-			p := poolWith(4, b.addr)
+			b := backendtest.Start(t, backendtest.Says(c.text, false))
+			p := poolWith(4, b.Addr)
 			res := newAttempt(p, "a", patience).run()
 			if res.Status != c.want || c.want == logic.OK && string(res.Reply.Body) != "ok" {
 				t.Errorf("got %+v, want %v", res, c.want)
 			}
-			if n := b.requests.Load(); n != 1 {
+			if n := b.Requests.Load(); n != 1 {
 				t.Errorf("%d requests came", n)
 			}
 		})
@@ -215,8 +156,8 @@
 // Answers of some hundred KiB were taken for errors, each tried five times and held against its backends.
 func TestLargeAnswersAreServed(t *testing.T) {
 	for _, size := range []int{maxBody + 1, 400_000, maxAnswer} {
-		b := startBackend(t, says(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size)), true))
-		p := poolWith(8, b.addr)
+		b := backendtest.Start(t, backendtest.Says(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size)), true))
+		p := poolWith(8, b.Addr)
 		var all sync.WaitGroup
 		for range 4 {
 			all.Go(func() {
@@ -241,12 +182,12 @@
 		"early word alone":       "HTTP/1.1 100 Continue\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := startBackend(t, says(text, true))
-			p := poolWith(4, b.addr)
+			b := backendtest.Start(t, backendtest.Says(text, true))
+			p := poolWith(4, b.Addr)
 			if res := newAttempt(p, "a", time.Hour).run(); res.Status != logic.Reset {
 				t.Errorf("got %v", res.Status)
 			}
-			wait(t, "close", b.closed)
+			wait(t, "close", b.Closed)
 			if p.open != 0 {
 				t.Errorf("%d connections open", p.open)
 			}
@@ -258,7 +199,7 @@
 func TestWhatFollowsAnAnswerIsNeverTheNextOne(t *testing.T) {
 	for name, apart := range map[string]bool{"in one write": false, "apart": true} {
 		t.Run(name, func(t *testing.T) {
-			b := startBackend(t, func(w io.Writer, _ *http.Request, n int) bool {
+			b := backendtest.Start(t, func(w io.Writer, _ *http.Request, n int) bool {
 				text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n%04d", n)
 				if !apart {
 					text += text
@@ -270,7 +211,7 @@
 				}
 				return true
 			})
-			p := poolWith(100, b.addr)
+			p := poolWith(100, b.Addr)
 			for n := range 60 {
 				res := newAttempt(p, "a", patience).run()
 				if res.Status != logic.OK || string(res.Reply.Body) != fmt.Sprintf("%04d", n+1) {
@@ -297,8 +238,8 @@
 }
 
 func TestAHungBackendTimesOutAndLosesItsConnection(t *testing.T) {
-	b := startBackend(t, hang(t))
-	p := poolWith(4, b.addr)
+	b := backendtest.Start(t, backendtest.Hang(t))
+	p := poolWith(4, b.Addr)
 	if res := newAttempt(p, "a", 50*time.Millisecond).run(); res.Status != logic.TimedOut {
 		t.Errorf("got %v", res.Status)
 	}
@@ -310,13 +251,13 @@
 func TestAStoppedAttemptClosesItsConnection(t *testing.T) {
 	came := make(chan struct{}, 1)
 	gone := make(chan error, 1)
-	b := startBackend(t, func(w io.Writer, _ *http.Request, _ int) bool {
+	b := backendtest.Start(t, func(w io.Writer, _ *http.Request, _ int) bool {
 		came <- struct{}{}
 		_, err := w.(net.Conn).Read(make([]byte, 1))
 		gone <- err
 		return false
 	})
-	p := poolWith(4, b.addr)
+	p := poolWith(4, b.Addr)
 	a := newAttempt(p, "a", patience)
 	results := make(chan core.Result, 1)
 	go func() { results <- a.run() }()
@@ -332,21 +273,21 @@
 
 // The peer closes a kept connection; a request that ran into it was sent a second time by http.Transport.
 func TestAConnectionThatItsPeerClosedIsNotUsed(t *testing.T) {
-	b := startBackend(t, says(served, false)) // promises to stay, then closes
-	p := poolWith(4, b.addr)
+	b := backendtest.Start(t, backendtest.Says(served, false)) // promises to stay, then closes
+	p := poolWith(4, b.Addr)
 	for n := range 3 {
 		if res := newAttempt(p, "a", patience).run(); res.Status != logic.OK {
 			t.Fatalf("attempt %d: got %v", n, res.Status)
 		}
-		wait(t, "close", b.closed)
+		wait(t, "close", b.Closed)
 		waitUntil(t, func() bool { // the news has reached this end
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			return !sock.Quiet(p.byName["a"].idle[0].Conn)
 		})
 	}
-	if b.requests.Load() != 3 || b.conns.Load() != 3 {
-		t.Errorf("%d requests on %d connections", b.requests.Load(), b.conns.Load())
+	if b.Requests.Load() != 3 || b.Conns.Load() != 3 {
+		t.Errorf("%d requests on %d connections", b.Requests.Load(), b.Conns.Load())
 	}
 	p.Sweep(time.Now())
 	if p.open != 0 {
@@ -376,13 +317,13 @@
 
 // The close crosses the request: exactly one send, and it may have run.
 func TestACloseThatCrossesTheRequestIsOneReset(t *testing.T) {
-	b := startBackend(t, func(w io.Writer, _ *http.Request, n int) bool {
+	b := backendtest.Start(t, func(w io.Writer, _ *http.Request, n int) bool {
 		if n == 1 {
 			_, _ = io.WriteString(w, served)
 		}
 		return n == 1
 	})
-	p := poolWith(4, b.addr)
+	p := poolWith(4, b.Addr)
 	if res := newAttempt(p, "a", patience).run(); res.Status != logic.OK {
 		t.Fatalf("got %v", res.Status)
 	}
@@ -390,8 +331,8 @@
 	if res := newAttempt(p, "a", patience).run(); res.Status != logic.Reset {
 		t.Errorf("got %v", res.Status)
 	}
-	if b.requests.Load() != 2 || b.conns.Load() != 1 {
-		t.Errorf("%d requests on %d connections", b.requests.Load(), b.conns.Load())
+	if b.Requests.Load() != 2 || b.Conns.Load() != 1 {
+		t.Errorf("%d requests on %d connections", b.Requests.Load(), b.Conns.Load())
 	}
 }
 
@@ -410,8 +351,8 @@
 		}
 		return first // the second request on a connection finds it cut
 	}
-	b := startBackend(t, reply)
-	p := poolWith(4, b.addr)
+	b := backendtest.Start(t, reply)
+	p := poolWith(4, b.Addr)
 	p.cfg.Once = func(class int) bool { return class == 1 }
 	run := func(class int) logic.Status {
 		rested(p)
@@ -441,12 +382,12 @@
 }
 
 func TestTheMostRecentConnectionIsUsedFirstAndOldOnesAreClosed(t *testing.T) {
-	b := startBackend(t, says(served, true))
-	p := poolWith(4, b.addr)
+	b := backendtest.Start(t, backendtest.Says(served, true))
+	p := poolWith(4, b.Addr)
 	e := p.byName["a"]
 	var two []*conn
 	for range 3 {
-		c, err := p.dial(context.Background(), e, b.addr, e.epoch)
+		c, err := p.dial(context.Background(), e, b.Addr, e.epoch)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -482,8 +423,8 @@
 		"late":    func(_ *Upstream, a tried) { a.Deadline = time.Now() },
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := startBackend(t, says(served, true))
-			p := poolWith(4, b.addr)
+			b := backendtest.Start(t, backendtest.Says(served, true))
+			p := poolWith(4, b.Addr)
 			a := newAttempt(p, "a", patience)
 			dial := p.dialer
 			p.dialer = func(_ context.Context, network, addr string) (net.Conn, error) {
@@ -495,25 +436,25 @@
 				t.Errorf("got %v", res.Status)
 			}
 			p.Apply(true, nil) // closes what is idle
-			wait(t, "close", b.closed)
-			if b.requests.Load() != 0 || p.open != 0 {
-				t.Errorf("%d requests came, %d connections open", b.requests.Load(), p.open)
+			wait(t, "close", b.Closed)
+			if b.Requests.Load() != 0 || p.open != 0 {
+				t.Errorf("%d requests came, %d connections open", b.Requests.Load(), p.open)
 			}
 		})
 	}
 }
 
 func TestAtTheSocketLimitAnIdleConnectionMakesRoomOrNoneIsOpened(t *testing.T) {
-	quick, slow := startBackend(t, says(served, true)), startBackend(t, hang(t))
-	p := poolWith(1, quick.addr, slow.addr)
+	quick, slow := backendtest.Start(t, backendtest.Says(served, true)), backendtest.Start(t, backendtest.Hang(t))
+	p := poolWith(1, quick.Addr, slow.Addr)
 	if res := newAttempt(p, "a", patience).run(); res.Status != logic.OK {
 		t.Fatalf("got %v", res.Status)
 	}
 	held := newAttempt(p, "b", patience)
 	results := make(chan core.Result, 1)
 	go func() { results <- held.run() }()
-	wait(t, "close of the idle connection", quick.closed)
-	waitUntil(t, func() bool { return slow.requests.Load() == 1 })
+	wait(t, "close of the idle connection", quick.Closed)
+	waitUntil(t, func() bool { return slow.Requests.Load() == 1 })
 	if res := newAttempt(p, "a", patience).run(); res.Status != logic.Moot {
 		t.Errorf("over the limit: got %v", res.Status)
 	}
@@ -547,12 +488,12 @@
 
 func TestWhatIsPassedOnIsUnchanged(t *testing.T) {
 	got := make(chan *http.Request, 1)
-	b := startBackend(t, func(w io.Writer, r *http.Request, _ int) bool {
+	b := backendtest.Start(t, func(w io.Writer, r *http.Request, _ int) bool {
 		got <- r
 		_, _ = io.WriteString(w, served)
 		return true
 	})
-	newAttempt(poolWith(4, b.addr), "a", 900*time.Millisecond+patience).run()
+	newAttempt(poolWith(4, b.Addr), "a", 900*time.Millisecond+patience).run()
 	r := wait(t, "request", got)
 	if r.RequestURI != "/look/k%2f1?x=%20y" || r.Host != "backend.local" || r.Header.Get("Request-Id") != "1" {
 		t.Errorf("got %s %s %v", r.RequestURI, r.Host, r.Header)
