--- a/internal/rig/process/process.go
+++ b/internal/rig/process/process.go
@@ -8,7 +8,6 @@
 	"io"
 	"os"
 	"os/exec"
-	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"fernlanding/internal/rig/history"
+	"fernlanding/internal/rig/spawn"
 )
 
 // Spec is what a process is started from.
@@ -39,12 +39,10 @@
 	killed bool          // by the rig, or told to end
 }
 
-// Set starts and ends the processes of a run. Each dies with the rig: the kernel kills it when the thread that has
-// started it goes (PR_SET_PDEATHSIG), so one thread starts them all and stays until none is left.
+// Set starts and ends the processes of a run. Each dies with the one that has started it.
 type Set struct {
-	tell  func(history.Event)
-	begin chan func()
-	over  chan struct{}
+	tell    func(history.Event)
+	starter *spawn.Starter
 
 	mu    sync.Mutex
 	all   map[string]*Running
@@ -54,15 +52,7 @@
 
 // New returns a set without processes; tell gets the events of their lives.
 func New(tell func(history.Event)) *Set {
-	p := &Set{tell: tell, begin: make(chan func()), over: make(chan struct{}), all: map[string]*Running{}}
-	go func() {
-		runtime.LockOSThread() // and never unlocked: the thread ends with this goroutine
-		defer close(p.over)
-		for f := range p.begin {
-			f()
-		}
-	}()
-	return p
+	return &Set{tell: tell, starter: spawn.New(), all: map[string]*Running{}}
 }
 
 var errNotThere = errors.New("no such process")
@@ -75,7 +65,6 @@
 	a := &Running{ended: make(chan struct{})}
 	a.cmd = exec.Command(x.Args[0], x.Args[1:]...)
 	a.cmd.Env = append(os.Environ(), x.Env...)
-	a.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	a.cmd.Stderr = os.Stderr
 	var readers []func()
 	pipe := func(open func() (io.ReadCloser, error), read func(io.Reader)) error {
@@ -106,9 +95,7 @@
 	if p.all[x.Name] != nil {
 		return fmt.Errorf("%s runs already", x.Name)
 	}
-	started := make(chan error, 1)
-	p.begin <- func() { started <- a.cmd.Start() }
-	if err := <-started; err != nil {
+	if err := p.starter.Start(a.cmd); err != nil {
 		return fmt.Errorf("%s: %w", x.Name, err)
 	}
 	pid := a.cmd.Process.Pid
@@ -260,8 +247,7 @@
 	for _, a := range all {
 		<-a.ended
 	}
-	close(p.begin)
-	<-p.over
+	p.starter.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return len(p.all)
