--- /dev/null
+++ b/internal/distribution/httpapi/httpapi_test.go
@@ -0,0 +1,189 @@
+package httpapi
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"fernlanding/internal/distribution"
+)
+
+// scripted answers all calls as it is told.
+type scripted struct {
+	answer *Answer
+	err    error
+}
+
+func (s *scripted) Follow(context.Context, *distribution.FollowRequest) (*Answer, func(), error) {
+	return s.answer, func() {}, s.err
+}
+func (s *scripted) Put(*distribution.PutRequest) (distribution.Version, error) {
+	return distribution.Version{Epoch: 1, Revision: 2}, s.err
+}
+func (s *scripted) Status(resource string) distribution.ResourceStatus {
+	return distribution.ResourceStatus{Resource: resource}
+}
+func (s *scripted) Resource(string) *distribution.Update { return nil }
+func (s *scripted) Stats() distribution.Stats            { return distribution.Stats{Name: "relay"} }
+
+// start serves a service, and returns its address and how many bytes went.
+func start(t *testing.T, service Service, most int) (string, *Traffic) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	traffic := new(Traffic)
+	server := NewServer(service)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = server.Serve(Listener(l, most, traffic))
+	}()
+	t.Cleanup(func() {
+		_ = server.Close()
+		<-ended
+	})
+	return l.Addr().String(), traffic
+}
+
+func heartbeat() *distribution.FollowRequest {
+	return &distribution.FollowRequest{Follower: "proxy-of-usual-length-12345", Kind: distribution.KindProxy, Session: "0123456789ab1f", HoldMs: 4_000}
+}
+
+// Errors keep their meaning on the way.
+func TestErrorsOverTheWire(t *testing.T) {
+	service := &scripted{}
+	address, _ := start(t, service, 10)
+	c := NewClient(nil)
+	defer c.Close()
+	ctx := context.Background()
+
+	service.err = distribution.ErrUnknownSession
+	if _, err := c.Follow(ctx, address, heartbeat()); !errors.Is(err, distribution.ErrUnknownSession) {
+		t.Errorf("%v", err)
+	}
+	service.err = &BusyError{RetryAfter: 7 * time.Second, Reason: "full"}
+	var busy *BusyError
+	if _, err := c.Follow(ctx, address, heartbeat()); !errors.As(err, &busy) || busy.RetryAfter != 7*time.Second {
+		t.Errorf("%v", err)
+	}
+	service.err = &distribution.ConflictError{Resource: "r", Found: distribution.Version{Epoch: 1, Revision: 2}}
+	var conflict *distribution.ConflictError
+	if _, err := c.Put(ctx, address, &distribution.PutRequest{Resource: "r"}); !errors.As(err, &conflict) || *conflict != *service.err.(*distribution.ConflictError) {
+		t.Errorf("%v", err)
+	}
+	if _, err := c.Resource(ctx, address, "r"); err == nil || !strings.Contains(err.Error(), "no such resource") {
+		t.Errorf("%v", err)
+	}
+	if s, err := c.Stats(ctx, address); err != nil || s.Name != "relay" {
+		t.Errorf("%+v, %v", s, err)
+	}
+	if err := c.Healthy(ctx, address); err != nil {
+		t.Error(err)
+	}
+}
+
+// Updates go as they were encoded, and a heartbeat is small.
+func TestAnswers(t *testing.T) {
+	update := []byte(`{"resource":"r","version":"1.2","items":[{"key":"a","value":"<&>"}]}`)
+	service := &scripted{answer: &Answer{Session: "s1", SourceAge: 3 * time.Second, Updates: [][]byte{update, update}}}
+	address, traffic := start(t, service, 10)
+	c := NewClient(nil)
+	defer c.Close()
+	r, err := c.Follow(context.Background(), address, heartbeat())
+	if err != nil || r.Session != "s1" || r.SourceAgeMs != 3_000 || len(r.Updates) != 2 || string(r.Updates[1].Items[0].Value) != `"<&>"` {
+		t.Errorf("%+v, %v", r, err)
+	}
+	service.answer = &Answer{Session: "s1"}
+	in, out := traffic.In.Load(), traffic.Out.Load()
+	if r, err = c.Follow(context.Background(), address, heartbeat()); err != nil || len(r.Updates) > 0 {
+		t.Errorf("%+v, %v", r, err)
+	}
+	const most = 4 * 150 // of a read each 4 s, for 150 bytes a second
+	if in, out = traffic.In.Load()-in, traffic.Out.Load()-out; in > most || out > most {
+		t.Errorf("a heartbeat of %d bytes and an answer of %d, %d at most expected", in, out, most)
+	}
+}
+
+// What a relay sends is bounded and checked too.
+func TestAnswersThatMakeNoSense(t *testing.T) {
+	for want, answer := range map[string]string{
+		"unexpected end of JSON":             `{"session":`,
+		"session: 0 bytes found":             `{}`,
+		"updates[0]: resource: name of 0":    `{"session":"s","updates":[{}]}`,
+		"epoch.revision":                     `{"session":"s","updates":[{"resource":"r","version":"x"}]}`,
+		"status 500: broken":                 "",
+		"answer: more than 10 bytes found, ": strings.Repeat(" ", 100),
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if answer == "" {
+				http.Error(w, "broken", http.StatusInternalServerError)
+			}
+			_, _ = io.WriteString(w, answer)
+		}))
+		address := strings.TrimPrefix(server.URL, "http://")
+		c := NewClient(nil)
+		_, err := c.Follow(context.Background(), address, heartbeat())
+		if strings.Contains(want, "10 bytes") {
+			err = c.call(context.Background(), http.MethodGet, address, PathStats, nil, new(distribution.Stats), 10)
+		}
+		if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%v found, %q expected", err, want)
+		}
+		c.Close()
+		server.Close()
+	}
+}
+
+// Requests that make no sense are refused in one line, and too many connections are closed.
+func TestRequestsThatMakeNoSense(t *testing.T) {
+	address, _ := start(t, &scripted{}, 2)
+	for _, body := range []string{"{", `{"follower":"p"}`, `{"follower":"p","kind":"proxy","hold_ms":99999999}`, fmt.Sprintf(`{"x":"%s"`, strings.Repeat("x", 10_000))} {
+		resp, err := http.Post("http://"+address+PathFollow, "", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusBadRequest || strings.Count(string(text), "\n") != 1 {
+			t.Errorf("%.50s: status %d, %q", body, resp.StatusCode, text)
+		}
+	}
+	http.DefaultClient.CloseIdleConnections()
+	var conns []net.Conn
+	closed := 0
+	for range 4 {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conns = append(conns, conn)
+	}
+	for _, conn := range conns {
+		_, _ = io.WriteString(conn, "GET "+PathHealth+" HTTP/1.1\r\nHost: a\r\n\r\n")
+		if n, _ := conn.Read(make([]byte, 1)); n == 0 {
+			closed++
+		}
+	}
+	if closed < 2 {
+		t.Errorf("%d of 4 connections closed, 2 at least expected", closed)
+	}
+}
+
+func FuzzRetryAfter(f *testing.F) {
+	f.Add("5")
+	f.Fuzz(func(t *testing.T, text string) {
+		if d := retryAfter(text); d < 0 || d > maxRetryAfter {
+			t.Errorf("%q: %v", text, d)
+		}
+	})
+}
