--- a/internal/rig/rollout/naive_test.go
+++ b/internal/rig/rollout/naive_test.go
@@ -132,7 +132,6 @@
 	resources map[string]*naiveResource
 	followers map[string]*naiveFollowed
 	backlog   int
-	answers   int
 }
 
 // naive serves as "source" or "relay" until SIGTERM.
