--- /dev/null
+++ b/internal/rig/rollout/norace_test.go
@@ -0,0 +1,8 @@
+//go:build !race
+
+package rollout_test
+
+const (
+	raceEnabled = false
+	raceMemory  = 1
+)
--- a/internal/rig/rollout/rollout_test.go
+++ b/internal/rig/rollout/rollout_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -45,7 +46,7 @@
 	dir, err := os.MkdirTemp("", "rollouttest")
 	if err == nil {
 		program = filepath.Join(dir, "fernrelay")
-		build := exec.Command("go", "build", "-o", program, "fernlanding/cmd/fernrelay")
+		build := exec.Command("go", "build", "-race="+strconv.FormatBool(raceEnabled), "-o", program, "fernlanding/cmd/fernrelay")
 		build.Stderr = os.Stderr
 		err = build.Run()
 	}
@@ -211,7 +212,10 @@
 		all.Go(func() {
 			sc := decode(t, string(data))
 			sc.Seed += seed
-			verdicts, f := play(t, sc, rollout.Options{Relay: []string{program}, Actor: self(roleActor)})
+			sc.Bounds.RelayMB *= raceMemory
+			// A data race ends its process, which the checkers see.
+			o := rollout.Options{Relay: []string{program}, Actor: self(roleActor), Env: []string{"GORACE=halt_on_error=1"}, Logs: os.Stderr}
+			verdicts, f := play(t, sc, o)
 			for _, v := range verdicts {
 				t.Errorf("seed %d: %s", sc.Seed, v)
 			}
