--- a/internal/rig/rollout/check/check.go
+++ b/internal/rig/rollout/check/check.go
@@ -34,12 +34,13 @@
 }
 
 const (
-	afterFault  = 10 * time.Second       // a fault is felt this much longer
-	beginsAnew  = 3                      // holds after which a relay forgets a follower that has gone to another
-	movesBack   = 10 * time.Second       // until followers have gone back to the relay of their choice
-	lagSlack    = 50 * time.Millisecond  // that the machine may keep a process waiting before urgent versions aren't judged
-	breaksReads = 500 * time.Millisecond // that the machine keeps a process waiting before relays may take its reads for broken
-	mostOfCheck = 20                     // verdicts of one check that are listed
+	afterFault   = 10 * time.Second       // a fault is felt this much longer
+	beginsAnew   = 3                      // holds after which a relay forgets a follower that has gone to another
+	movesBack    = 10 * time.Second       // until followers have gone back to the relay of their choice
+	lagSlack     = 50 * time.Millisecond  // that the machine may keep a process waiting before urgent versions aren't judged
+	breaksReads  = 500 * time.Millisecond // that the machine keeps a process waiting before relays may take its reads for broken
+	countedAfter = 5 * time.Second        // from a follower's start until reports count it
+	mostOfCheck  = 20                     // verdicts of one check that are listed
 )
 
 // Run judges a history, sorted by time.
@@ -219,8 +220,8 @@
 	return last
 }
 
-// status judges the source's reports: none says that a version is in force with more followers than ever had it, and the
-// last one says exactly what is.
+// status judges the source's reports: none says that a version is in force with more followers than ever had it; where
+// nobody has moved, each counts every follower; and the last one says exactly what is.
 func status(sc *plan.Scenario, r *record) (out []Verdict) {
 	for _, resource := range sc.Resources() {
 		var keys []follows
@@ -230,18 +231,17 @@
 			}
 		}
 		reports := r.reports[resource]
-		for _, e := range reports {
-			for _, c := range e.Report.Counts {
-				had := r.hadBy(keys, c.Version, e.At)
-				if most := r.mostReported(sc, had, e.At); !c.Version.IsZero() && c.Proxies > most {
-					out = append(out, Verdict{Check: Status, At: e.At, What: fmt.Sprintf("%s of %s is reported in force with %d proxies, %d had it by then", c.Version, resource, c.Proxies, had)})
-				}
-			}
-		}
 		if len(reports) == 0 {
 			out = append(out, Verdict{Check: Status, At: r.end, What: "no report of " + resource})
 			continue
 		}
+		counted := r.firstStarts(keys) + countedAfter.Microseconds()
+		for _, e := range reports {
+			out = append(out, r.overstated(sc, keys, e)...)
+			if total := proxies(e.Report); total != len(keys) && e.At >= counted && !r.moved(sc, e.At) {
+				out = append(out, Verdict{Check: Status, At: e.At, What: fmt.Sprintf("%d proxies of %s are reported, %d follow it", total, resource, len(keys))})
+			}
+		}
 		if last := reports[len(reports)-1]; !r.moved(sc, last.At) {
 			out = append(out, r.lastReport(keys, last)...)
 		}
@@ -249,6 +249,35 @@
 	return out
 }
 
+// overstated judges what a report says of versions that followers have not had.
+func (r *record) overstated(sc *plan.Scenario, keys []follows, e history.Event) (out []Verdict) {
+	for _, c := range e.Report.Counts {
+		had := r.hadBy(keys, c.Version, e.At)
+		if most := r.mostReported(sc, had, e.At); !c.Version.IsZero() && c.Proxies > most {
+			out = append(out, Verdict{Check: Status, At: e.At, What: fmt.Sprintf("%s of %s is reported in force with %d proxies, %d had it by then", c.Version, e.Resource, c.Proxies, had)})
+		}
+	}
+	return out
+}
+
+// proxies are all that a report counts.
+func proxies(report *distribution.ResourceStatus) (n int) {
+	for _, c := range report.Counts {
+		n += c.Proxies
+	}
+	return n
+}
+
+// firstStarts is when the last of some followers began to follow for the first time.
+func (r *record) firstStarts(keys []follows) (last int64) {
+	for _, key := range keys {
+		if states := r.states[key]; len(states) > 0 {
+			last = max(last, states[0].At)
+		}
+	}
+	return last
+}
+
 // hadBy is how many followers had a version in force by a moment.
 func (r *record) hadBy(keys []follows, v distribution.Version, at int64) (n int) {
 	for _, key := range keys {
--- a/internal/rig/rollout/naive_test.go
+++ b/internal/rig/rollout/naive_test.go
@@ -39,6 +39,7 @@
 	bugHeartbeat bug = "heartbeat" // sends everything when a hold is over
 	bugBacklog   bug = "backlog"   // keeps all updates that it has ever encoded
 	bugEarly     bug = "early"     // reports in force what its followers have not got yet
+	bugUncounted bug = "uncounted" // leaves a follower out of what it reports
 	bugCrash     bug = "crash"     // ends by itself
 )
 
@@ -384,7 +385,7 @@
 			continue
 		}
 		p, follows := f.positions[resource]
-		if !follows {
+		if !follows || n.bug == bugUncounted && name == "follower-2" {
 			continue
 		}
 		if n.bug == bugEarly {
--- a/internal/rig/rollout/rollout_test.go
+++ b/internal/rig/rollout/rollout_test.go
@@ -173,6 +173,7 @@
 		{bugWhole, "", check.Whole},
 		{bugDropItem, "", check.Converged},
 		{bugEarly, stopFaults, check.Status},
+		{bugUncounted, "", check.Status},
 		{bugCrash, "", check.Processes},
 	} {
 		t.Run(fmt.Sprintf("%s/%s", c.bug, c.check), func(t *testing.T) {
