--- a/cmd/fernctl/rollout.go
+++ b/cmd/fernctl/rollout.go
@@ -30,7 +30,8 @@
 			{Name: "put", Usage: "write the items in FILE to RESOURCE", ArgsUsage: "RESOURCE FILE", Action: rolloutPut, Flags: []cli.Flag{to}},
 			{Name: "status", Usage: "who lacks the latest version of RESOURCE, and why", ArgsUsage: "RESOURCE", Action: rolloutStatus, Flags: []cli.Flag{from, jsonFlag()}},
 			{Name: "wait", Usage: "wait until VERSION of RESOURCE is in force everywhere", ArgsUsage: "RESOURCE VERSION", Action: rolloutWait,
-				Flags: []cli.Flag{from, &cli.DurationFlag{Name: "timeout", Value: 30 * time.Second, Usage: "wait for `TIME` at most"}}},
+				Flags: []cli.Flag{from, &cli.DurationFlag{Name: "timeout", Value: 30 * time.Second, Usage: "wait for `TIME` at most"},
+					&cli.IntFlag{Name: "proxies", Value: 1, Usage: "not before `N` proxies at least are counted: those of a relay that has died are not, for a while"}}},
 		}}
 }
 
@@ -168,21 +169,32 @@
 	}
 	client := httpapi.NewClient(nil)
 	defer client.Close()
-	progress, err := awaitVersion(ctx, client, c.String("from"), args[0], version, c.Duration("timeout"))
+	awaited := awaitedVersion{resource: args[0], version: version, proxies: c.Int("proxies")}
+	progress, err := awaited.await(ctx, client, c.String("from"), c.Duration("timeout"))
 	if err != nil {
 		return fmt.Errorf("rollout wait: %w", err)
 	}
 	fmt.Fprintf(c.Root().Writer, "%s: %d of %d proxies have version %v or a later one\n", args[0], progress.InForce, progress.Proxies, version)
-	if progress.Done() {
+	if awaited.done(progress) {
 		return nil
 	}
 	printLaggards(c.Root().Writer, progress.Refused, progress.Behind)
 	return errFaults
 }
 
-// awaitVersion asks until a version is in force everywhere, somebody has refused it, or the time is over. An error: it
-// could not be asked at the end.
-func awaitVersion(ctx context.Context, client *httpapi.Client, address, resource string, version distribution.Version, timeout time.Duration) (*distribution.Progress, error) {
+// awaitedVersion is what rollout wait waits for.
+type awaitedVersion struct {
+	resource string
+	version  distribution.Version
+	proxies  int // that are counted at least
+}
+
+// done tells whether the version is in force at all proxies, of which enough are counted.
+func (a *awaitedVersion) done(p *distribution.Progress) bool { return p.Done() && p.Proxies >= a.proxies }
+
+// await asks until the version is in force everywhere, somebody has refused it, or the time is over. An error: it could
+// not be asked at the end.
+func (a *awaitedVersion) await(ctx context.Context, client *httpapi.Client, address string, timeout time.Duration) (*distribution.Progress, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	ticker := time.NewTicker(askEvery)
@@ -190,12 +202,12 @@
 	var last *distribution.Progress
 	var failed error
 	for {
-		status, err := askStatus(ctx, client, address, resource)
+		status, err := askStatus(ctx, client, address, a.resource)
 		switch {
 		case err == nil:
-			progress := status.Progress(version)
+			progress := status.Progress(a.version)
 			last, failed = &progress, nil
-			if progress.Done() || len(progress.Refused) > 0 {
+			if a.done(&progress) || len(progress.Refused) > 0 {
 				return last, nil
 			}
 		case ctx.Err() == nil || last == nil:
--- a/cmd/fernctl/rollout_test.go
+++ b/cmd/fernctl/rollout_test.go
@@ -57,8 +57,13 @@
 	version := strings.TrimSpace(expect(t, 0, "1.1", "rollout", "put", "-to", address, "service-a", file))
 	expect(t, 0, "0 of 0 proxies", "rollout", "status", "-from", address, "service-a")
 
+	// Where relays have died nobody is counted for a while: that is not everywhere.
+	expect(t, 1, "0 of 0 proxies", "rollout", "wait", "-timeout", "300ms", "-from", address, "service-a", version)
+	expect(t, 0, "0 of 0 proxies", "rollout", "wait", "-proxies", "0", "-from", address, "service-a", version)
+
 	follower(t, address, "p1", distribution.Position{Resource: "service-a", InForce: distribution.Version{Epoch: 1, Revision: 1}})
 	expect(t, 0, "1 of 1 proxies", "rollout", "wait", "-from", address, "service-a", version)
+	expect(t, 1, "1 of 1 proxies", "rollout", "wait", "-proxies", "2", "-timeout", "300ms", "-from", address, "service-a", version)
 	follower(t, address, "p2", distribution.Position{Resource: "service-a"})
 	expect(t, 1, "p2 has none yet", "rollout", "wait", "-timeout", "300ms", "-from", address, "service-a", version)
 	follower(t, address, "p2", distribution.Position{Resource: "service-a", Refused: distribution.Version{Epoch: 1, Revision: 1}, Reason: "no zone"})
