--- a/internal/rig/rollout/rollout_test.go
+++ b/internal/rig/rollout/rollout_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -45,7 +46,7 @@
 	dir, err := os.MkdirTemp("", "rollouttest")
 	if err == nil {
 		program = filepath.Join(dir, "fernrelay")
-		build := exec.Command("go", "build", "-o", program, "fernlanding/cmd/fernrelay")
+		build := exec.Command("go", "build", "-race="+strconv.FormatBool(raceEnabled), "-o", program, "fernlanding/cmd/fernrelay")
 		build.Stderr = os.Stderr
 		err = build.Run()
 	}
@@ -109,7 +110,7 @@
 const naiveScenario = `
 name = "bugs"
 for = "3s"
-settle = "5s"
+settle = "3500ms"
 [relays]
 regions = 1
 zones = 1
@@ -155,7 +156,7 @@
 
 // Each checker finds the stand-in with the one bug that it is there for, and only a stand-in without a bug passes all.
 func TestCheckersFindSeededBugs(t *testing.T) {
-	together := make(chan struct{}, 3)
+	together := make(chan struct{}, 4)
 	for _, c := range []struct {
 		bug    bug
 		faults string
@@ -172,6 +173,7 @@
 		{bugWhole, "", check.Whole},
 		{bugDropItem, "", check.Converged},
 		{bugEarly, stopFaults, check.Status},
+		{bugUncounted, "", check.Status},
 		{bugCrash, "", check.Processes},
 	} {
 		t.Run(fmt.Sprintf("%s/%s", c.bug, c.check), func(t *testing.T) {
@@ -211,12 +213,15 @@
 		all.Go(func() {
 			sc := decode(t, string(data))
 			sc.Seed += seed
-			verdicts, f := play(t, sc, rollout.Options{Relay: []string{program}, Actor: self(roleActor)})
+			sc.Bounds.RelayMB *= raceMemory
+			// A data race ends its process, which the checkers see.
+			o := rollout.Options{Relay: []string{program}, Actor: self(roleActor), Env: []string{"GORACE=halt_on_error=1"}, Logs: os.Stderr}
+			verdicts, f := play(t, sc, o)
 			for _, v := range verdicts {
 				t.Errorf("seed %d: %s", sc.Seed, v)
 			}
-			if f.InForce < 500 || f.Judged < 50 {
-				t.Errorf("seed %d: %d updates in force, %d urgent ones judged: the run shows nothing", sc.Seed, f.InForce, f.Judged)
+			if f.InForce < 500 || f.Judged < 50 || f.Twins == 0 {
+				t.Errorf("seed %d: %d updates in force, %d urgent ones judged, %d puts within 1 ms: the run shows nothing", sc.Seed, f.InForce, f.Judged, f.Twins)
 			}
 			if len(verdicts) > 0 {
 				t.Logf("seed %d's faults:\n%s", sc.Seed, strings.Join(describe(sc), "\n"))
