Refuse a relay's unusable name or upstream at its start

A list of upstreams with an empty entry, or a name that no upstream takes, had the relay try for ever. A follower's calls come from one goroutine, so the lock around each subscriber was of no use.

--- a/cmd/fernrelay/main.go
+++ b/cmd/fernrelay/main.go
@@ -92,14 +92,32 @@
 }
 
 func runRelay(ctx context.Context, c *cli.Command) error {
+	if err := distribution.ValidateName("name", c.String("name")); err != nil {
+		return err
+	}
+	upstream, err := addresses(c.String("upstream"))
+	if err != nil {
+		return err
+	}
 	log := slog.New(slog.NewTextHandler(c.Root().ErrWriter, nil))
 	traffic := new(httpapi.Traffic)
 	relay := node.NewRelay(node.Config{Name: c.String("name"), Limits: limits(c), Traffic: traffic}, follow.Config{
-		Relays: strings.Split(c.String("upstream"), ","), Hold: c.Duration("hold"), Log: log,
+		Relays: upstream, Hold: c.Duration("hold"), Log: log,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))})
 	return serve(ctx, c, relay, relay.Node, traffic)
 }
 
+// addresses are those of a list.
+func addresses(list string) ([]string, error) {
+	all := strings.Split(list, ",")
+	for _, address := range all {
+		if _, port, err := net.SplitHostPort(address); err != nil || port == "" {
+			return nil, fmt.Errorf("upstream: %.64q found, host:port expected", address)
+		}
+	}
+	return all, nil
+}
+
 func limits(c *cli.Command) distribution.SessionLimits {
 	l := distribution.DefaultSessionLimits()
 	l.Sessions = int(c.Int("sessions"))
--- a/cmd/fernrelay/main_test.go
+++ b/cmd/fernrelay/main_test.go
@@ -104,6 +104,8 @@
 	for want, args := range map[string][]string{
 		"one of source and relay expected": {},
 		"flag":                             {"source", "-listen", "127.0.0.1:0"},
+		"host:port expected":               {"relay", "-listen", "127.0.0.1:0", "-name", "r", "-upstream", "127.0.0.1:1,"},
+		"name of 0 bytes found":            {"relay", "-listen", "127.0.0.1:0", "-name", "", "-upstream", "127.0.0.1:1"},
 		"address already in use":           {"source", "-listen", l.Addr().String(), "-state", t.TempDir()},
 		"not a directory":                  {"source", "-listen", "127.0.0.1:0", "-state", "/dev/null/state"},
 	} {
--- a/internal/distribution/follow/follower.go
+++ b/internal/distribution/follow/follower.go
@@ -38,7 +38,7 @@
 	sayEvery = 5 * time.Second
 )
 
-// Subscriber takes what is followed. Its calls come one at a time and in order.
+// Subscriber takes what is followed. Its calls come one at a time and in order, all from Run.
 type Subscriber interface {
 	// Updated puts an update in force; an error refuses it: what stood stays in force, and the error's text is reported.
 	Updated(distribution.Update) error
@@ -104,11 +104,10 @@
 	stats      Stats
 }
 
-// subscription is a resource that is followed.
+// subscription is a resource that is followed. Its subscriber is called by Run's goroutine alone.
 type subscription struct {
 	subscriber Subscriber
 	position   distribution.Position
-	calling    sync.Mutex // held while the subscriber is called
 }
 
 // New returns a follower.
@@ -134,8 +133,8 @@
 }
 
 // Subscribe follows a resource, of which the subscriber has a version (zero: none), until cancel is called. A subscriber
-// that follows several resources gets a call at a time for each of them. A resource has one subscriber at a time: another
-// takes its place.
+// may follow several resources. A resource has one subscriber at a time: another
+// takes its place. A call that was about to begin may still come after cancel has returned.
 func (f *Follower) Subscribe(resource string, has distribution.Version, s Subscriber) (cancel func()) {
 	sub := &subscription{subscriber: s, position: distribution.Position{Resource: resource, InForce: has}}
 	f.mu.Lock()
@@ -268,9 +267,7 @@
 	if !u.Whole() && u.From != stands {
 		return &distribution.BaseError{Resource: u.Resource, Stands: stands, From: u.From}
 	}
-	sub.calling.Lock()
 	err := sub.subscriber.Updated(*u)
-	sub.calling.Unlock()
 
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -311,9 +308,7 @@
 	}
 	f.mu.Unlock()
 	for _, sub := range subs {
-		sub.calling.Lock()
 		sub.subscriber.Missed()
-		sub.calling.Unlock()
 	}
 }
 
