--- a/internal/scale/sweep/sweep_test.go
+++ b/internal/scale/sweep/sweep_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -98,6 +100,37 @@
 	}
 }
 
+// The same with lists that relays pass on: one connection a proxy, and source and relays are counted.
+func TestSmallSweepByRelays(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "fernrelay")
+	build := exec.Command("go", "build", "-o", program, "fernlanding/cmd/fernrelay")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	opts := options(t)
+	opts.Relay, opts.HeldOut = []string{program}, sweep.HeldAlone
+	text := strings.Replace(small, "name = \"small\"", "name = \"small\"\nsource = \"relay\"", 1)
+	out, err := sweep.Run(context.Background(), read(t, strings.Replace(text, "proxies = 2\n", "proxies = 2\nrelays = 2\n", 1)), opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(out.Points) != 1 || !out.Points[0].HeldOut || len(out.Points[0].Rounds) != 1 {
+		t.Fatalf("%+v", out.Points)
+	}
+	p, r := out.Points[0], out.Points[0].Rounds[0]
+	if r.Proxies.Connections < p.Size.Proxies || r.Relays.Processes != 2 || r.Lists.Processes != 1 || r.Relays.Connections != p.Size.Proxies {
+		t.Errorf("%+v", r)
+	}
+	for _, c := range []result.Cost{r.Proxies, r.Lists, r.Relays} {
+		if c.CPUSeconds <= 0 || c.RSSBytes <= 0 || c.BytesIn <= 0 || c.BytesOut <= 0 || c.MessagesIn <= 0 || c.MessagesOut <= 0 {
+			t.Errorf("%+v", c)
+		}
+	}
+	if r.InForce.Count == 0 || r.Call.Count == 0 {
+		t.Errorf("%+v, %+v", r.InForce, r.Call)
+	}
+}
+
 // A size that does not fit is refused in one line that says how many do, and nothing is started.
 func TestTooLarge(t *testing.T) {
 	const text = "format = 1\nname = \"x\"\n[size]\nservices = 100\nservices_in_all = 100\n[sweep]\ndimension = \"proxies\"\nsizes = [1, 2, 4, 8, 100_000]\n"
@@ -106,10 +139,11 @@
 	if err == nil || !strings.Contains(err.Error(), "100000 proxies do not fit: ") || !strings.Contains(err.Error(), " do, by the ") || strings.Contains(err.Error(), "\n") {
 		t.Errorf("%v", err)
 	}
-	fits := strings.Replace(text, "100_000", "100", 1)
 	opts = options(t)
-	opts.MemoryBytes = 1
-	if _, err := sweep.Run(context.Background(), read(t, fits), opts); err != nil && strings.Contains(err.Error(), "descriptors") {
+	opts.MemoryBytes = 64 << 20
+	const memory = "format = 1\nname = \"x\"\nwarm_up = \"0s\"\n[sweep]\ndimension = \"proxies\"\nsizes = [1, 2, 4, 8, 8_000]\n"
+	_, err = sweep.Run(context.Background(), read(t, memory), opts)
+	if err == nil || !strings.Contains(err.Error(), "8000 proxies do not fit: ") || !strings.Contains(err.Error(), " GB of memory") || strings.Contains(err.Error(), "\n") {
 		t.Errorf("%v", err)
 	}
 }
