--- a/internal/scale/hollow/hollow_test.go
+++ b/internal/scale/hollow/hollow_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -140,6 +141,14 @@
 	if calls.Others > 0 {
 		t.Errorf("%d calls not served", calls.Others)
 	}
+	for n := range proxies {
+		free, err := net.Listen("tcp", layout.Listen(n))
+		if err != nil {
+			t.Errorf("a hollow proxy listens: %v", err)
+			continue
+		}
+		free.Close()
+	}
 	traffic := f.Traffic()
 	if traffic.BytesIn == 0 || traffic.BytesOut == 0 || traffic.MessagesOut < proxies*services || traffic.Open < proxies*services {
 		t.Errorf("traffic %+v", traffic)
