Give each call of a latency run a Request-Id of its own

Connections used one name again and again. A sidecar further down a chain that still worked on a call which the first had given up turned the next one under that name away with 400: 2 of 7,588 calls at a load of 42.

--- a/internal/scale/latency/client.go
+++ b/internal/scale/latency/client.go
@@ -25,14 +25,15 @@
 type pool struct {
 	addresses []netip.AddrPort // in turn
 	size      int
-	opened    int           // since its beginning
+	opened    int           // connections since its beginning
+	calls     int           // the same
 	idle      []*connection // the one that has rested longest first
 }
 
 // fill opens connections until the pool has its size.
 func (p *pool) fill() error {
 	for len(p.idle) < p.size {
-		c, err := connect(p.addresses[p.opened%len(p.addresses)], requestOn(p.opened))
+		c, err := connect(p.addresses[p.opened%len(p.addresses)], newRequest())
 		if err != nil {
 			return err
 		}
@@ -42,10 +43,23 @@
 	return nil
 }
 
-// requestOn is the request that a connection sends each time. So no two open calls have one Request-Id, and nobody who counts by it
-// grows with the calls.
-func requestOn(number int) []byte {
-	return fmt.Appendf(nil, "GET /call HTTP/1.1\r\nHost: backend\r\nRequest-Id: call-%d\r\n\r\n", number)
+const (
+	requestStart = "GET /call HTTP/1.1\r\nHost: backend\r\nRequest-Id: call-"
+	idDigits     = 10
+)
+
+// newRequest is a connection's request, with room for the number of each call.
+func newRequest() []byte {
+	return fmt.Appendf(nil, "%s%0*d\r\n\r\n", requestStart, idDigits, 0)
+}
+
+// number writes a call's number into a request. No two calls of a pool have one Request-Id: a sidecar that still works on a call which
+// another has given up would turn away a second one under its name.
+func number(request []byte, n int) {
+	for at := len(requestStart) + idDigits - 1; at >= len(requestStart); at-- {
+		request[at] = byte('0' + n%10)
+		n /= 10
+	}
 }
 
 func (p *pool) close() {
@@ -147,6 +161,8 @@
 		s.tally.waited++
 	}
 	record(s.tally.sendLate, now-intended)
+	s.pool.calls++
+	number(c.request, s.pool.calls)
 	if err := c.send(intended); err != nil {
 		s.tally.fail(err)
 		c.close()
--- a/internal/scale/latency/connection_test.go
+++ b/internal/scale/latency/connection_test.go
@@ -50,3 +50,12 @@
 		}
 	}
 }
+
+func TestNumber(t *testing.T) {
+	request := newRequest()
+	for n, want := range map[int]string{7: "call-0000000007\r\n\r\n", 1234567890: "call-1234567890\r\n\r\n"} {
+		if number(request, n); !strings.HasSuffix(string(request), "\r\nRequest-Id: "+want) {
+			t.Errorf("call %d: %q", n, request)
+		}
+	}
+}
