State the class's objective and deadline in a latency plan

At a load of 40 a gate with an objective of 300 ms refused 69 in 100 calls through seven hops, and what is refused is in no distribution. With 1 s and 4 s a stall shows as latency.

--- a/internal/scale/latency/chain.go
+++ b/internal/scale/latency/chain.go
@@ -101,8 +101,9 @@
 	for i, address := range backends {
 		fmt.Fprintf(&b, "  { name = \"backend-%d\", address = %q },\n", i+1, address)
 	}
-	b.WriteString("]\n[services.next.classes.call]\nrepeat = \"safe\"\nobjective = \"300ms\"\ndeadline = \"2s\"\n" +
-		"[[routes]]\nname = \"all\"\nprefix = \"/\"\nservice = \"next\"\nclass = \"call\"\n")
+	b.WriteString("]\n[services.next.classes.call]\nrepeat = \"safe\"\n")
+	fmt.Fprintf(&b, "objective = \"%dms\"\ndeadline = \"%dms\"\n", s.Objective.Milliseconds(), s.Deadline.Milliseconds())
+	b.WriteString("[[routes]]\nname = \"all\"\nprefix = \"/\"\nservice = \"next\"\nclass = \"call\"\n")
 	return b.String()
 }
 
--- a/internal/scale/latency/plan.go
+++ b/internal/scale/latency/plan.go
@@ -27,6 +27,7 @@
 	maxCases       = 32
 	maxBackends    = 64
 	minRounds      = 3
+	minObjective   = 10 * time.Millisecond
 )
 
 // Spacing is how the intended moments of sending lie in time.
@@ -50,10 +51,12 @@
 	Cases    []Case
 }
 
-// Sidecar is what each sidecar is told that it may use.
+// Sidecar is what each sidecar is told.
 type Sidecar struct {
 	Cores    float64
 	MemoryMB float64
+	// Of the calls' class. What a stall brings beyond them is refused, and so in no distribution.
+	Objective, Deadline time.Duration
 }
 
 // Case is one rate over one number of hops.
@@ -100,7 +103,7 @@
 		Segment:  s.Span("segment", time.Second, 10*time.Millisecond, MaxSegment),
 	}
 	v := s.Sub("sidecar")
-	p.Sidecar = Sidecar{Cores: v.Number("cores", 2, 0.1, 256), MemoryMB: v.Number("memory_mb", 64, 16, 1<<16)}
+	p.Sidecar = readSidecar(v)
 	v.Done()
 	list := s.List("cases")
 	if len(list) == 0 || len(list) > maxCases {
@@ -119,6 +122,19 @@
 	return p
 }
 
+func readSidecar(v doc.Scope) Sidecar {
+	s := Sidecar{
+		Cores:     v.Number("cores", 2, 0.1, 256),
+		MemoryMB:  v.Number("memory_mb", 64, 16, 1<<16),
+		Objective: v.Span("objective", time.Second, minObjective, callPatience),
+		Deadline:  v.Span("deadline", 4*time.Second, minObjective, callPatience),
+	}
+	if s.Objective > s.Deadline {
+		v.Bad(rules.Range, "objective", "the deadline of %v at most expected", s.Deadline)
+	}
+	return s
+}
+
 func readCase(v doc.Scope) Case {
 	c := Case{
 		Name:        v.Text("name", ""),
--- a/internal/scale/latency/plan_test.go
+++ b/internal/scale/latency/plan_test.go
@@ -27,6 +27,7 @@
 		{"[[cases]]", "[[case]]", "[[cases]] expected"},
 		{"271", "0.5", "p.toml:4:19: RANGE: cases[1].rate_per_second"},
 		{"rate_per_second = 271", "", "cases[1].rate_per_second"},
+		{"271", "271\n[sidecar]\nobjective = \"3s\"\ndeadline = \"2s\"", "sidecar.objective"},
 		{"271", "271\nhops = 17", "p.toml:5:8: RANGE: cases[1].hops"},
 		{"271", "271\nrounds = 2", "cases[1].rounds"},
 		{"271", "271\nrounds = 100\ncycles = 100", "load for 11h6m44s, 15m0s at most expected"},
--- a/internal/scale/latency/run_test.go
+++ b/internal/scale/latency/run_test.go
@@ -29,6 +29,7 @@
 // whose backends are new may refuse what a busy machine brings it at once: a refusal is an answer too.
 func TestRun(t *testing.T) {
 	p, err := ReadPlan("p.toml", []byte("format = 1\nwarm = \"100ms\"\nsegment = \"100ms\"\n"+
+		"[sidecar]\nobjective = \"4s\"\ndeadline = \"4s\"\n"+
 		"[[cases]]\nname = \"two hops\"\nrate_per_second = 200\nhops = 2\nbackends = 2\nconnections = 64\n"))
 	if err != nil {
 		t.Fatal(err)
