Judge what the source keeps over restarts, and lateness against the machine's own

The source is asked for every resource after each of its restarts. An urgent version may come later by as much as the machine kept the processes on its way waiting, no more: before, any wait of 50 ms excused any lateness.

--- a/cmd/fernctl/rollout.go
+++ b/cmd/fernctl/rollout.go
@@ -190,7 +190,9 @@
 }
 
 // done tells whether the version is in force at all proxies, of which enough are counted.
-func (a *awaitedVersion) done(p *distribution.Progress) bool { return p.Done() && p.Proxies >= a.proxies }
+func (a *awaitedVersion) done(p *distribution.Progress) bool {
+	return p.Done() && p.Proxies >= a.proxies
+}
 
 // await asks until the version is in force everywhere, somebody has refused it, or the time is over. An error: it could
 // not be asked at the end.
--- a/internal/rig/history/history.go
+++ b/internal/rig/history/history.go
@@ -56,7 +56,7 @@
 	Used       Kind = "used"       // what a process has used until now, or holds, in Figures
 	Reported   Kind = "reported"   // the source (Who) answered what it knows of a resource's being in force: Report
 	Lag        Kind = "lag"        // the machine let a process run only when Took had passed since it was to
-	Source     Kind = "source"     // the source has Version of Resource with Digest
+	Source     Kind = "source"     // the source has Version of Resource with Digest; it was asked Took before
 )
 
 // What Call events say.
--- a/internal/rig/rollout/check/check.go
+++ b/internal/rig/rollout/check/check.go
@@ -24,20 +24,22 @@
 	Bounds    = "bounds"    // traffic and memory stay within what the scenario says
 	Whole     = "whole"     // who resumes at a version that relays know is not sent everything
 	Converged = "converged" // a version has the same items everywhere, and in the end all have the source's
+	Durable   = "durable"   // what the source has answered it has for good
 	Status    = "status"    // the source's report agrees with what was in force
 	Processes = "processes" // no process ends by itself, and none is left
 )
 
 // Names are the names of all checks.
 func Names() []string {
-	return []string{Backwards, Late, Urgent, Bounds, Whole, Converged, Status, Processes}
+	return []string{Backwards, Late, Urgent, Bounds, Whole, Converged, Durable, Status, Processes}
 }
 
 const (
 	afterFault   = 10 * time.Second       // a fault is felt this much longer
 	beginsAnew   = 3                      // holds after which a relay forgets a follower that has gone to another
 	movesBack    = 10 * time.Second       // until followers have gone back to the relay of their choice
-	lagSlack     = 50 * time.Millisecond  // that the machine may keep a process waiting before urgent versions aren't judged
+	onTheWay     = 5                      // processes between a put and a follower: publisher, source, region relay, zone relay, follower
+	lagSlack     = 50 * time.Millisecond  // that the machine may keep a process waiting without more time for urgent versions
 	breaksReads  = 500 * time.Millisecond // that the machine keeps a process waiting before relays may take its reads for broken
 	countedAfter = 5 * time.Second        // from a follower's start until reports count it
 	mostOfCheck  = 20                     // verdicts of one check that are listed
@@ -46,7 +48,7 @@
 // Run judges a history, sorted by time.
 func Run(sc *plan.Scenario, all []history.Event) (out []Verdict) {
 	r := read(sc, all)
-	for _, judge := range []func(*plan.Scenario, *record) []Verdict{backwards, late, urgent, bounds, whole, converged, status, processes} {
+	for _, judge := range []func(*plan.Scenario, *record) []Verdict{backwards, late, urgent, bounds, whole, converged, durable, status, processes} {
 		v := judge(sc, r)
 		if n := len(v); n > mostOfCheck {
 			v = append(v[:mostOfCheck:mostOfCheck], Verdict{Check: v[0].Check, At: v[mostOfCheck].At, What: fmt.Sprintf("and %d more", n-mostOfCheck)})
@@ -131,7 +133,7 @@
 			if !d.urgent || !r.undisturbed(key.follower, d.since, d.since+bound) {
 				continue
 			}
-			if took := r.upTo(r.has(key, d.version, d.from)) - d.since; took > bound && !r.lagged(d.since, d.since+bound) {
+			if took := r.upTo(r.has(key, d.version, d.from)) - d.since; took > bound+r.lagged(d.since, took) {
 				out = append(out, Verdict{Check: Urgent, At: d.since, What: fmt.Sprintf("%s has %s of %s, which takes an item out, %d ms after its put was answered",
 					key.follower, d.version, key.resource, took/1000)})
 			}
@@ -147,11 +149,15 @@
 	})
 }
 
-// lagged tells whether the machine kept a process of the rig waiting for longer than a slack in a stretch of time.
-func (r *record) lagged(from, to int64) bool {
-	return slices.ContainsFunc(r.lags, func(s span) bool {
-		return s.to-s.from >= lagSlack.Microseconds() && s.from <= to && from <= s.to
-	})
+// lagged is by how much longer something may take, from a moment on, where the machine kept processes of the rig waiting
+// meanwhile: each process on the way may have waited for as long as the one that noticed the longest wait.
+func (r *record) lagged(from, took int64) (longer int64) {
+	for _, s := range r.lags {
+		if long := s.to - s.from; long >= lagSlack.Microseconds() && s.from <= from+took && from <= s.to {
+			longer = max(longer, onTheWay*long)
+		}
+	}
+	return longer
 }
 
 // whole judges followers that were sent everything though they had a version that the same relay had brought somebody to
@@ -210,6 +216,24 @@
 	return out
 }
 
+// durable judges the source whenever it was asked: it has all that it had answered before, also after a restart, with the
+// same items that followers have got of that version.
+func durable(_ *plan.Scenario, r *record) (out []Verdict) {
+	for _, e := range r.sources {
+		for _, w := range r.writes[e.Resource] {
+			if w.At <= e.At-e.Took && w.Version.After(e.Version) {
+				out = append(out, Verdict{Check: Durable, At: e.At, What: fmt.Sprintf("the source has %s of %s; it answered %s to %s %.3f s before", e.Version, e.Resource, w.Version, w.ID, seconds(e.At-w.At))})
+			}
+		}
+		for digest, seen := range r.digests[versionOf{e.Resource, e.Version}] {
+			if digest != e.Digest {
+				out = append(out, Verdict{Check: Durable, At: e.At, What: fmt.Sprintf("the source has %s of %s with other items than %s got", e.Version, e.Resource, seen.follower)})
+			}
+		}
+	}
+	return out
+}
+
 // last is what a follower has in force in the end. One that has started again with a version has no digest until the next.
 func (r *record) last(key follows) (last history.Event) {
 	for _, e := range r.states[key] {
--- a/internal/rig/rollout/check/figures.go
+++ b/internal/rig/rollout/check/figures.go
@@ -26,7 +26,7 @@
 	Reports    int `json:"reports"`
 
 	Judged    int     `json:"urgent_judged"`                    // followers and urgent versions where no fault touches the way
-	Lagged    int     `json:"urgent_late_while_machine_lagged"` // not judged: the machine kept processes of the rig waiting
+	Lagged    int     `json:"urgent_late_while_machine_lagged"` // late, by no more than processes of the rig were kept waiting
 	Unsettled bool    `json:"last_report_while_machine_lagged"` // not judged: followers may count at two relays
 	LagMax    float64 `json:"lag_max_ms"`
 	UrgentP50 float64 `json:"urgent_p50_ms"`
@@ -115,10 +115,11 @@
 			bound := sc.Bounds.Urgent.Microseconds()
 			switch {
 			case !d.urgent:
-			case took*1000 > float64(bound) && r.lagged(d.since, d.since+bound):
-				f.Lagged++
 			default:
 				urgent = append(urgent, took)
+				if us := int64(took * 1000); us > bound && us <= bound+r.lagged(d.since, us) {
+					f.Lagged++
+				}
 			}
 		}
 	}
--- a/internal/rig/rollout/check/record.go
+++ b/internal/rig/rollout/check/record.go
@@ -40,6 +40,7 @@
 	open    map[string]int                     // faults that have not ended, by the names that events give them
 	reports map[string][]history.Event         // of each resource
 	source  map[string]history.Event           // what the source has in the end
+	sources []history.Event                    // all that it was asked for
 	used    map[string][]history.Event         // by process
 	touches map[string][]span                  // of each follower: faults that touch a way of it, restarts included
 	clear   map[string]map[string][]span       // of each follower: each of its ways, when no fault touches it
@@ -93,6 +94,7 @@
 			r.reports[e.Resource] = append(r.reports[e.Resource], e)
 		case history.Source:
 			r.source[e.Resource] = e
+			r.sources = append(r.sources, e)
 		case history.Used:
 			r.used[e.Who] = append(r.used[e.Who], e)
 		}
--- a/internal/rig/rollout/play.go
+++ b/internal/rig/rollout/play.go
@@ -154,7 +154,13 @@
 	if err := r.startServer(name); err != nil {
 		return err
 	}
-	return r.healthy(ctx, name)
+	if err := r.healthy(ctx, name); err != nil || name != plan.Source {
+		return err
+	}
+	for _, resource := range r.sc.Resources() { // what it was told before is to be there
+		r.askResource(ctx, resource)
+	}
+	return nil
 }
 
 // ask asks the source and the relays what they use, and the source what is in force, until the context ends.
@@ -202,12 +208,14 @@
 
 // askResource tells what the source has.
 func (r *run) askResource(ctx context.Context, resource string) {
+	began := r.clock.Now()
 	var u distribution.Update
 	if err := r.get(ctx, plan.Source, "/v1/resource?name="+url.QueryEscape(resource), &u); err != nil {
 		r.tell(history.Event{Kind: history.Log, Who: plan.Source, Resource: resource, Why: err.Error()})
 		return
 	}
-	r.tell(history.Event{Kind: history.Source, Who: plan.Source, Resource: resource, Version: u.Version, Digest: actor.DigestOf(u.Items)})
+	now := r.clock.Now()
+	r.tell(history.Event{At: now, Kind: history.Source, Who: plan.Source, Resource: resource, Version: u.Version, Digest: actor.DigestOf(u.Items), Took: now - began})
 }
 
 // get asks a server directly, over no link.
--- a/internal/rig/rollout/rollout_test.go
+++ b/internal/rig/rollout/rollout_test.go
@@ -144,6 +144,13 @@
 at = "1600ms"
 for = "10ms"
 kind = "restart"
+`
+	sourceFaults = `
+[[faults]]
+at = "1500ms"
+for = "300ms"
+kind = "kill"
+on = "source"
 `
 	stopFaults = `
 [[faults]]
@@ -173,6 +180,7 @@
 		{bugWhole, "", check.Whole},
 		{bugDropItem, "", check.Converged},
 		{bugEarly, stopFaults, check.Status},
+		{noBug, sourceFaults, check.Durable}, // the stand-in keeps nothing over a restart
 		{bugUncounted, "", check.Status},
 		{bugCrash, "", check.Processes},
 	} {
