Carry an application's configuration by relays, refused with a reason or in force

Distribution carries any resource and its refusals already.

Change: distribution.configuration names the resource config/NAME that a sidecar follows beside its lists. Its items are the file's text by service and table (config.Fragments), so that a change is the lines of one service; fernctl rollout config writes them and keeps only a division of the same meaning. An update is put in force by Reload on the follower's own goroutine and refused with the first line of what is wrong, as are other listeners, process limits or relays. With a state directory a new process begins with what was in force. SIGHUP takes the file again only where nothing has come yet or its [distribution] differs. A reload that ends a follower which waits for its turn would wait for ever: that wait is given up (TestReloadCrossesConfigurationByRelays hangs without). Off unless configured; the platform has no [distribution].

--- a/cmd/fernctl/rollout.go
+++ b/cmd/fernctl/rollout.go
@@ -24,10 +24,11 @@
 	from := &cli.StringFlag{Name: "from", Usage: "ask the source or relay at `ADDR`, host:port", Required: true}
 	return &cli.Command{Name: "rollout", Usage: "write a resource, and see where it is in force",
 		Action: func(context.Context, *cli.Command) error {
-			return errors.New("rollout: one of put, status and wait expected")
+			return errors.New("rollout: one of put, config, status and wait expected")
 		},
 		Commands: []*cli.Command{
 			{Name: "put", Usage: "write the items in FILE to RESOURCE", ArgsUsage: "RESOURCE FILE", Action: rolloutPut, Flags: []cli.Flag{to}},
+			rolloutConfigCommand(to),
 			{Name: "status", Usage: "who lacks the latest version of RESOURCE, and why", ArgsUsage: "RESOURCE", Action: rolloutStatus, Flags: []cli.Flag{from, jsonFlag()}},
 			{Name: "wait", Usage: "wait until VERSION of RESOURCE is in force everywhere", ArgsUsage: "RESOURCE VERSION", Action: rolloutWait,
 				Flags: []cli.Flag{from, &cli.DurationFlag{Name: "timeout", Value: 30 * time.Second, Usage: "wait for `TIME` at most"},
@@ -57,6 +58,11 @@
 	if err != nil {
 		return fmt.Errorf("rollout put: %w", err)
 	}
+	return writePut(ctx, c, put)
+}
+
+// writePut writes to the source, and prints the version.
+func writePut(ctx context.Context, c *cli.Command, put *distribution.PutRequest) error {
 	client := httpapi.NewClient(nil)
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
@@ -68,7 +74,7 @@
 		return errFaults
 	}
 	if err != nil {
-		return fmt.Errorf("rollout put: %w", err)
+		return fmt.Errorf("rollout %s: %w", c.Name, err)
 	}
 	fmt.Fprintln(c.Root().Writer, version)
 	return nil
--- /dev/null
+++ b/cmd/fernctl/rollout_config.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/urfave/cli/v3"
+
+	"fernlanding/internal/config"
+	"fernlanding/internal/distribution"
+	"fernlanding/internal/sidecar"
+)
+
+func rolloutConfigCommand(to cli.Flag) *cli.Command {
+	return &cli.Command{Name: "config", Usage: "write the application's configuration in FILE for the sidecars that follow it", ArgsUsage: "FILE", Action: rolloutConfig,
+		Flags: []cli.Flag{to, &cli.StringFlag{Name: "expected", Usage: "only where `VERSION` stands; 0.0: where none does"}}}
+}
+
+// rolloutConfig writes a configuration under the name that it has in distribution.configuration.
+func rolloutConfig(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return fmt.Errorf("rollout config: %s expected", c.ArgsUsage)
+	}
+	name := c.Args().First()
+	data, err := readBounded(name)
+	if err != nil {
+		return fmt.Errorf("rollout config: %w", err)
+	}
+	app, err := config.Decode(name, data)
+	if err != nil {
+		fmt.Fprintln(c.Root().Writer, err)
+		return errFaults
+	}
+	put, err := configurationPut(name, app, data)
+	if err != nil {
+		return fmt.Errorf("rollout config: %w", err)
+	}
+	if text := c.String("expected"); text != "" {
+		version, err := distribution.ParseVersion(text)
+		if err != nil {
+			return fmt.Errorf("rollout config: -expected: %w", err)
+		}
+		put.Expected = &version
+	}
+	return writePut(ctx, c, put)
+}
+
+// configurationPut is the write that replaces a configuration. Its fragments have to mean what the file does.
+func configurationPut(name string, app *config.App, data []byte) (*distribution.PutRequest, error) {
+	if app.Distribution.Configuration == "" {
+		return nil, fmt.Errorf("%s: distribution.configuration: the name that sidecars follow expected", name)
+	}
+	fragments := config.Fragments(data)
+	if joined, err := config.Decode(name, config.Join(fragments)); err != nil || !config.SameMeaning(joined, app) {
+		fragments = config.Undivided(data)
+	}
+	put := &distribution.PutRequest{Resource: sidecar.ConfigurationResource(app.Distribution.Configuration), Replace: true}
+	for _, key := range slices.Sorted(maps.Keys(fragments)) {
+		value, err := json.Marshal(string(fragments[key]))
+		if err != nil {
+			return nil, err
+		}
+		put.Items = append(put.Items, distribution.Item{Key: key, Value: value})
+	}
+	if err := put.Validate(); err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return put, nil
+}
--- /dev/null
+++ b/cmd/fernctl/rollout_config_test.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"fernlanding/internal/distribution/httpapi"
+)
+
+// A configuration is written by its fragments, so that a change to one service is one item; one that no sidecar would take
+// is not written.
+func TestRolloutConfig(t *testing.T) {
+	address := startSource(t)
+	example, err := os.ReadFile("../../deploy/sidecar.example.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := string(example) + "\n[distribution]\nrelays = [\"127.0.0.1:7420\"]\nconfiguration = \"shop\"\n"
+	file := filepath.Join(t.TempDir(), "shop.toml")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(string(example))
+	expect(t, 2, "distribution.configuration", "rollout", "config", "-to", address, file)
+	write(text + "nonsense = 1\n")
+	expect(t, 1, "nonsense", "rollout", "config", "-to", address, file)
+	write(text)
+	version := strings.TrimSpace(expect(t, 0, "1.1", "rollout", "config", "-expected", "0.0", "-to", address, file))
+	expect(t, 1, "not written", "rollout", "config", "-expected", "0.0", "-to", address, file)
+	expect(t, 0, "1.2", "rollout", "config", "-expected", version, "-to", address, replaceIn(t, file, text))
+
+	client := httpapi.NewClient(nil)
+	defer client.Close()
+	stands, err := client.Resource(context.Background(), address, "config/shop")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(stands.Items) < 3 {
+		t.Errorf("%d fragments, want the file divided", len(stands.Items))
+	}
+}
+
+// replaceIn gives a file one more comment in its last table.
+func replaceIn(t *testing.T, file, text string) string {
+	t.Helper()
+	if err := os.WriteFile(file, []byte(text+"# of another day\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -75,10 +75,14 @@
 	Sockets  int     // file descriptors
 }
 
-// Distribution says which relays lists come from that are followed with membership = "relay".
+// Distribution says which relays lists come from that are followed with membership = "relay", and whether the
+// configuration itself does.
 type Distribution struct {
 	Relays []string // host:port; none: distribution is off
 	Name   string   // of this sidecar among all followers; empty: the application's name and the host's
+	// Configuration is the name of the file that the relays bring, and that takes the place of this one; empty: none. Copies of
+	// an application that have the same file share the name.
+	Configuration string
 }
 
 // Listener is where clients connect.
--- a/internal/config/decode_distribution.go
+++ b/internal/config/decode_distribution.go
@@ -20,6 +20,9 @@
 	if out.Name = t.Text("name", ""); t.Has("name") {
 		Named(t, "name", out.Name)
 	}
+	if out.Configuration = t.Text("configuration", ""); t.Has("configuration") {
+		Named(t, "configuration", out.Configuration)
+	}
 	out.Relays = t.Texts("relays")
 	switch n := len(out.Relays); {
 	case s.Has("distribution") && n == 0:
--- /dev/null
+++ b/internal/config/fragments_test.go
@@ -0,0 +1,73 @@
+package config_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"fernlanding/internal/config"
+)
+
+// A file that is joined from its fragments means what it did.
+func TestFragmentsMeanTheFile(t *testing.T) {
+	files, err := filepath.Glob("../../deploy/*.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	checked := 0
+	for _, name := range files {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want, err := config.Decode(name, data)
+		if err != nil {
+			continue // another kind of file
+		}
+		checked++
+		got, err := config.Decode(name, config.Join(config.Fragments(data)))
+		if err != nil || !config.SameMeaning(got, want) {
+			t.Errorf("%s: %v, or another configuration", name, err)
+		}
+	}
+	if checked == 0 {
+		t.Error("no file was checked")
+	}
+}
+
+func TestFragmentKeys(t *testing.T) {
+	text := "name = \"x\"\n# of the table\n[services.a]\nn = \"\"\"\n[routes]\n\"\"\"\n[services.a.classes.c]\nx = 1\n[[routes]]\ny = 1\n[services.\"b.c\"]\n[[routes]]\nz = 1"
+	want := map[string]string{
+		"head":         "name = \"x\"\n# of the table\n",
+		"services/a":   "[services.a]\nn = \"\"\"\n[routes]\n\"\"\"\n[services.a.classes.c]\nx = 1\n",
+		"services/b.c": "[services.\"b.c\"]\n",
+		"table/routes": "[[routes]]\ny = 1\n[[routes]]\nz = 1\n",
+	}
+	got := config.Fragments([]byte(text))
+	if len(got) != len(want) {
+		t.Errorf("%d fragments, want %d", len(got), len(want))
+	}
+	for key, w := range want {
+		if string(got[key]) != w {
+			t.Errorf("%s is %q, want %q", key, got[key], w)
+		}
+	}
+}
+
+func FuzzFragments(f *testing.F) {
+	f.Add([]byte("a = 1\n[services.a]\nb = '''\n[x]\n'''\n[[routes]]\n"))
+	f.Add([]byte("[services.a]\r\n[services]\n[[a.b]]\n[a.b.c]\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		fragments := config.Fragments(data)
+		total := 0
+		for _, text := range fragments {
+			total += len(text)
+		}
+		if total < len(data) || total > len(data)+len(fragments)+len(data) {
+			t.Errorf("%d bytes in fragments of %d", total, len(data))
+		}
+		if joined := config.Join(fragments); len(joined) != total {
+			t.Errorf("%d bytes joined of %d", len(joined), total)
+		}
+	})
+}
--- a/internal/sidecar/relays.go
+++ b/internal/sidecar/relays.go
@@ -19,8 +19,10 @@
 // the versions in force. Without relays it does nothing.
 type relays struct {
 	lists *relayed.Lists
-	log   *slog.Logger
-	dial  func(ctx context.Context, network, address string) (net.Conn, error) // nil: the usual one
+	// remote follows the application's configuration where it comes by relays.
+	remote *remoteConfiguration
+	log    *slog.Logger
+	dial   func(ctx context.Context, network, address string) (net.Conn, error) // nil: the usual one
 
 	mu       sync.Mutex // held while the follower changes
 	running  bool
@@ -30,8 +32,8 @@
 	done     chan struct{}       // closed when it has ended
 }
 
-func newRelays(log *slog.Logger, dial func(ctx context.Context, network, address string) (net.Conn, error)) *relays {
-	return &relays{lists: relayed.NewLists(log), log: log, dial: dial}
+func newRelays(log *slog.Logger, dial func(ctx context.Context, network, address string) (net.Conn, error), remote *remoteConfiguration) *relays {
+	return &relays{lists: relayed.NewLists(log), remote: remote, log: log, dial: dial}
 }
 
 // use follows the relays of a configuration from here on.
@@ -45,6 +47,7 @@
 	}
 	r.halt()
 	r.cfg = cfg
+	r.remote.reset(cfg.Configuration)
 	if len(cfg.Relays) == 0 {
 		r.follower = nil
 		r.lists.Use(nil)
@@ -52,6 +55,9 @@
 	}
 	r.follower = follow.New(follow.Config{Name: cfg.Name, Kind: distribution.KindProxy, Relays: cfg.Relays, Dial: r.dial, Log: r.log})
 	r.lists.Use(r.follower)
+	if cfg.Configuration != "" {
+		r.follower.Subscribe(ConfigurationResource(cfg.Configuration), r.remote.version(), r.remote)
+	}
 	r.run()
 }
 
@@ -93,6 +99,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop, r.done = stop, make(chan struct{})
+	r.remote.haltedBy(ctx.Done())
 	go func(f *follow.Follower, done chan struct{}) {
 		defer close(done)
 		f.Run(ctx)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -44,6 +44,9 @@
 	record *record.Record // of its starts; nil: none is kept
 	remind time.Duration  // between two words that it is not ready
 
+	remote    *remoteConfiguration
+	reloading chan struct{} // holds one while a configuration takes hold, before mu: waiting for it can be given up
+
 	mu       sync.Mutex // one configuration takes hold at a time
 	app      *config.App
 	services map[string]*service
@@ -58,9 +61,13 @@
 func New(app *config.App, log *slog.Logger) (*Sidecar, error) { return open(app, log, nil) }
 
 func open(app *config.App, log *slog.Logger, hollow *Hollow) (*Sidecar, error) {
+	remote := &remoteConfiguration{log: log}
+	app = remote.recall(app)
 	s := &Sidecar{log: log, ended: make(chan struct{}), remind: notReadyEvery, services: map[string]*service{}, leaving: map[*service]bool{},
+		remote: remote, reloading: make(chan struct{}, 1),
 		with: parted{clock: core.NewClock(), log: log, memoryMB: app.Process.MemoryMB, paced: app.Wording == config.Application,
-			stateDir: app.StateDir, listAge: app.ListAge, hollow: hollow, relays: newRelays(log, hollow.dial())}}
+			stateDir: app.StateDir, listAge: app.ListAge, hollow: hollow, relays: newRelays(log, hollow.dial(), remote)}}
+	remote.sidecar = s
 	s.halt, s.halted = context.WithCancel(context.Background())
 	parts, err := app.Descriptors()
 	if err != nil {
@@ -247,8 +254,10 @@
 
 // Reload has a new configuration take hold as a whole, or not at all. Requests that are open are not touched: a
 // service that is named no more takes nothing new and ends with its last answer. Listeners and process limits can't
-// change.
+// change. Where relays have brought the configuration that holds, only one that says otherwise of relays takes its place.
 func (s *Sidecar) Reload(app *config.App) error {
+	s.reloading <- struct{}{}
+	defer func() { <-s.reloading }()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if app.Wording != s.app.Wording {
@@ -261,19 +270,26 @@
 		}
 		return nil
 	}
-	if !reflect.DeepEqual(app.Listeners, s.app.Listeners) {
-		return fmt.Errorf("listeners: %w", errFixed)
+	if reflect.DeepEqual(app.Distribution, s.app.Distribution) && !s.remote.version().IsZero() {
+		return errRemote
 	}
-	if app.Process != s.app.Process || app.StateDir != s.app.StateDir || app.ListAge != s.app.ListAge {
-		return fmt.Errorf("process: %w", errFixed)
+	as := *app
+	as.Distribution = s.app.Distribution // may change by a file
+	if err := fixed(s.app, &as); err != nil {
+		return err
 	}
+	return s.take(app)
+}
+
+// take has a configuration take hold; s.mu is held.
+func (s *Sidecar) take(app *config.App) error {
 	w, _, err := s.prepare(app)
 	if err != nil {
 		return err
 	}
 	select {
 	case <-s.ended:
-		return errors.New("the sidecar is ending")
+		return errEnding
 	default:
 	}
 	s.adopt(app, w)
