Wait longer after each 503 where lists are pushed; call only silent agents every 100 ms

Cause: Client.insist called every 100 ms whatever became of the calls before, also where they were turned away, and gave each up after a second. 200 processes before one service that works off 50 whole readings a second and answers 503 past a queue of a hundred made 1,460 to 1,500 whole readings a second for as long as it lasted (peak 1,599); in an outage of 20 s that answers 503 they made 1,917 calls a second (peak 2,001), with Retry-After or without.

Change: the type retry (pure: times and randomness are arguments) decides when to call next. A silent agent, also one whose calls are reset, is called every 100 ms as before. After a 503 or 429 the wait is drawn from a bound that grows from 250 ms to 3 s, and a Retry-After is kept up to 2 s with up to half as much again.

--- a/internal/membership/catalog/ask.go
+++ b/internal/membership/catalog/ask.go
@@ -10,6 +10,11 @@
 )
 
 const (
+	// How long a watch may wait for news. A connection to the service can fall silent, and nothing shows it but an answer that is
+	// overdue: what was to be told meanwhile counts as told 2 s after the wait. All proxies share one service, and watches that fall
+	// silent together are opened anew as far apart as their waits end. Changes end all waits at once, so each is drawn anew.
+	leastAskHold = 6 * time.Second
+	mostAskHold  = 14 * time.Second
 	// Where all proxies ask one service, it works through calls in turn, and what it has written counts as told, whether or not its
 	// caller still waits. So a call is not given up because its turn comes late: another is opened beside one that is overdue, since
 	// that may have fallen silent, and both are waited for. The service itself turns away what has waited too long.
@@ -106,10 +111,7 @@
 		a.watch = number
 	}
 	a.calls.Go(func() {
-		list, err := a.Client.call(a.ctx, from, hold, a.patience)
-		if err == nil {
-			err = wentBack(list, from)
-		}
+		list, err := a.fetch(a.ctx, from, hold, a.patience)
 		select {
 		case a.ends <- asked{number, from, list, err}:
 		case <-a.ctx.Done():
@@ -139,7 +141,7 @@
 		switch {
 		case a.index >= 0 && a.quick < quickTries:
 			a.quick++
-			a.overdue.Reset(leastQuick + time.Duration(a.cfg.Rand.Int64N(int64(mostQuick-leastQuick))))
+			a.overdue.Reset(leastQuick + time.Duration(a.random.Int64N(int64(mostQuick-leastQuick))))
 		case a.taken == 0 && !a.cfg.First:
 			a.overdue.Reset(firstAgain)
 		}
--- /dev/null
+++ b/internal/membership/catalog/retry.go
@@ -0,0 +1,90 @@
+package catalog
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// An agent that says nothing is called this often, whatever became of the calls before: what it has when it speaks again counts
+	// as told at that moment, and it never answers what it got while it was silent.
+	silentInterval = 100 * time.Millisecond
+	// An agent that turns a call away (503 or 429) speaks. The wait after a refusal is drawn from the upper half of a bound that
+	// grows with each. A change counts as told 6 s after the service had it and could be reached, so the longest wait leaves half
+	// of that to the service's own queue.
+	firstRefusedBound = 250 * time.Millisecond
+	refusedGrowth     = 3
+	mostRefusedWait   = 3 * time.Second
+	// What a Retry-After asks for is kept up to this, and up to half as much again is added to spread the callers that heard it.
+	mostHonoured = 2 * time.Second
+	// For so long after a refusal a call that is open is taken to stand in the service's queue, and none is made beside it. Later it
+	// may as well hang in an agent that has fallen silent.
+	queuedAfterRefusal = 3 * time.Second
+)
+
+// retry decides when to call again for a list that is pushed, until one call is answered. It has no clock: times come in as
+// arguments, and the waits are drawn from its source of randomness. It is not safe for concurrent use.
+type retry struct {
+	random   *rand.Rand
+	interval time.Duration // between calls of an agent that is silent
+
+	next    time.Time     // when to call again where no call is open, or the agent is silent
+	called  time.Time     // the last call
+	refused time.Time     // the last refusal; zero: none, or the agent has broken off since
+	waiting bool          // the last call, or one before it that ended later, was refused
+	bound   time.Duration // of the last wait after a refusal
+}
+
+// newRetry returns a retry whose first call is due at once, and which calls a silent agent as often as an interval says.
+func newRetry(now time.Time, interval time.Duration, random *rand.Rand) *retry {
+	return &retry{random: random, interval: interval, next: now}
+}
+
+// due is when to call again. pending: a call is open.
+func (r *retry) due(pending bool) time.Time {
+	if queued := r.refused.Add(queuedAfterRefusal); pending && !r.refused.IsZero() && queued.After(r.next) {
+		return queued
+	}
+	return r.next
+}
+
+// call takes the news that a call is made.
+func (r *retry) call(now time.Time) {
+	r.called, r.waiting = now, false
+	r.next = now.Add(r.interval)
+}
+
+// refuse takes the news that a call was turned away. retryAfter is when the service asked to come back; 0: it did not say.
+// Several calls that are refused with none made in between are one refusal.
+func (r *retry) refuse(now time.Time, retryAfter time.Duration) {
+	r.refused = now
+	if r.waiting {
+		return
+	}
+	r.waiting = true
+	r.next = now.Add(max(r.backoff(), r.honoured(retryAfter)))
+}
+
+// fail takes the news that a call was reset, refused by the kernel, or answered with what makes no sense: what was in the agent's
+// queue is lost, and it is called as one that is silent.
+func (r *retry) fail() {
+	r.refused, r.waiting, r.bound = time.Time{}, false, 0
+	r.next = r.called.Add(r.interval)
+}
+
+// backoff draws the wait after one more refusal.
+func (r *retry) backoff() time.Duration {
+	r.bound = min(max(refusedGrowth*r.bound, firstRefusedBound), mostRefusedWait)
+	return r.bound/2 + r.upTo(r.bound/2)
+}
+
+// honoured draws the wait that a Retry-After asks for.
+func (r *retry) honoured(retryAfter time.Duration) time.Duration {
+	asked := min(retryAfter, mostHonoured)
+	return asked + r.upTo(asked/2)
+}
+
+// upTo draws a time from 0 to most, evenly.
+func (r *retry) upTo(most time.Duration) time.Duration {
+	return time.Duration(r.random.Int64N(int64(most) + 1))
+}
--- a/internal/membership/catalog/silence_test.go
+++ b/internal/membership/catalog/silence_test.go
@@ -288,7 +288,7 @@
 	d.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		n := 1 + <-dials
 		dials <- n
-		if n <= 2*mostCalls {
+		if n <= 2*mostConns {
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
