Keep Retry-After where all copies ask one service, and space refused first calls

Cause: a service that said with its 503 when to come back was called again after 60 to 140 ms, 40 times, and at the module's word; a copy with no list, for which the module does not ask, called twice a second for as long as it was turned away.

Change: a refusal with Retry-After has the next call come then (2 s at most and up to half as much again, as where lists are pushed), whatever the module says before. Without it a watch is repeated within 200 ms as before, since the protocol has it go on then, and the module's waits of 1.25 to 2.5 s follow. Refused first calls wait 0.25 to 3 s, drawn and growing.

--- a/internal/membership/catalog/ask.go
+++ b/internal/membership/catalog/ask.go
@@ -26,7 +26,7 @@
 	wholeOverdue     = 1500 * time.Millisecond
 	mostWholeOverdue = 6 * time.Second
 	mostAsks         = 8                      // calls that are open at a time
-	firstAgain       = 500 * time.Millisecond // after a first call that failed, where the module knows of no list and so asks for none
+	firstAgain       = 500 * time.Millisecond // after a first call that broke off, where the module knows of no list and so asks for none
 	// A watch goes on if the next call comes within 200 ms of the last answer, also of one that turns it away (PROTOCOL). The module waits
 	// longer, so such a call is repeated sooner for some times. What is turned away costs the service little.
 	leastQuick = 60 * time.Millisecond
@@ -50,6 +50,7 @@
 	watch   int           // the one that watches; 0: none does
 	late    time.Duration // after which the next call for the whole list is overdue
 	quick   int           // watches in a row that were turned away and repeated without the module's word
+	retry   *retry        // decides when to call again where the service says when, or the module does not
 	waiting bool          // for the module's word
 }
 
@@ -65,6 +66,7 @@
 func (d *Client) ask(ctx context.Context, sink membership.Sink) {
 	ctx, cancel := context.WithCancel(ctx)
 	a := &asking{Client: d, ctx: ctx, sink: sink, ends: make(chan asked), overdue: time.NewTimer(0), index: -1, late: wholeOverdue, waiting: d.cfg.First}
+	a.resetRetry()
 	defer a.calls.Wait()
 	defer cancel()
 	defer a.overdue.Stop()
@@ -93,6 +95,7 @@
 // call opens a watch from the version that stands or, where there is none, a call for the whole list.
 func (a *asking) call() {
 	a.waiting = false
+	a.retry.call(time.Now())
 	from, hold, due := a.index, time.Duration(0), a.late
 	if from >= 0 {
 		hold = a.hold()
@@ -127,26 +130,12 @@
 		a.watch = 0
 	}
 	if e.err != nil {
-		if !newest { // another has been opened beside it
-			return
-		}
-		a.log.Warn("discovery", "error", e.err)
-		a.stale.Failed()
-		if outcome, _ := judge(e.err); outcome != start.Busy {
-			a.index = -1
-		}
-		a.overdue.Stop()
-		a.waiting = true
-		a.sink.Missed() // the module says when to ask again
-		switch {
-		case a.index >= 0 && a.quick < quickTries:
-			a.quick++
-			a.overdue.Reset(leastQuick + time.Duration(a.random.Int64N(int64(mostQuick-leastQuick))))
-		case a.taken == 0 && !a.cfg.First:
-			a.overdue.Reset(firstAgain)
+		if newest { // otherwise another has been opened beside it
+			a.failed(e.err)
 		}
 		return
 	}
+	a.resetRetry()
 	a.quick = 0
 	// Changes up to a version that stands already are no news, nor is a whole list from before the one that stands was asked for. Any
 	// other whole list is: a service that starts anew counts anew.
@@ -159,6 +148,35 @@
 	}
 }
 
+// failed takes the failure of the newest call. The module is told, and says when to ask again; a watch is repeated before that, unless
+// the service has said when to come back.
+func (a *asking) failed(err error) {
+	a.log.Warn("discovery", "error", err)
+	a.stale.Failed()
+	outcome, retryAfter := judge(err)
+	if outcome == start.Busy {
+		a.retry.refuse(time.Now(), retryAfter)
+	} else {
+		a.index = -1
+	}
+	a.overdue.Stop()
+	a.waiting = retryAfter == 0
+	a.sink.Missed()
+	noList := a.taken == 0 && !a.cfg.First
+	switch {
+	case retryAfter > 0, outcome == start.Busy && noList:
+		a.overdue.Reset(time.Until(a.retry.due(false)))
+	case noList:
+		a.overdue.Reset(firstAgain)
+	case a.index >= 0 && a.quick < quickTries:
+		a.quick++
+		a.overdue.Reset(leastQuick + time.Duration(a.random.Int64N(int64(mostQuick-leastQuick))))
+	}
+}
+
+// resetRetry has the waits after refusals begin anew.
+func (a *asking) resetRetry() { a.retry = newRetry(time.Now(), 0, a.random) }
+
 // take hands an answer on.
 func (a *asking) take(e asked) {
 	if a.index >= 0 || e.list.Full || e.from < 0 { // otherwise a doubt about the version stays
--- a/internal/membership/catalog/catalog.go
+++ b/internal/membership/catalog/catalog.go
@@ -131,7 +131,12 @@
 	after time.Duration // that the service asked for (RFC 9110, section 10.2.3); 0: it did not
 }
 
-func (e *busyError) Error() string { return "discovery is busy or down" }
+func (e *busyError) Error() string {
+	if e.after > 0 {
+		return fmt.Sprintf("discovery is busy or down, and asks to come back after %v", e.after)
+	}
+	return "discovery is busy or down"
+}
 
 // errSense is of answers that make no sense.
 var errSense = errors.New("no sense in the answer")
