Give the call after a refusal's wait its own time in the service's queue

An open call was taken to be queued for 3 s from the refusal, but the wait after that takes up to 3 s: a call that entered the queue then had others made beside it every 100 ms, which filled the queue for the rest (retry.due).

Change: the 3 s begin anew with the call that follows the wait. What an agent that has fallen silent since has at its return is still heard 3 s later at the latest.

TestRetryTakesAnOpenCallToBeQueuedForAWhile fails on the code before.

--- a/cmd/fernlanding/herd_test.go
+++ b/cmd/fernlanding/herd_test.go
@@ -64,6 +64,7 @@
 	b.ReportMetric(peakPerSecond(whole, began), "whole/s-peak")
 	b.ReportMetric(float64(len(whole))/herdStretch.Seconds(), "whole/s-mean")
 	b.ReportMetric(all.Sub(began).Seconds(), "s-until-all-ready-or-end")
+	b.ReportMetric(float64(h.givenUp()), "given-up")
 	b.ReportMetric(0, "ns/op")
 }
 
@@ -231,6 +232,18 @@
 	return n
 }
 
+// givenUp is how many calls were worked off after their caller had gone.
+func (h *herd) givenUp() (n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range h.calls {
+		if c.GivenUp {
+			n++
+		}
+	}
+	return n
+}
+
 // waitForAll waits until a count is that of all copies, and returns when that was seen, or the time until which it waits.
 func waitForAll(count func() int, until time.Time) time.Time {
 	for ; time.Now().Before(until); time.Sleep(herdPoll) {
--- a/internal/membership/catalog/retry.go
+++ b/internal/membership/catalog/retry.go
@@ -17,9 +17,9 @@
 	mostRefusedWait   = 3 * time.Second
 	// What a Retry-After asks for is kept up to this, and up to half as much again is added to spread the callers that heard it.
 	mostHonoured = 2 * time.Second
-	// For so long after a refusal a call that is open is taken to stand in the service's queue, and none is made beside it. Later it
-	// may as well hang in an agent that has fallen silent.
-	queuedAfterRefusal = 3 * time.Second
+	// After a refusal, and after the call that follows its wait, a call that is open is taken for so long to stand in the service's
+	// queue, and none is made beside it. Later it may as well hang in an agent that has fallen silent.
+	queuedTime = 3 * time.Second
 )
 
 // retry decides when to call again for a list that is pushed, until one call is answered. It has no clock: times come in as
@@ -30,8 +30,8 @@
 
 	next    time.Time     // when to call again where no call is open, or the agent is silent
 	called  time.Time     // the last call
-	refused time.Time     // the last refusal; zero: none, or the agent has broken off since
-	waiting bool          // the last call, or one before it that ended later, was refused
+	queued  time.Time     // until then an open call stands in a queue; zero: the agent has refused none, or has broken off since
+	waiting bool          // there was a refusal since the last call
 	bound   time.Duration // of the last wait after a refusal
 }
 
@@ -42,14 +42,17 @@
 
 // due is when to call again. pending: a call is open.
 func (r *retry) due(pending bool) time.Time {
-	if queued := r.refused.Add(queuedAfterRefusal); pending && !r.refused.IsZero() && queued.After(r.next) {
-		return queued
+	if pending && r.queued.After(r.next) {
+		return r.queued
 	}
 	return r.next
 }
 
 // call takes the news that a call is made.
 func (r *retry) call(now time.Time) {
+	if r.waiting {
+		r.queued = now.Add(queuedTime)
+	}
 	r.called, r.waiting = now, false
 	r.next = now.Add(r.interval)
 }
@@ -57,7 +60,7 @@
 // refuse takes the news that a call was turned away. retryAfter is when the service asked to come back; 0: it did not say.
 // Several calls that are refused with none made in between are one refusal.
 func (r *retry) refuse(now time.Time, retryAfter time.Duration) {
-	r.refused = now
+	r.queued = now.Add(queuedTime)
 	if r.waiting {
 		return
 	}
@@ -68,7 +71,7 @@
 // fail takes the news that a call was reset, refused by the kernel, or answered with what makes no sense: what was in the agent's
 // queue is lost, and it is called as one that is silent.
 func (r *retry) fail() {
-	r.refused, r.waiting, r.bound = time.Time{}, false, 0
+	r.queued, r.waiting, r.bound = time.Time{}, false, 0
 	r.next = r.called.Add(r.interval)
 }
 
--- a/internal/membership/catalog/retry_test.go
+++ b/internal/membership/catalog/retry_test.go
@@ -75,16 +75,21 @@
 	r := drawn(1)
 	r.call(zero)
 	r.refuse(zero, 0)
-	if wait := in(r, zero, true); wait != queuedAfterRefusal {
+	if wait := in(r, zero, true); wait != queuedTime {
 		t.Fatalf("with a call open the next is due after %v", wait)
 	}
-	now := r.due(true)
+	now := r.due(false)
+	r.call(now) // after the wait: it has its own time in the queue
+	if wait := in(r, now, true); wait != queuedTime {
+		t.Fatalf("with the call after the wait open the next is due after %v", wait)
+	}
+	now = r.due(true)
 	r.call(now)
 	if wait := in(r, now, true); wait != silentInterval {
 		t.Errorf("of an agent that has fallen silent the next call is due after %v", wait)
 	}
 	r.refuse(now, 0)
-	if wait := in(r, now, true); wait < queuedAfterRefusal {
+	if wait := in(r, now, true); wait != queuedTime {
 		t.Errorf("refused again, the next is due after %v", wait)
 	}
 }
