Let followers leave a relay that hears from no upstream

A relay that was cut off from all its upstreams and still answered kept its followers for ever, each of which could reach a relay that had the news. It now says so with its answers, down all levels, and is not ready; its followers go to a relay that is, and stay where there is none.

--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -128,6 +128,7 @@
 type FollowResponse struct {
 	Session     string   `json:"session"`
 	SourceAgeMs int64    `json:"source_age_ms"` // since the relay last heard from the source; 0 at the source
+	Cut         bool     `json:"cut,omitempty"` // the relay, or one above it, hears from no upstream: another may
 	Updates     []Update `json:"updates,omitempty"`
 }
 
--- a/internal/distribution/follow/follower.go
+++ b/internal/distribution/follow/follower.go
@@ -28,8 +28,9 @@
 	reportAgain = 200 * time.Millisecond
 	// probeTimeout is of a health check.
 	probeTimeout = 500 * time.Millisecond
-	// The first choice is asked for its health so often while another is read from, and returned to after a further wait
-	// of up to returnSpread, so that not all its followers come back at once.
+	// Earlier choices are asked so often whether they are ready while a later one is read from, and returned to after a
+	// further wait of up to returnSpread, so that not all their followers come back at once. All others are asked while the
+	// relay that is read from is cut off from the source, and gone to at once.
 	probeEvery   = 2 * time.Second
 	returnSpread = 5 * time.Second
 	// missedAfter is how long after a hold no relay has answered until that is news.
@@ -50,7 +51,8 @@
 type Transport interface {
 	// Follow reads. Errors: distribution.ErrUnknownSession, *httpapi.BusyError, others.
 	Follow(ctx context.Context, address string, req *distribution.FollowRequest) (*distribution.FollowResponse, error)
-	Healthy(ctx context.Context, address string) error
+	// Ready asks whether a relay answers and hears from the source.
+	Ready(ctx context.Context, address string) error
 	Close()
 }
 
@@ -72,6 +74,7 @@
 	Silent    time.Time     // since when no relay has answered; zero while one does
 	Heard     time.Time     // the last answer
 	SourceAge time.Duration // how long before Heard the source was last heard
+	Cut       bool          // the relay, or one above it, hears from no upstream
 }
 
 // Stats count since the start.
--- a/internal/distribution/follow/follower_test.go
+++ b/internal/distribution/follow/follower_test.go
@@ -46,8 +46,8 @@
 	}
 }
 
-func (s *scripted) Healthy(context.Context, string) error { return errors.New("not healthy") }
-func (s *scripted) Close()                                {}
+func (s *scripted) Ready(context.Context, string) error { return errors.New("not ready") }
+func (s *scripted) Close()                              {}
 
 // fixture is a running Follower on a scripted Transport.
 type fixture struct {
--- a/internal/distribution/follow/reader.go
+++ b/internal/distribution/follow/reader.go
@@ -30,8 +30,9 @@
 
 	choosing  sync.Mutex
 	choice    int  // the relay that is read from
-	preferred int  // an earlier choice that can be returned to
-	returning bool // preferred is set
+	cut       bool // it is cut off from the source
+	preferred int  // the choice to go to
+	moving    bool // preferred is set
 	probing   bool // a probe runs
 
 	began    time.Time
@@ -75,7 +76,7 @@
 		r.current, wait = r.picker.next(r.now())
 		return wait
 	}
-	if to, returning := r.returnTo(r.current); returning {
+	if to, moving := r.moveTo(r.current); moving {
 		r.left = r.leave()
 		r.current, r.open = to, false
 	}
@@ -110,9 +111,7 @@
 		r.farewell(r.left)
 		r.left = nil
 	}
-	if r.current > 0 {
-		r.startProbe()
-	}
+	r.startProbe()
 }
 
 // compose is the next read.
@@ -132,7 +131,7 @@
 // heard takes that a relay has answered.
 func (r *reader) heard(choice int, req *request, response *distribution.FollowResponse) {
 	r.choosing.Lock()
-	r.choice = choice
+	r.choice, r.cut = choice, response.Cut
 	r.choosing.Unlock()
 
 	r.mu.Lock()
@@ -149,7 +148,7 @@
 		r.relay = req.address
 	}
 	r.session = response.Session
-	r.health = Health{Relay: req.address, Heard: now, SourceAge: time.Duration(response.SourceAgeMs) * time.Millisecond}
+	r.health = Health{Relay: req.address, Heard: now, SourceAge: time.Duration(response.SourceAgeMs) * time.Millisecond, Cut: response.Cut}
 	r.missedAt, r.saidAt = time.Time{}, time.Time{}
 	if len(r.unreported) > 0 { // what else is to be said goes with the next read
 		r.reportSoon()
@@ -307,11 +306,11 @@
 	return req
 }
 
-// startProbe has earlier choices asked for their health while a later one is read from.
+// startProbe has other choices asked whether they are ready where one of them would be better.
 func (r *reader) startProbe() {
 	r.choosing.Lock()
 	defer r.choosing.Unlock()
-	if r.probing {
+	if r.probing || r.candidates() == 0 {
 		return
 	}
 	r.probing = true
@@ -319,47 +318,72 @@
 	r.beside.Go(func() { r.probe(random) })
 }
 
-// probe asks until the first choice is read from.
+// candidates is how many choices, the first ones, may be better than the one that is read from: any while that is cut off,
+// else the earlier ones. The lock choosing is held.
+func (r *reader) candidates() int {
+	if r.cut {
+		return len(r.picker.relays)
+	}
+	return r.choice
+}
+
+// probe asks until no other choice would be better.
 func (r *reader) probe(random *rand.Rand) {
-	for r.sleep(probeEvery/2 + time.Duration(random.Int64N(int64(probeEvery)))) {
-		choice, needed := r.probed()
-		if !needed {
+	for {
+		choice, candidates, cut := r.probed()
+		if candidates == 0 {
 			return
 		}
-		for i := range choice {
-			if !r.healthy(i) {
-				continue
-			}
-			if !r.sleep(time.Duration(random.Int64N(int64(returnSpread)))) {
-				return
-			}
-			r.choosing.Lock()
-			r.preferred, r.returning = i, r.choice == choice
-			r.choosing.Unlock()
-			break
+		wait := probeEvery/2 + time.Duration(random.Int64N(int64(probeEvery)))
+		if cut {
+			wait = time.Duration(random.Int64N(int64(probeEvery / 2)))
 		}
+		if !r.sleep(wait) {
+			return
+		}
+		to := r.firstReady(choice, candidates)
+		if to < 0 {
+			continue
+		}
+		if !cut && !r.sleep(time.Duration(random.Int64N(int64(returnSpread)))) {
+			return
+		}
+		r.choosing.Lock()
+		r.preferred, r.moving = to, r.choice == choice
+		r.choosing.Unlock()
 	}
 }
 
-// probed is the choice that is read from, and whether there are earlier ones; else the probe ends.
-func (r *reader) probed() (choice int, needed bool) {
+// probed is the choice that is read from, how many are to be asked (none: the probe ends), and whether it is cut off.
+func (r *reader) probed() (choice, candidates int, cut bool) {
 	r.choosing.Lock()
 	defer r.choosing.Unlock()
-	r.probing = r.choice > 0
-	return r.choice, r.probing
+	candidates = r.candidates()
+	r.probing = candidates > 0
+	return r.choice, candidates, r.cut
+}
+
+// firstReady is the first of some choices that is ready, but for the one that is read from; negative: none is.
+func (r *reader) firstReady(choice, candidates int) int {
+	for i := range candidates {
+		if i != choice && r.ready(i) {
+			return i
+		}
+	}
+	return -1
 }
 
-func (r *reader) healthy(choice int) bool {
+func (r *reader) ready(choice int) bool {
 	ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
 	defer cancel()
-	return r.transport.Healthy(ctx, r.picker.relays[choice].address) == nil // addresses don't change
+	return r.transport.Ready(ctx, r.picker.relays[choice].address) == nil // addresses don't change
 }
 
-// returnTo is the earlier choice to return to, if one answers again.
-func (r *reader) returnTo(choice int) (int, bool) {
+// moveTo is the choice to go to, if there is a better one.
+func (r *reader) moveTo(choice int) (int, bool) {
 	r.choosing.Lock()
 	defer r.choosing.Unlock()
-	returning := r.returning && r.preferred < choice
-	r.returning = false
-	return r.preferred, returning
+	moving := r.moving && r.preferred != choice
+	r.moving = false
+	return r.preferred, moving
 }
--- a/internal/distribution/httpapi/client.go
+++ b/internal/distribution/httpapi/client.go
@@ -115,6 +115,11 @@
 	return c.call(ctx, http.MethodGet, address, PathHealth, nil, nil, maxErrorBytes)
 }
 
+// Ready asks whether a source or relay answers and hears from the source; nil: it does.
+func (c *Client) Ready(ctx context.Context, address string) error {
+	return c.call(ctx, http.MethodGet, address, PathReady, nil, nil, maxErrorBytes)
+}
+
 func (c *Client) call(ctx context.Context, method, address, path string, in, out any, most int64) error {
 	var body io.Reader
 	if in != nil {
--- a/internal/distribution/httpapi/handler.go
+++ b/internal/distribution/httpapi/handler.go
@@ -22,6 +22,7 @@
 	PathResource = "/v1/resource" // GET ?name=NAME: Update, whole
 	PathStats    = "/v1/stats"    // GET: Stats
 	PathHealth   = "/_health"     // GET: 200
+	PathReady    = "/_ready"      // GET: 200; 503: cut off from the source
 )
 
 // writeTimeout is within which a follower takes an answer, or its connection ends.
@@ -31,6 +32,7 @@
 type Answer struct {
 	Session   string
 	SourceAge time.Duration
+	Cut       bool
 	Updates   [][]byte // each an Update as JSON
 }
 
@@ -49,6 +51,8 @@
 	Status(resource string) distribution.ResourceStatus
 	Resource(name string) *distribution.Update // nil: there is none
 	Stats() distribution.Stats
+	// Cut tells whether a relay, or one above it, hears from no upstream.
+	Cut() bool
 }
 
 // Handler serves a Service.
@@ -61,6 +65,7 @@
 	mux.HandleFunc("GET "+PathResource, h.resource)
 	mux.HandleFunc("GET "+PathStats, h.stats)
 	mux.HandleFunc("GET "+PathHealth, func(w http.ResponseWriter, _ *http.Request) { write(w, nil) })
+	mux.HandleFunc("GET "+PathReady, h.ready)
 	return mux
 }
 
@@ -86,6 +91,9 @@
 	to = strconv.AppendQuote(to, a.Session) // letters and digits
 	to = append(to, `,"source_age_ms":`...)
 	to = strconv.AppendInt(to, a.SourceAge.Milliseconds(), 10)
+	if a.Cut {
+		to = append(to, `,"cut":true`...)
+	}
 	if len(a.Updates) == 0 {
 		return append(to, '}')
 	}
@@ -153,6 +161,14 @@
 	writeJSON(w, update)
 }
 
+func (h *handler) ready(w http.ResponseWriter, _ *http.Request) {
+	if h.service.Cut() {
+		refuse(w, http.StatusServiceUnavailable, "cut off from the source")
+		return
+	}
+	write(w, nil)
+}
+
 func (h *handler) stats(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.service.Stats()) }
 
 func writeJSON(w http.ResponseWriter, value any) {
--- a/internal/distribution/httpapi/httpapi_test.go
+++ b/internal/distribution/httpapi/httpapi_test.go
@@ -31,6 +31,7 @@
 	return distribution.ResourceStatus{Resource: resource}
 }
 func (s *scripted) Resource(string) *distribution.Update { return nil }
+func (s *scripted) Cut() bool                            { return s.err != nil }
 func (s *scripted) Stats() distribution.Stats            { return distribution.Stats{Name: "relay"} }
 
 // start serves a service, and returns its address and how many bytes went.
@@ -89,17 +90,23 @@
 	if err := c.Healthy(ctx, address); err != nil {
 		t.Error(err)
 	}
+	if err := c.Ready(ctx, address); !errors.As(err, &busy) {
+		t.Errorf("cut off, and ready: %v", err)
+	}
+	if service.err = nil; c.Ready(ctx, address) != nil {
+		t.Error("not ready")
+	}
 }
 
 // Updates go as they were encoded, and a heartbeat is small.
 func TestAnswers(t *testing.T) {
 	update := []byte(`{"resource":"r","version":"1.2","items":[{"key":"a","value":"<&>"}]}`)
-	service := &scripted{answer: &Answer{Session: "s1", SourceAge: 3 * time.Second, Updates: [][]byte{update, update}}}
+	service := &scripted{answer: &Answer{Session: "s1", SourceAge: 3 * time.Second, Cut: true, Updates: [][]byte{update, update}}}
 	address, traffic := start(t, service, 10)
 	c := NewClient(nil)
 	defer c.Close()
 	r, err := c.Follow(context.Background(), address, heartbeat())
-	if err != nil || r.Session != "s1" || r.SourceAgeMs != 3_000 || len(r.Updates) != 2 || string(r.Updates[1].Items[0].Value) != `"<&>"` {
+	if err != nil || r.Session != "s1" || r.SourceAgeMs != 3_000 || !r.Cut || len(r.Updates) != 2 || string(r.Updates[1].Items[0].Value) != `"<&>"` {
 		t.Errorf("%+v, %v", r, err)
 	}
 	service.answer = &Answer{Session: "s1"}
--- a/internal/distribution/node/failure_test.go
+++ b/internal/distribution/node/failure_test.go
@@ -357,6 +357,42 @@
 	}
 }
 
+// A relay that answers and hears from no upstream: its proxies go to one that does, and get the news there. Where there is
+// none they stay and keep what they have.
+func TestRelayCutOffFromTheSource(t *testing.T) {
+	source := startSource(t, t.TempDir(), "", 1)
+	var links []*link
+	var addresses []string
+	for _, name := range []string{"relay-1", "relay-2"} {
+		l := startLink(t, source.address)
+		links = append(links, l)
+		addresses = append(addresses, startRelay(t, name, "", l.address).address)
+	}
+	p := startProxy(t, "p1", resource, addresses...)
+	first := put(t, source.address, resource, item("b1", "1"))
+	p.awaitVersion(first)
+	for _, address := range addresses { // so that each relay knows the version
+		startProxy(t, "beside "+address, resource, address).awaitVersion(first)
+	}
+	used := 0
+	if p.Health().Relay == addresses[1] {
+		used = 1
+	}
+	links[used].silence()
+	last := put(t, source.address, resource, urgently(item("b1", "2")))
+	p.awaitVersion(last)
+	if h := p.Health(); h.Relay != addresses[1-used] || p.Stats().Switches != 1 {
+		t.Errorf("reads from %s, %s is cut off", h.Relay, addresses[used])
+	}
+	links[1-used].silence()
+	eventually(t, "the news that all relays are cut off", func() bool { return p.Health().Cut })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.at != last || p.whole != 1 {
+		t.Errorf("version %v after %d whole readings, %v after 1 expected", p.at, p.whole, last)
+	}
+}
+
 // link passes bytes on until it is silenced; then it takes them and goes no further.
 type link struct {
 	address string
--- a/internal/distribution/node/node.go
+++ b/internal/distribution/node/node.go
@@ -28,6 +28,8 @@
 	sessionRetryAfter = 5 * time.Second
 	// expireEvery is how often sessions that do not read any more are looked for.
 	expireEvery = time.Second
+	// cutHold is the longest hold of reads while the node is cut off from the source: their followers may go elsewhere.
+	cutHold = time.Second
 	// holdTick is of the times at which reads without news are answered, where holds are leastTicks of it at least.
 	holdTick   = 200 * time.Millisecond
 	leastTicks = 5
@@ -72,6 +74,7 @@
 	release  *time.Timer // of what is held back
 	armed    bool
 	age      func() time.Duration // of what the source said last
+	cut      func() bool          // off from the source
 	upstream func(*distribution.Stats)
 	follows  func(resource string)
 	changed  func(complete bool)
@@ -98,7 +101,7 @@
 	n := &Node{cfg: cfg, now: cfg.Now, traffic: cfg.Traffic, prefix: hex.EncodeToString(random), firsts: make(chan struct{}, firstReads),
 		store: distribution.NewStore(cfg.StoreBytes), sessions: distribution.NewSessions(cfg.Limits),
 		readers: make(map[*distribution.Session]*waiter), cache: newCache(cacheBytes), closed: make(chan struct{}),
-		age: func() time.Duration { return 0 }, upstream: func(*distribution.Stats) {}, follows: func(string) {}, changed: func(bool) {}}
+		age: func() time.Duration { return 0 }, cut: func() bool { return false }, upstream: func(*distribution.Stats) {}, follows: func(string) {}, changed: func(bool) {}}
 	n.release = time.AfterFunc(time.Hour, n.releaseHeld)
 	n.release.Stop()
 	return n
@@ -155,6 +158,13 @@
 	return n.store.Whole(name)
 }
 
+// Cut implements httpapi.Service.
+func (n *Node) Cut() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut()
+}
+
 // Stats implements httpapi.Service.
 func (n *Node) Stats() distribution.Stats {
 	n.mu.Lock()
--- a/internal/distribution/node/read.go
+++ b/internal/distribution/node/read.go
@@ -14,11 +14,11 @@
 
 // waiter is the read of a session that was opened last.
 type waiter struct {
-	wake   chan struct{}
-	read   uint64
-	urgent time.Time // since when an urgent item has been due to it; zero: none is
-	// updated: the read before was answered with updates.
-	updated bool
+	wake    chan struct{}
+	read    uint64
+	urgent  time.Time // since when an urgent item has been due to it; zero: none is
+	updated bool      // the read before was answered with updates
+	hurried bool      // the read is answered now, with news or without
 }
 
 func (w *waiter) signal() {
@@ -135,6 +135,9 @@
 		w.updated = false
 		hold -= time.Duration(float64(hold) * spreadShare * mathrand.Float64())
 	}
+	if n.cut() {
+		hold = min(hold, cutHold)
+	}
 	until := began.Add(hold)
 	if hold < leastTicks*holdTick {
 		return until
@@ -150,9 +153,9 @@
 	for {
 		now := n.now()
 		due, _ := n.sessions.Due(session, n.store, now)
-		if len(due) > 0 || !now.Before(until) {
+		if len(due) > 0 || !now.Before(until) || w.hurried {
 			n.finish(session, w, now)
-			w.updated = len(due) > 0
+			w.updated, w.hurried = len(due) > 0, false
 			return n.answer(session, due), nil
 		}
 		n.arm(now)
@@ -194,6 +197,16 @@
 	}
 }
 
+// hurry has all reads that wait answered.
+func (n *Node) hurry() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, w := range n.readers {
+		w.hurried = true
+		w.signal()
+	}
+}
+
 // begin makes a read its session's, in place of an earlier one.
 func (n *Node) begin(session *distribution.Session) *waiter {
 	w := n.readers[session]
@@ -204,6 +217,7 @@
 		w.signal()
 	}
 	w.read++
+	w.hurried = false
 	return w
 }
 
@@ -218,7 +232,7 @@
 
 // answer encodes what is due.
 func (n *Node) answer(session *distribution.Session, due []distribution.Due) *httpapi.Answer {
-	a := &httpapi.Answer{Session: session.ID, SourceAge: n.age()}
+	a := &httpapi.Answer{Session: session.ID, SourceAge: n.age(), Cut: n.cut()}
 	size := 0
 	for _, d := range due {
 		if size >= responseBytes {
--- a/internal/distribution/node/relay.go
+++ b/internal/distribution/node/relay.go
@@ -17,6 +17,8 @@
 	reportGap = 50 * time.Millisecond
 	// unfollowAfter is how long a relay follows a resource that nobody behind it follows any more.
 	unfollowAfter = time.Minute
+	// cutAfter is how long no upstream may answer until the relay counts as cut off: time to go to the next one.
+	cutAfter = 500 * time.Millisecond
 )
 
 // Relay is a Node that follows its upstream: what its followers follow, and nothing else.
@@ -41,7 +43,7 @@
 	r := &Relay{Node: New(cfg), follower: follow.New(upstream), complete: make(chan struct{}, 1), log: upstream.Log,
 		cancels: make(map[string]func()), idle: make(map[string]time.Time)}
 	r.began = r.now()
-	r.Node.age, r.Node.upstream = r.sourceAge, r.upstreamStats
+	r.Node.age, r.Node.upstream, r.Node.cut = r.sourceAge, r.upstreamStats, r.cutOff
 	r.Node.follows, r.Node.changed = r.followToo, r.statusChanged
 	return r
 }
@@ -79,6 +81,12 @@
 	}
 }
 
+// cutOff tells whether no upstream has answered for some time, or the one that does is cut off. The node's lock is held.
+func (r *Relay) cutOff() bool {
+	h := r.follower.Health()
+	return h.Cut || !h.Silent.IsZero() && r.now().Sub(h.Silent) >= cutAfter
+}
+
 // sourceAge is since when the source was last heard. The node's lock is held.
 func (r *Relay) sourceAge() time.Duration {
 	h := r.follower.Health()
@@ -101,10 +109,15 @@
 	defer ticker.Stop()
 	gap := time.NewTimer(reportGap)
 	defer gap.Stop()
+	wasCut := false
 	for {
 		select {
 		case <-ticker.C:
 			r.unfollow()
+			if cut := r.Cut(); cut != wasCut {
+				wasCut = cut
+				r.hurry()
+			}
 		case <-r.complete:
 		case <-ctx.Done():
 			return
