--- a/internal/distribution/follow/follower.go
+++ b/internal/distribution/follow/follower.go
@@ -154,6 +154,7 @@
 	if f.subscribed[resource] == sub {
 		delete(f.subscribed, resource)
 		delete(f.dirty, resource)
+		delete(f.statuses, resource)
 		f.unfollowed[resource] = true
 	}
 	f.mu.Unlock()
@@ -164,6 +165,9 @@
 func (f *Follower) Report(statuses []distribution.ResourceStatus) {
 	f.mu.Lock()
 	for i := range statuses {
+		if f.subscribed[statuses[i].Resource] == nil {
+			continue // nobody up there takes it
+		}
 		f.statuses[statuses[i].Resource] = &statuses[i]
 		f.unreported[statuses[i].Resource] = true
 	}
--- a/internal/distribution/follow/follower_test.go
+++ b/internal/distribution/follow/follower_test.go
@@ -218,6 +218,42 @@
 	}
 }
 
+// The last status of each resource goes beside the read, again after a report that is lost, and all of them in a new session;
+// none of what is followed no more.
+func TestStatuses(t *testing.T) {
+	f := start(t, version(1), "a")
+	cancel := f.Subscribe("q", version(1), f)
+	f.read().ok()
+	waiting := f.read()
+	status := func(name string, proxies int) distribution.ResourceStatus {
+		return distribution.ResourceStatus{Resource: name, Counts: []distribution.VersionCount{{Version: version(1), Proxies: proxies}}}
+	}
+	f.Report([]distribution.ResourceStatus{status("q", 1), status("r", 1), status("unfollowed", 1)})
+	report := f.next()
+	if len(report.req.Statuses) != 2 || report.req.HoldMs != 0 {
+		t.Errorf("%+v", report.req)
+	}
+	f.Report([]distribution.ResourceStatus{status("r", 2)})
+	report.fail(errors.New("lost"))
+	report = f.next()
+	if len(report.req.Statuses) != 2 || f.statuses["r"].Counts[0].Proxies != 2 {
+		t.Errorf("after a lost report: %+v", report.req)
+	}
+	report.ok()
+	cancel()
+	f.next().ok()
+	waiting.fail(distribution.ErrUnknownSession)
+	f.read().ok()
+	for {
+		if c := f.next(); len(c.req.Statuses) > 0 {
+			if c.req.Statuses[0].Resource != "r" || len(c.req.Statuses) != 1 {
+				t.Errorf("in a new session: %+v", c.req)
+			}
+			return
+		}
+	}
+}
+
 // A session that is unknown after a while is begun anew at the same relay, which has restarted. One that ends as soon as it
 // has begun (another process has the same name, say) is begun elsewhere, and here later.
 func TestUnknownSession(t *testing.T) {
