--- a/cmd/fernctl/rollout.go
+++ b/cmd/fernctl/rollout.go
@@ -31,7 +31,7 @@
 			{Name: "status", Usage: "who lacks the latest version of RESOURCE, and why", ArgsUsage: "RESOURCE", Action: rolloutStatus, Flags: []cli.Flag{from, jsonFlag()}},
 			{Name: "wait", Usage: "wait until VERSION of RESOURCE is in force everywhere", ArgsUsage: "RESOURCE VERSION", Action: rolloutWait,
 				Flags: []cli.Flag{from, &cli.DurationFlag{Name: "timeout", Value: 30 * time.Second, Usage: "wait for `TIME` at most"},
-					&cli.IntFlag{Name: "proxies", Usage: "in force at `N` proxies at least: fewer are known while relays start anew"}}},
+					&cli.IntFlag{Name: "proxies", Value: 1, Usage: "in force at `N` proxies at least: fewer are known while relays start anew"}}},
 		}}
 }
 
