Take ports below the ephemeral ones in the test of a sidecar before relays

Cause: 1 of 60 runs failed with no list in force after 60 s, on a machine with a load average of 83. The suspected cause, not proven: the sidecar's port was another process's connection by the time it listened. Change: the port lies below those of connections; the test ends at once where the sidecar does, and shows what its processes said and what source and relays know.

--- a/cmd/fernlanding/relays_test.go
+++ b/cmd/fernlanding/relays_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -43,8 +44,11 @@
 	cmd   *exec.Cmd
 	lines chan string // of both of its outputs; further ones are dropped
 	ended chan struct{}
+	said  []string // its lines, the first of them; to be read once it has ended
 }
 
+const mostSaid = 50 // lines of a process that a failing test shows
+
 // startProgram starts one until the test ends.
 func startProgram(t testing.TB, path string, args ...string) *process {
 	t.Helper()
@@ -61,6 +65,9 @@
 	go func() {
 		defer close(p.ended)
 		for s := bufio.NewScanner(out); s.Scan(); {
+			if len(p.said) < mostSaid {
+				p.said = append(p.said, s.Text())
+			}
 			select {
 			case p.lines <- s.Text():
 			default:
@@ -69,7 +76,12 @@
 		out.Close()
 		_ = p.cmd.Wait()
 	}()
-	t.Cleanup(p.kill)
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			t.Logf("%s %v:\n%s", filepath.Base(path), args, strings.Join(p.said, "\n"))
+		}
+	})
 	return p
 }
 
@@ -152,6 +164,7 @@
 		}
 		t.Cleanup((*b).Close)
 	}
+	t.Cleanup(f.show)
 	return f
 }
 
@@ -160,14 +173,20 @@
 	return startProgram(f.t, filepath.Join(f.dir, program), args...)
 }
 
+// freeAddress is an address that nothing listens at now, below the ports that connections are opened from: on a busy
+// machine one of these would be another's by the time that it is used.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	const first, ports, tries = 10_000, 20_000, 100
+	for range tries {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(ports)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	panic("unreachable")
 }
 
 // configure writes the sidecar's file with services, each of which follows the list of its name.
@@ -218,6 +237,20 @@
 	})
 }
 
+// show logs what the source and the relays know, where the test has failed.
+func (f *fleet) show() {
+	if !f.t.Failed() {
+		return
+	}
+	for _, address := range []string{f.source, f.relays[0].direct, f.relays[1].direct} {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		status, err := f.calls.Status(ctx, address, "lists/one")
+		stats, _ := f.calls.Stats(ctx, address)
+		cancel()
+		f.t.Logf("%s: %+v, %v; %+v", address, status, err, stats)
+	}
+}
+
 // ask sends requests to a service, one after the other, and returns how many were answered with 200.
 func (f *fleet) ask(service string, n int) (served int) {
 	f.t.Helper()
@@ -315,6 +348,7 @@
 	v := f.put("one", "a", f.one, "serving")
 	f.configure("one")
 	f.sidecar = f.start("fernlanding", "-config", f.file)
+	f.sidecar.line(f.t, "msg=ready") // or it has ended
 	f.inForce(f.source, "one", v)
 	if served := f.ask("one", 1); served != 1 {
 		f.t.Fatal("the first request is not served")
