Tell the held call of a test by its name, not by its arrival

On a busy machine the backend saw the third call first, and the test took that for the held one: 1 of 20 runs with -race at a load of 100. The bound on the held call's latency is a millisecond stricter.

--- a/internal/scale/latency/run_test.go
+++ b/internal/scale/latency/run_test.go
@@ -85,10 +85,10 @@
 	const calls = 20
 	release := make(chan struct{})
 	b, p := backendFor(t, 4, func(c *standin.Call) bool {
-		if c.Number == 1 {
+		switch c.Header.Get("Request-Id") { // not by the order of arrival, which may differ from that of sending
+		case "call-0000000001":
 			<-release
-		}
-		if c.Number == calls {
+		case "call-0000000020":
 			close(release)
 		}
 		return standin.Echo(c)
@@ -100,8 +100,8 @@
 	if tally.sent != calls || tally.served != calls || tally.failure != nil || b.Requests() != calls {
 		t.Errorf("%d sent, %d answered, %d came, %v; want %d of each", tally.sent, tally.served, b.Requests(), tally.failure, calls)
 	}
-	// The last call is due 19 ms after the first, which is answered only then.
-	if slowest := time.Duration(tally.latency.Max()); slowest < (calls-2)*time.Millisecond {
+	// The last call is due 19 ms after the first, which is answered only then; a histogram holds three digits.
+	if slowest := time.Duration(tally.latency.Max()); slowest < (calls-1)*time.Millisecond*999/1000 {
 		t.Errorf("the held call counts as %v", slowest)
 	}
 }
