Leave a latency run's verdict open where the machine was too busy

Three runs at loads of 28 to 113 had direct calls differ from direct calls by up to 399 ms at the p99, and the one that came to its end said that the goal was missed. A verdict now needs a median further from the goal than half of the rounds' direct calls lie apart, and a client that sent on time.

--- a/internal/scale/latency/print.go
+++ b/internal/scale/latency/print.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"text/tabwriter"
 )
 
@@ -33,12 +34,38 @@
 	}
 	x.All.print(w, "all")
 	w.Flush()
-	verdict := "reached"
-	if x.AddedP99.Median > target {
-		verdict = "missed"
-	}
 	fmt.Fprintf(w, "added p50 %s, p99 %s (goal %s); paired by rank p99 %s; direct against direct p99 %s; a call has the sidecars' threads %.0f us on a core and %.0f us waiting for one\n",
-		x.AddedP50, x.AddedP99, verdict, x.CoupledP99, x.SameP99, x.SidecarCPUPerCallUS, x.SidecarWaitPerCallUS)
+		x.AddedP50, x.AddedP99, x.Verdict(target), x.CoupledP99, x.SameP99, x.SidecarCPUPerCallUS, x.SidecarWaitPerCallUS)
+}
+
+// Verdict says whether the median of the rounds' added p99s keeps within a goal.
+type Verdict string
+
+// The verdicts.
+const (
+	Reached   Verdict = "reached"
+	Missed    Verdict = "missed"
+	Undecided Verdict = "undecided" // the machine was too busy to tell
+)
+
+// lateForGoal is the part of a goal by which 1 in 100 calls may be sent late, or the run says nothing of the goal.
+const lateForGoal = 0.1
+
+// Verdict holds a case against a goal in milliseconds. It is undecided where the median lies no further from the goal than direct calls
+// from direct calls in half of the rounds, and where the client was itself held up.
+func (x *CaseResult) Verdict(target float64) Verdict {
+	noise := make([]float64, len(x.Rounds))
+	for i := range x.Rounds {
+		noise[i] = math.Abs(x.Rounds[i].SameP99)
+	}
+	distance := x.AddedP99.Median - target
+	switch {
+	case math.Abs(distance) <= spreadOf(noise).Median, x.All.SendLatenessP99 > lateForGoal*target:
+		return Undecided
+	case distance > 0:
+		return Missed
+	}
+	return Reached
 }
 
 // String is the median with the lowest and the highest.
--- a/internal/scale/latency/result_test.go
+++ b/internal/scale/latency/result_test.go
@@ -104,6 +104,25 @@
 	}
 }
 
+// A goal that lies nearer to the median than direct calls lie to direct calls is neither reached nor missed.
+func TestVerdict(t *testing.T) {
+	c := &goodResult().Cases[0] // added p99: 0.375 ms; direct against direct: 0.02 ms
+	for target, want := range map[float64]Verdict{0.34: Missed, 0.36: Undecided, 0.375: Undecided, 0.39: Undecided, 0.41: Reached} {
+		if got := c.Verdict(target); got != want {
+			t.Errorf("goal %g ms: %s, want %s", target, got, want)
+		}
+	}
+	c.Rounds[0].SameP99, c.Rounds[1].SameP99 = -3, 2
+	if got := c.Verdict(0.34); got != Undecided {
+		t.Errorf("with noise of either sign: %s, want %s", got, Undecided)
+	}
+	late := &goodResult().Cases[0]
+	late.All.SendLatenessP99 = 0.05
+	if got := late.Verdict(0.34); got != Undecided {
+		t.Errorf("with a client that sends late: %s, want %s", got, Undecided)
+	}
+}
+
 // The results that are committed can be read.
 func TestCommittedResults(t *testing.T) {
 	files, err := filepath.Glob("../../../deploy/scale/results/latency-*.json")
