--- a/internal/scale/predict/measured.go
+++ b/internal/scale/predict/measured.go
@@ -207,7 +207,15 @@
 		added := fmt.Sprintf("%s, %s, %s m", short(l.AddedP99.Median), short(l.AddedP99.Lowest), short(l.AddedP99.Highest))
 		same := fmt.Sprintf("%s, %s, %s m", short(l.SameP99.Median), short(l.SameP99.Lowest), short(l.SameP99.Highest))
 		t.Rows = append(t.Rows, []string{"`" + l.File + "`", l.Case, short(l.RatePerSecond), fmt.Sprint(l.Hops), short(l.DirectP99) + " m", short(l.Through) + " m", added, same,
-			short(l.CPUPerCallMicros) + " m", verdict(known(l.AddedP99.Median), c.t.Limits.AddedP99Ms)})
+			short(l.CPUPerCallMicros) + " m", c.latencyVerdict(&l)})
 	}
 	return t
 }
+
+// latencyVerdict holds what is added against what is allowed, where the method is finer than that.
+func (c *Calculator) latencyVerdict(l *Latency) string {
+	if l.noise() > c.t.Limits.AddedP99Ms {
+		return "cannot be told: the run's noise is larger than what is allowed"
+	}
+	return verdict(known(l.AddedP99.Median), c.t.Limits.AddedP99Ms)
+}
--- a/internal/scale/predict/order.go
+++ b/internal/scale/predict/order.go
@@ -97,13 +97,22 @@
 func (c *Calculator) addedLatency(hops int) candidate {
 	x := candidate{name: fmt.Sprintf("a faster way through: p99 added, %d in a row", hops), figures: fmt.Sprintf("%s ms allowed", short(c.t.Limits.AddedP99Ms))}
 	for _, l := range c.e.Latency {
-		if l.Hops == hops && math.Abs(l.RatePerSecond/c.ratePerProxy()-1) < sameRate {
+		if l.Hops != hops || math.Abs(l.RatePerSecond/c.ratePerProxy()-1) >= sameRate {
+			continue
+		}
+		x.figures += fmt.Sprintf("; %s ms measured, the method against itself up to %s ms", short(l.AddedP99.Median), short(l.noise()))
+		if l.noise() <= c.t.Limits.AddedP99Ms {
 			x.without = known(l.AddedP99.Median / c.t.Limits.AddedP99Ms)
 		}
 	}
 	return x
 }
 
+// noise is the most by which a way differs from itself.
+func (l *Latency) noise() float64 {
+	return max(math.Abs(l.SameP99.Lowest), math.Abs(l.SameP99.Highest))
+}
+
 // sameRate is the part by which two rates may differ and count as the same.
 const sameRate = 0.2
 
--- a/internal/scale/predict/predict_test.go
+++ b/internal/scale/predict/predict_test.go
@@ -168,6 +168,23 @@
 	}
 }
 
+func TestLatencyIsJudgedOnlyWhereNoiseIsSmaller(t *testing.T) {
+	x := target(t)
+	quiet := Latency{Hops: 1, RatePerSecond: 271, AddedP99: Spread{0.68, 0.6, 0.7}, SameP99: Spread{0, -0.1, 0.1}}
+	noisy := Latency{Hops: 7, RatePerSecond: 271, AddedP99: Spread{0.68, 0.6, 0.7}, SameP99: Spread{0, -4, 0.1}}
+	c := NewCalculator(x, NewEvidence(nil, []Latency{quiet, noisy}))
+	if got := c.addedLatency(1).without; !got.known || !near(got.value, 2, 1e-9) {
+		t.Errorf("one hop: %+v, 2 expected", got)
+	}
+	if got := c.addedLatency(7); got.without.known || !strings.Contains(got.figures, "up to 4 ms") {
+		t.Errorf("seven hops: %+v, the noise expected", got)
+	}
+	rows := c.Latencies().Rows
+	if last := len(rows[0]) - 1; rows[0][last] != "**misses by 2 times**" || !strings.HasPrefix(rows[1][last], "cannot be told") {
+		t.Errorf("%q and %q", rows[0][last], rows[1][last])
+	}
+}
+
 func TestFillReplacesWhatStandsBetweenMarkers(t *testing.T) {
 	c := calculator(t)
 	page := "before\n" + begin + "sizes" + closed + "\nstale\n" + finish + "\nafter\n"
