--- a/internal/scale/fit/figure.go
+++ b/internal/scale/fit/figure.go
@@ -162,7 +162,7 @@
 		for k := range p.Rounds {
 			r := &p.Rounds[k]
 			if value, ok := measured(r, role, figure); ok {
-				all = append(all, observation{at: DriversOf(p.Size, cost(r, role).Processes), x: Along(res.Dimension, p.Size), value: value})
+				all = append(all, observation{at: DriversOf(p.Size, cost(r, role).Processes, r.Relays.Processes), x: Along(res.Dimension, p.Size), value: value})
 			}
 		}
 	}
--- a/internal/scale/fit/fit_test.go
+++ b/internal/scale/fit/fit_test.go
@@ -34,7 +34,7 @@
 		}
 		p := result.Point{Size: size}
 		for range 3 {
-			value := truth(DriversOf(size, 1)) * (1 + noise*rng.NormFloat64())
+			value := truth(DriversOf(size, 1, 0)) * (1 + noise*rng.NormFloat64())
 			p.Rounds = append(p.Rounds, result.Round{Seconds: 10, Proxies: result.Cost{Processes: 1, BytesIn: int64(10 * value)}})
 		}
 		r.Points = append(r.Points, p)
--- a/internal/scale/fit/heldout.go
+++ b/internal/scale/fit/heldout.go
@@ -55,12 +55,13 @@
 		c := Comparison{Scenario: res.Scenario, Source: res.Source, Size: p.Size, Role: model.Role, Figure: model.Figure}
 		n := 0
 		for k := range p.Rounds {
-			value, ok := measured(&p.Rounds[k], model.Role, model.Figure)
+			r := &p.Rounds[k]
+			value, ok := measured(r, model.Role, model.Figure)
 			if !ok {
 				continue
 			}
 			c.Measured += value
-			c.Predicted += model.Predict(DriversOf(p.Size, cost(&p.Rounds[k], model.Role).Processes))
+			c.Predicted += model.Predict(DriversOf(p.Size, cost(r, model.Role).Processes, r.Relays.Processes))
 			n++
 		}
 		if n > 0 {
--- a/internal/scale/fit/model.go
+++ b/internal/scale/fit/model.go
@@ -11,6 +11,7 @@
 // are worked out, where services differ in size and in how many follow them.
 type Drivers struct {
 	Processes        float64 // of the role
+	Relays           float64 // that stand between; those that a source has as followers, where it is the role
 	Proxies          float64
 	Followed         float64 // services, added up over the proxies that follow them
 	EndpointsHeld    float64 // endpoints of these
@@ -22,10 +23,10 @@
 	Endpoints        float64 // in all
 }
 
-// DriversOf are the drivers of a measured size.
-func DriversOf(s result.Size, processes int) Drivers {
+// DriversOf are the drivers of a measured size, with the number of a role's processes and that of relays.
+func DriversOf(s result.Size, processes, relays int) Drivers {
 	n, services, backends := float64(s.Proxies), float64(s.Services), float64(s.Backends)
-	d := Drivers{Processes: float64(processes), Proxies: n, Followed: n * services, EndpointsHeld: n * services * backends,
+	d := Drivers{Processes: float64(processes), Relays: float64(relays), Proxies: n, Followed: n * services, EndpointsHeld: n * services * backends,
 		Changes: s.ChangesPerSecond, Calls: n * s.CallsPerSecond, Services: float64(s.ServicesInAll), Endpoints: float64(s.ServicesInAll) * backends}
 	if s.ServicesInAll > 0 {
 		d.Delivered = s.ChangesPerSecond * n * services / float64(s.ServicesInAll)
@@ -55,18 +56,36 @@
 		{"endpoint of a changed list a second", func(d *Drivers) float64 { return d.EndpointsChanged }},
 	}
 	calls := driver{"call a second", func(d *Drivers) float64 { return d.Calls }}
-	origin := []driver{
-		{"change a second", func(d *Drivers) float64 { return d.Changes }},
-		{"service in all", func(d *Drivers) float64 { return d.Services }},
-		{"endpoint in all", func(d *Drivers) float64 { return d.Endpoints }},
-	}
 	switch {
 	case figure.IsTime():
 		return append([]driver{constant}, load...)
 	case role == Proxies:
 		return append(append(base, calls), load...)
+	case role == Relays:
+		return append(append(base, load...), atEachRelay()...)
+	}
+	return append(append(base, load...), atTheOrigin()...)
+}
+
+// atEachRelay are the drivers of what every relay does for itself: each follows all that those behind it follow.
+func atEachRelay() []driver {
+	return []driver{
+		{"relay", func(d *Drivers) float64 { return d.Relays }},
+		{"change to each relay a second", func(d *Drivers) float64 { return d.Changes * d.Relays }},
+		{"service at each relay", func(d *Drivers) float64 { return d.Services * d.Relays }},
+		{"endpoint at each relay", func(d *Drivers) float64 { return d.Endpoints * d.Relays }},
+	}
+}
+
+// atTheOrigin are the drivers of what a list service or a source does whoever follows it, and for its relays.
+func atTheOrigin() []driver {
+	return []driver{
+		{"change a second", func(d *Drivers) float64 { return d.Changes }},
+		{"service in all", func(d *Drivers) float64 { return d.Services }},
+		{"endpoint in all", func(d *Drivers) float64 { return d.Endpoints }},
+		{"relay", func(d *Drivers) float64 { return d.Relays }},
+		{"change to each relay a second", func(d *Drivers) float64 { return d.Changes * d.Relays }},
 	}
-	return append(append(base, load...), origin...)
 }
 
 // Term is the cost of one unit of a driver.
--- a/internal/scale/predict/events.go
+++ b/internal/scale/predict/events.go
@@ -115,9 +115,9 @@
 	extra := c.e.predict(w, fit.Proxies, fit.BytesIn, d)
 	extra.value -= c.e.predict(w, fit.Proxies, fit.BytesIn, rest).value
 	out.bytes = amount{(extra.value*x.load.seconds + whole.bytes(reads, wholeEndpoints) + resumed) / float64(s.fleet.Proxies), extra.known}
-	at := c.e.predict(w, fit.Relays, fit.CPU, d)
-	out.cores = amount{at.value + whole.cpuSeconds(reads+x.resumes, wholeEndpoints)/x.load.seconds, at.known && whole.measured}
 	zone, _ := c.relays(s.fleet)
+	at := c.e.predict(w, fit.Relays, fit.CPU, ofRelays(zone, d))
+	out.cores = amount{at.value + whole.cpuSeconds(reads+x.resumes, wholeEndpoints)/x.load.seconds, at.known && whole.measured}
 	out.inForce = c.inForce(w, out.cores, x.load.seconds, zone, relayHops)
 	return out
 }
--- a/internal/scale/predict/evidence.go
+++ b/internal/scale/predict/evidence.go
@@ -132,7 +132,7 @@
 	sum, n := 0.0, 0
 	for _, p := range e.pairs {
 		if p.Source == w && p.Role == fit.Proxies && p.Figure == f {
-			d := fit.DriversOf(p.Size, 0)
+			d := fit.DriversOf(p.Size, 0, 0)
 			sum += (p.Real - m.Predict(d)) / d.Proxies
 			n++
 		}
--- a/internal/scale/predict/predict_test.go
+++ b/internal/scale/predict/predict_test.go
@@ -65,7 +65,7 @@
 
 func made(w way, size result.Size) result.Round {
 	const span = 10.0
-	d := fit.DriversOf(size, 2)
+	d := fit.DriversOf(size, 2, 0)
 	r := result.Round{Seconds: span, Proxies: result.Cost{Processes: 2, RSSBytes: int64(2*memoryAProcess + memoryAnEntry*d.EndpointsHeld), Connections: size.Proxies},
 		Lists: result.Cost{Processes: 1, Connections: size.Proxies, RSSBytes: 1e7}}
 	if d.Changes > 0 {
--- a/internal/scale/predict/roles.go
+++ b/internal/scale/predict/roles.go
@@ -148,13 +148,14 @@
 func (c *Calculator) tiersOf(w way, s *shape, d fit.Drivers) []tier {
 	state := fmt.Sprintf("%d services, %d endpoints t", s.fleet.Services, s.fleet.Proxies)
 	if w != result.SourceRelay {
-		return []tier{{name: "list services, all zones", role: fit.Lists, d: d, state: state, have: float64(c.t.Limits.ControlMachines)}}
+		d.Processes = float64(c.t.Limits.ControlMachines)
+		return []tier{{name: "list services, all zones", role: fit.Lists, d: d, state: state, have: d.Processes}}
 	}
 	zone, region := c.relays(s.fleet)
 	return []tier{
-		{name: "relays of the zones, all", role: fit.Relays, d: d, state: state + "; a position for each proxy and service", have: zone},
-		{name: "relays of the regions, all", role: fit.Relays, d: c.followedBy(s, zone, d), state: state, have: region},
-		{name: "source", role: fit.Lists, d: c.followedBy(s, region, d), state: state + "; on disk", have: 1},
+		{name: "relays of the zones, all", role: fit.Relays, d: ofRelays(zone, d), state: state + "; a position for each proxy and service", have: zone},
+		{name: "relays of the regions, all", role: fit.Relays, d: ofRelays(region, c.followedBy(s, zone, d)), state: state, have: region},
+		{name: "source", role: fit.Lists, d: ofSource(region, d), state: state + "; on disk", have: 1},
 	}
 }
 
@@ -166,14 +167,25 @@
 // followedBy are the drivers of a tier whose followers are n relays that follow everything between them.
 func (c *Calculator) followedBy(s *shape, n float64, d fit.Drivers) fit.Drivers {
 	services := float64(s.fleet.Services)
-	out := fit.Drivers{Processes: 0, Proxies: n, Followed: n * services, EndpointsHeld: n * total(s.sizes), Changes: d.Changes, Services: d.Services, Endpoints: d.Endpoints}
+	out := fit.Drivers{Proxies: n, Followed: n * services, EndpointsHeld: n * total(s.sizes), Changes: d.Changes, Services: d.Services, Endpoints: d.Endpoints}
 	out.Delivered = n * d.Changes
 	out.EndpointsChanged = out.Delivered * total(s.sizes) / services
 	return out
 }
 
+// ofRelays are the drivers of n relays, one on each machine.
+func ofRelays(n float64, d fit.Drivers) fit.Drivers {
+	d.Processes, d.Relays = n, n
+	return d
+}
+
+// ofSource are the drivers of the source, whose followers are n relays that report for the whole fleet.
+func ofSource(n float64, d fit.Drivers) fit.Drivers {
+	d.Processes, d.Relays = 1, n
+	return d
+}
+
 func (c *Calculator) tierRow(w way, x tier) []string {
-	x.d.Processes = x.have // one on each machine
 	get := func(f fit.Figure) amount { return c.e.predict(w, x.role, f, x.d) }
 	cpu, in, out := get(fit.CPU), get(fit.BytesIn), get(fit.BytesOut)
 	need := c.machines(cpu, amount{max(in.value, out.value), in.known && out.known})
