--- a/internal/check/mutants_test.go
+++ b/internal/check/mutants_test.go
@@ -416,31 +416,10 @@
 	resp.Body.Close()
 }
 
-// requests are those that lead to the classes of an application's routes.
+// requests are those that lead to the classes of an application's routes, with the classes that cause each.
 func requests(app *config.App) (out []leading, causes [][]string) {
 	for i := range app.Routes {
-		r := &app.Routes[i]
-		one := leading{class: r.To[0].Class, method: "POST", path: r.Match.Path}
-		if one.path == "" {
-			one.path = "/"
-		}
-		if r.Match.Kind == route.Template {
-			parts := strings.Split(one.path, "/")
-			for n, p := range parts {
-				if strings.HasPrefix(p, "{") {
-					parts[n] = "7"
-				}
-			}
-			one.path = strings.Join(parts, "/")
-		}
-		if len(r.Match.Methods) > 0 {
-			one.method = r.Match.Methods[0]
-		}
-		if len(r.Match.Hosts) > 0 {
-			one.host = strings.Replace(r.Match.Hosts[0], "*", "x", 1)
-		}
-		s := app.Service(r.To[0].Service)
-		one.key = s.Rules[s.Class(one.class)].Key
+		one := requestOf(app, i)
 		// Another route may take the path before: what class it then is, that one says.
 		table, numbers, err := app.Table(app.Listeners[0].Name)
 		if err != nil {
@@ -449,7 +428,7 @@
 		if n, err := table.Match(route.Request{Method: one.method, Host: one.host, Path: one.path}); err != nil || n < 0 || numbers[n] != i {
 			continue
 		}
-		cause := r.For
+		cause := app.Routes[i].For
 		if len(cause) == 0 {
 			for _, s := range app.Serves {
 				cause = append(cause, s+"/*")
@@ -460,56 +439,113 @@
 	return out, causes
 }
 
+// requestOf is a request that a route takes.
+func requestOf(app *config.App, number int) leading {
+	r := &app.Routes[number]
+	one := leading{class: r.To[0].Class, method: "POST", path: r.Match.Path}
+	if one.path == "" {
+		one.path = "/"
+	}
+	if r.Match.Kind == route.Template {
+		parts := strings.Split(one.path, "/")
+		for n, p := range parts {
+			if strings.HasPrefix(p, "{") {
+				parts[n] = "7"
+			}
+		}
+		one.path = strings.Join(parts, "/")
+	}
+	if len(r.Match.Methods) > 0 {
+		one.method = r.Match.Methods[0]
+	}
+	if len(r.Match.Hosts) > 0 {
+		one.host = strings.Replace(r.Match.Hosts[0], "*", "x", 1)
+	}
+	s := app.Service(r.To[0].Service)
+	one.key = s.Rules[s.Class(one.class)].Key
+	return one
+}
+
+// chain is how requests go through applications: in at the entries, and on from the desk of each service.
+type chain struct {
+	entries []entry
+	desk    map[string]string    // of a service: the sidecar of the application that serves it
+	inner   map[string][]leading // of service/class: the requests that it causes
+}
+
+// entry is the sidecar of an application that serves nobody, and the requests that it is asked for.
+type entry struct {
+	addr string
+	asks []leading
+}
+
+// add adds an application whose sidecar is at an address.
+func (c *chain) add(root table, app *config.App, addr string) {
+	asks, causes := requests(app)
+	if len(app.Serves) == 0 {
+		c.entries = append(c.entries, entry{addr, asks})
+	}
+	for _, service := range app.Serves {
+		if c.desk[service] != "" {
+			continue // another application's backends
+		}
+		c.desk[service] = addr
+		for i, r := range asks {
+			for _, cause := range causes[i] {
+				c.addCause(root, service, cause, r)
+			}
+		}
+	}
+}
+
+// addCause adds that a class of a service, or * for all of them, causes a request.
+func (c *chain) addCause(root table, service, cause string, r leading) {
+	of, class, _ := strings.Cut(cause, "/")
+	if of != service {
+		return
+	}
+	if class != "*" {
+		c.inner[cause] = append(c.inner[cause], r)
+		return
+	}
+	classes, _ := sub(root, "services", service, "classes").(table)
+	for name := range classes {
+		c.inner[service+"/"+name] = append(c.inner[service+"/"+name], r)
+	}
+}
+
 // serve serves through what was generated and returns the effects that happened twice.
 func (w *world) serve(t *testing.T, seed uint64, root table, docs []*config.Document) (twice []string, sent int) {
 	ctx, stop := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	defer all.Wait()
 	defer stop()
-	type entry struct {
-		addr string
-		asks []leading
-	}
-	var entries []entry
-	desk, inner := map[string]string{}, map[string][]leading{}
+	c := chain{desk: map[string]string{}, inner: map[string][]leading{}}
 	for _, d := range docs {
-		for i := range d.App.Listeners {
-			d.App.Listeners[i].Address = "127.0.0.1:0"
-		}
-		s, err := sidecar.New(d.App, slog.New(slog.DiscardHandler))
+		s, err := sidecarOf(d)
 		if err != nil {
 			t.Fatalf("mutant %d: accepted, and not loaded: %s: %v", seed, d.File, err)
 		}
 		all.Go(func() { _ = s.Run(ctx) })
-		asks, causes := requests(d.App)
-		if len(d.App.Serves) == 0 {
-			entries = append(entries, entry{s.Addr(), asks})
-		}
-		for _, of := range d.App.Serves {
-			if desk[of] != "" {
-				continue // another application's backends
-			}
-			desk[of] = s.Addr()
-			for i, r := range asks {
-				for _, c := range causes[i] {
-					if service, class, _ := strings.Cut(c, "/"); service == of {
-						if class != "*" {
-							inner[c] = append(inner[c], r)
-							continue
-						}
-						classes, _ := sub(root, "services", of, "classes").(table)
-						for name := range classes {
-							inner[of+"/"+name] = append(inner[of+"/"+name], r)
-						}
-					}
-				}
-			}
-		}
+		c.add(root, d.App, s.Addr())
 	}
 	w.mu.Lock()
-	w.root, w.desk, w.inner, w.rnd = root, desk, inner, rand.New(rand.NewPCG(seed, 2))
+	w.root, w.desk, w.inner, w.rnd = root, c.desk, c.inner, rand.New(rand.NewPCG(seed, 2))
 	w.records, w.effects = map[string]time.Time{}, map[string]int{}
 	w.mu.Unlock()
+	sent = w.load(seed, c.entries)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, k := range slices.Sorted(maps.Keys(w.effects)) {
+		if w.effects[k] > 1 {
+			twice = append(twice, fmt.Sprintf("%s: %d times", k, w.effects[k]))
+		}
+	}
+	return twice, sent
+}
+
+// load sends the requests of all entries at once, and returns how many they are when all have ended.
+func (w *world) load(seed uint64, entries []entry) (sent int) {
 	var clients sync.WaitGroup
 	for n, e := range entries {
 		for i, r := range e.asks {
@@ -520,14 +556,15 @@
 		}
 	}
 	clients.Wait()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, k := range slices.Sorted(maps.Keys(w.effects)) {
-		if w.effects[k] > 1 {
-			twice = append(twice, fmt.Sprintf("%s: %d times", k, w.effects[k]))
-		}
+	return sent
+}
+
+// sidecarOf has a sidecar take a file, with listeners at any free ports.
+func sidecarOf(d *config.Document) (*sidecar.Sidecar, error) {
+	for i := range d.App.Listeners {
+		d.App.Listeners[i].Address = "127.0.0.1:0"
 	}
-	return twice, sent
+	return sidecar.New(d.App, slog.New(slog.DiscardHandler))
 }
 
 // tally is what became of the mutants.
@@ -607,10 +644,7 @@
 func loads(t *testing.T, seed uint64, docs []*config.Document) {
 	t.Helper()
 	for _, d := range docs {
-		for i := range d.App.Listeners {
-			d.App.Listeners[i].Address = "127.0.0.1:0"
-		}
-		s, err := sidecar.New(d.App, slog.New(slog.DiscardHandler))
+		s, err := sidecarOf(d)
 		if err != nil {
 			t.Errorf("mutant %d: accepted, and not loaded: %s: %v", seed, d.File, err)
 			continue
