--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -127,7 +127,8 @@
 // instead, and the follower begins anew with all its positions.
 type FollowResponse struct {
 	Session     string   `json:"session"`
-	SourceAgeMs int64    `json:"source_age_ms"` // since the relay last heard from the source; 0 at the source
+	SourceAgeMs int64    `json:"source_age_ms"`     // since the relay last heard from the source; 0 at the source
+	CutOff      bool     `json:"cut_off,omitempty"` // the relay has lost all its upstreams, and may miss what others have
 	Updates     []Update `json:"updates,omitempty"`
 }
 
