--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -127,8 +127,7 @@
 // instead, and the follower begins anew with all its positions.
 type FollowResponse struct {
 	Session     string   `json:"session"`
-	SourceAgeMs int64    `json:"source_age_ms"`     // since the relay last heard from the source; 0 at the source
-	CutOff      bool     `json:"cut_off,omitempty"` // the relay has lost all its upstreams, and may miss what others have
+	SourceAgeMs int64    `json:"source_age_ms"` // since the relay last heard from the source; 0 at the source
 	Updates     []Update `json:"updates,omitempty"`
 }
 
--- a/internal/distribution/follow/follower.go
+++ b/internal/distribution/follow/follower.go
@@ -32,10 +32,6 @@
 	// of up to returnSpread, so that not all its followers come back at once.
 	probeEvery   = 2 * time.Second
 	returnSpread = 5 * time.Second
-	// While the relay that is read from is cut off from the source, all others are asked for their health: first within
-	// awayWithin, each time within twice as long, up to mostAway. The first that is not cut off is read from at once.
-	awayWithin = 500 * time.Millisecond
-	mostAway   = 4 * time.Second
 	// missedAfter is how long after a hold no relay has answered until that is news.
 	missedAfter = 2 * time.Second
 	// sayEvery is how often the log has that no relay answers.
@@ -76,7 +72,6 @@
 	Silent    time.Time     // since when no relay has answered; zero while one does
 	Heard     time.Time     // the last answer
 	SourceAge time.Duration // how long before Heard the source was last heard
-	CutOff    bool          // the relay has lost all its upstreams
 }
 
 // Stats count since the start.
--- a/internal/distribution/follow/follower_test.go
+++ b/internal/distribution/follow/follower_test.go
@@ -29,10 +29,7 @@
 }
 
 // scripted is a Transport whose calls the test answers.
-type scripted struct {
-	calls   chan call
-	healthy atomic.Pointer[string] // the address that says it is; nil: none
-}
+type scripted struct{ calls chan call }
 
 func (s *scripted) Follow(ctx context.Context, address string, req *distribution.FollowRequest) (*distribution.FollowResponse, error) {
 	c := call{address, *req, make(chan answer, 1)}
@@ -49,14 +46,8 @@
 	}
 }
 
-func (s *scripted) Healthy(_ context.Context, address string) error {
-	if healthy := s.healthy.Load(); healthy != nil && *healthy == address {
-		return nil
-	}
-	return errors.New("not healthy")
-}
-
-func (s *scripted) Close() {}
+func (s *scripted) Healthy(context.Context, string) error { return errors.New("not healthy") }
+func (s *scripted) Close()                                {}
 
 // fixture is a running Follower on a scripted Transport.
 type fixture struct {
@@ -72,7 +63,7 @@
 
 func start(t *testing.T, has distribution.Version, relays ...string) *fixture {
 	t.Helper()
-	f := &fixture{t: t, transport: &scripted{calls: make(chan call)}, updates: make(chan distribution.Update, 10), missed: make(chan bool, 100),
+	f := &fixture{t: t, transport: &scripted{make(chan call)}, updates: make(chan distribution.Update, 10), missed: make(chan bool, 100),
 		told: make(map[string]distribution.Position)}
 	cfg := Config{Name: "p", Kind: distribution.KindProxy, Relays: relays, Rand: testRand(), Hold: time.Minute}
 	f.Follower = newFollower(cfg, f.transport, new(wireCounter))
@@ -265,38 +256,3 @@
 		t.Errorf("%+v", h)
 	}
 }
-
-// A relay that is cut off from the source is left for one that is not, without waiting for the end of a read; while there is
-// none it is read from on, and so it is when it is well again.
-func TestCutOffRelayIsLeft(t *testing.T) {
-	f := start(t, version(1), "a", "b")
-	cutOff := func(c call, is bool) {
-		c.answer <- answer{response: &distribution.FollowResponse{Session: "s", CutOff: is}}
-	}
-	first := f.read()
-	cutOff(first, true)
-	waiting := f.read()
-	if waiting.address != first.address || !f.Health().CutOff {
-		t.Fatalf("reads from %s, %+v; %s and cut off expected", waiting.address, f.Health(), first.address)
-	}
-	cutOff(waiting, false) // well again
-	waiting = f.read()
-	if waiting.address != first.address || f.Health().CutOff {
-		t.Fatalf("reads from %s, %+v; %s and not cut off expected", waiting.address, f.Health(), first.address)
-	}
-	cutOff(waiting, true)
-	waiting = f.read()
-	other := "a"
-	if first.address == other {
-		other = "b"
-	}
-	f.transport.healthy.Store(&other)
-	next := f.read() // though nobody has answered the one that waits
-	if next.address != other || next.req.Session != "" || len(next.req.Positions) != 1 {
-		t.Errorf("%+v; a session at %s expected", next, other)
-	}
-	next.ok()
-	if again := f.read(); again.address != other {
-		t.Errorf("reads from %s", again.address)
-	}
-}
--- a/internal/distribution/follow/reader.go
+++ b/internal/distribution/follow/reader.go
@@ -29,14 +29,10 @@
 	sending sync.Mutex
 
 	choosing  sync.Mutex
-	choice    int                     // the relay that is read from
-	preferred int                     // a choice that is better: an earlier one, or one that is not cut off
-	returning bool                    // preferred is set
-	away      bool                    // preferred may be a later choice, since choice is cut off
-	cutOff    bool                    // choice has lost all its upstreams
-	probing   bool                    // a probe runs
-	interrupt context.CancelCauseFunc // of the read that is under way
-	hurry     chan struct{}           // choice has lost all its upstreams just now
+	choice    int  // the relay that is read from
+	preferred int  // an earlier choice that can be returned to
+	returning bool // preferred is set
+	probing   bool // a probe runs
 
 	began    time.Time
 	missedAt time.Time
@@ -54,7 +50,7 @@
 }
 
 func newReader(f *Follower, ctx context.Context) *reader {
-	return &reader{Follower: f, ctx: ctx, hurry: make(chan struct{}, 1), picker: newPicker(f.cfg.Name, f.cfg.Relays), began: f.now()}
+	return &reader{Follower: f, ctx: ctx, picker: newPicker(f.cfg.Name, f.cfg.Relays), began: f.now()}
 }
 
 // readLoop reads again and again.
@@ -65,7 +61,6 @@
 		switch {
 		case r.ctx.Err() != nil:
 			return
-		case errors.Is(err, errInterrupted): // there is a better choice
 		case err != nil:
 			r.failed(err)
 		default:
@@ -87,9 +82,6 @@
 	return 0
 }
 
-// errInterrupted ends a read of a relay that is cut off from the source when another one has been found that is not.
-var errInterrupted = errors.New("interrupted")
-
 // read reads once: where there is no session, one begins, and the answer does not wait.
 func (r *reader) read() error {
 	req := r.compose(r.current)
@@ -97,17 +89,9 @@
 	if req.Session != "" {
 		patience += r.cfg.Hold
 	}
-	interruptible, interrupt := context.WithCancelCause(r.ctx)
-	defer interrupt(nil)
-	r.choosing.Lock()
-	r.interrupt = interrupt
-	r.choosing.Unlock()
-	ctx, cancel := context.WithTimeout(interruptible, patience)
+	ctx, cancel := context.WithTimeout(r.ctx, patience)
 	defer cancel()
 	response, err := r.transport.Follow(ctx, req.address, &req.FollowRequest)
-	if err != nil && req.Session != "" && context.Cause(interruptible) == errInterrupted {
-		return errInterrupted
-	}
 	if err != nil {
 		return err
 	}
@@ -126,7 +110,7 @@
 		r.farewell(r.left)
 		r.left = nil
 	}
-	if r.current > 0 || r.isCutOff() {
+	if r.current > 0 {
 		r.startProbe()
 	}
 }
@@ -148,13 +132,7 @@
 // heard takes that a relay has answered.
 func (r *reader) heard(choice int, req *request, response *distribution.FollowResponse) {
 	r.choosing.Lock()
-	if r.choice = choice; response.CutOff && !r.cutOff {
-		select {
-		case r.hurry <- struct{}{}:
-		default:
-		}
-	}
-	r.cutOff = response.CutOff
+	r.choice = choice
 	r.choosing.Unlock()
 
 	r.mu.Lock()
@@ -171,7 +149,7 @@
 		r.relay = req.address
 	}
 	r.session = response.Session
-	r.health = Health{Relay: req.address, Heard: now, SourceAge: time.Duration(response.SourceAgeMs) * time.Millisecond, CutOff: response.CutOff}
+	r.health = Health{Relay: req.address, Heard: now, SourceAge: time.Duration(response.SourceAgeMs) * time.Millisecond}
 	r.missedAt, r.saidAt = time.Time{}, time.Time{}
 	if len(r.unreported) > 0 { // what else is to be said goes with the next read
 		r.reportSoon()
@@ -341,88 +319,34 @@
 	r.beside.Go(func() { r.probe(random) })
 }
 
-// probe asks until the first choice is read from and is not cut off.
+// probe asks until the first choice is read from.
 func (r *reader) probe(random *rand.Rand) {
-	drawn := func(most time.Duration) time.Duration { return time.Duration(random.Int64N(int64(most))) }
-	within := awayWithin
-	for {
-		choice, cutOff, needed := r.probed()
+	for r.sleep(probeEvery/2 + time.Duration(random.Int64N(int64(probeEvery)))) {
+		choice, needed := r.probed()
 		if !needed {
 			return
 		}
-		if cutOff {
-			if !r.sleep(drawn(within)) {
-				return
+		for i := range choice {
+			if !r.healthy(i) {
+				continue
 			}
-			within = min(2*within, mostAway)
-			r.prefer(choice, r.firstHealthy(len(r.picker.relays), choice), true)
-			continue
-		}
-		within = awayWithin
-		if hurried, on := r.sleepUnlessHurried(probeEvery/2 + drawn(probeEvery)); !on {
-			return
-		} else if hurried {
-			continue
-		}
-		if better := r.firstHealthy(choice, choice); better >= 0 {
-			if !r.sleep(drawn(returnSpread)) {
+			if !r.sleep(time.Duration(random.Int64N(int64(returnSpread)))) {
 				return
 			}
-			r.prefer(choice, better, false)
-		}
-	}
-}
-
-// firstHealthy is the first of so many choices that is healthy, but for one; negative: there is none.
-func (r *reader) firstHealthy(most, but int) int {
-	for i := range most {
-		if i != but && r.healthy(i) {
-			return i
+			r.choosing.Lock()
+			r.preferred, r.returning = i, r.choice == choice
+			r.choosing.Unlock()
+			break
 		}
 	}
-	return -1
-}
-
-// prefer has another choice read from, if the one that it is better than still is: at the next read or, away from a relay
-// that is cut off, at once.
-func (r *reader) prefer(choice, better int, away bool) {
-	r.choosing.Lock()
-	defer r.choosing.Unlock()
-	if better < 0 || r.choice != choice || away && !r.cutOff {
-		return
-	}
-	r.preferred, r.returning, r.away = better, true, away
-	if away && r.interrupt != nil {
-		r.interrupt(errInterrupted)
-	}
-}
-
-// sleepUnlessHurried waits; hurried: the relay that is read from has lost its upstreams; not on: the context has ended.
-func (r *reader) sleepUnlessHurried(d time.Duration) (hurried, on bool) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return false, true
-	case <-r.hurry:
-		return true, true
-	case <-r.ctx.Done():
-		return false, false
-	}
-}
-
-// probed is the choice that is read from, whether it is cut off, and whether there is a better one; else the probe ends.
-func (r *reader) probed() (choice int, cutOff, needed bool) {
-	r.choosing.Lock()
-	defer r.choosing.Unlock()
-	r.probing = r.choice > 0 || r.cutOff && len(r.picker.relays) > 1
-	return r.choice, r.cutOff, r.probing
 }
 
-func (r *reader) isCutOff() bool {
+// probed is the choice that is read from, and whether there are earlier ones; else the probe ends.
+func (r *reader) probed() (choice int, needed bool) {
 	r.choosing.Lock()
 	defer r.choosing.Unlock()
-	return r.cutOff
+	r.probing = r.choice > 0
+	return r.choice, r.probing
 }
 
 func (r *reader) healthy(choice int) bool {
@@ -431,11 +355,11 @@
 	return r.transport.Healthy(ctx, r.picker.relays[choice].address) == nil // addresses don't change
 }
 
-// returnTo is the better choice to read from, if there is one.
+// returnTo is the earlier choice to return to, if one answers again.
 func (r *reader) returnTo(choice int) (int, bool) {
 	r.choosing.Lock()
 	defer r.choosing.Unlock()
-	returning := r.returning && (r.preferred < choice || r.away && r.preferred != choice)
+	returning := r.returning && r.preferred < choice
 	r.returning = false
 	return r.preferred, returning
 }
--- a/internal/distribution/httpapi/handler.go
+++ b/internal/distribution/httpapi/handler.go
@@ -21,7 +21,7 @@
 	PathStatus   = "/v1/status"   // GET ?resource=NAME: ResourceStatus
 	PathResource = "/v1/resource" // GET ?name=NAME: Update, whole
 	PathStats    = "/v1/stats"    // GET: Stats
-	PathHealth   = "/_health"     // GET: 200; 503: cut off from the source
+	PathHealth   = "/_health"     // GET: 200
 )
 
 // writeTimeout is within which a follower takes an answer, or its connection ends.
@@ -31,7 +31,6 @@
 type Answer struct {
 	Session   string
 	SourceAge time.Duration
-	CutOff    bool
 	Updates   [][]byte // each an Update as JSON
 }
 
@@ -50,7 +49,6 @@
 	Status(resource string) distribution.ResourceStatus
 	Resource(name string) *distribution.Update // nil: there is none
 	Stats() distribution.Stats
-	CutOff() bool // all its upstreams are lost: others may have what it misses
 }
 
 // Handler serves a Service.
@@ -62,7 +60,7 @@
 	mux.HandleFunc("GET "+PathStatus, h.status)
 	mux.HandleFunc("GET "+PathResource, h.resource)
 	mux.HandleFunc("GET "+PathStats, h.stats)
-	mux.HandleFunc("GET "+PathHealth, h.health)
+	mux.HandleFunc("GET "+PathHealth, func(w http.ResponseWriter, _ *http.Request) { write(w, nil) })
 	return mux
 }
 
@@ -82,23 +80,12 @@
 	write(w, appendHead(nil, answer), answer.Updates...)
 }
 
-func (h *handler) health(w http.ResponseWriter, _ *http.Request) {
-	if h.service.CutOff() {
-		fail(w, &BusyError{Reason: "cut off from the source"})
-		return
-	}
-	write(w, nil)
-}
-
 // appendHead is an answer's JSON; its updates, if any, follow, and the end after them.
 func appendHead(to []byte, a *Answer) []byte {
 	to = append(to, `{"session":`...)
 	to = strconv.AppendQuote(to, a.Session) // letters and digits
 	to = append(to, `,"source_age_ms":`...)
 	to = strconv.AppendInt(to, a.SourceAge.Milliseconds(), 10)
-	if a.CutOff {
-		to = append(to, `,"cut_off":true`...)
-	}
 	if len(a.Updates) == 0 {
 		return append(to, '}')
 	}
--- a/internal/distribution/httpapi/httpapi_test.go
+++ b/internal/distribution/httpapi/httpapi_test.go
@@ -31,7 +31,6 @@
 	return distribution.ResourceStatus{Resource: resource}
 }
 func (s *scripted) Resource(string) *distribution.Update { return nil }
-func (s *scripted) CutOff() bool                         { return false }
 func (s *scripted) Stats() distribution.Stats            { return distribution.Stats{Name: "relay"} }
 
 // start serves a service, and returns its address and how many bytes went.
--- a/internal/distribution/node/failure_test.go
+++ b/internal/distribution/node/failure_test.go
@@ -56,42 +56,6 @@
 	})
 }
 
-// A relay loses its upstream: it says so, its proxy goes to one that has the source, and comes back when all is well.
-func TestCutOffRelayIsLeft(t *testing.T) {
-	source := startSource(t, t.TempDir(), "", 1)
-	regions, zones := map[string]*served{}, map[string]*served{}
-	var addresses []string
-	for _, name := range []string{"1", "2"} {
-		region := startRelay(t, "region-"+name, "", source.address)
-		zone := startRelay(t, "zone-"+name, "", region.address)
-		regions[zone.address], zones[zone.address] = region, zone
-		addresses = append(addresses, zone.address)
-	}
-	p := startProxy(t, "p1", resource, addresses...)
-	p.awaitVersion(put(t, source.address, resource, item("b1", "1")))
-	first := p.Health().Relay
-	client := httpapi.NewClient(nil)
-	defer client.Close()
-	healthy := func() bool { return client.Healthy(context.Background(), first) == nil }
-	eventually(t, "the relay is healthy", healthy)
-
-	regions[first].kill()
-	p.awaitVersion(put(t, source.address, resource, item("b1", "2")))
-	if second := p.Health().Relay; second == first {
-		t.Errorf("reads from the relay that is cut off")
-	}
-	if healthy() {
-		t.Error("a relay that is cut off says that it is healthy")
-	}
-	if u := zones[first].Resource(resource); u == nil || len(u.Items) != 1 {
-		t.Errorf("%+v is served by the relay that is cut off, what it has expected", u)
-	}
-
-	startRelay(t, "region again", regions[first].address, source.address)
-	eventually(t, "the return to the first choice", func() bool { return p.Health().Relay == first })
-	p.awaitVersion(put(t, source.address, resource, item("b1", "3")))
-}
-
 // A relay that restarts knows no session: its proxies begin anew with all positions and get nothing whole, and nothing older.
 func TestUnknownSession(t *testing.T) {
 	source := startSource(t, t.TempDir(), "", 1)
--- a/internal/distribution/node/node.go
+++ b/internal/distribution/node/node.go
@@ -79,8 +79,6 @@
 	upstream func(*distribution.Stats)
 	follows  func(resource string)
 	changed  func(complete bool)
-	cutOff   bool   // all upstreams are lost
-	cuts     uint64 // how often that has changed
 	closed   chan struct{}
 	closing  sync.Once
 }
@@ -92,7 +90,6 @@
 	urgent time.Time // since when an urgent item has been due to it; zero: none is
 	// updated: the read before was answered with updates.
 	updated bool
-	cut     uint64 // of Node.cuts, that the follower was told
 }
 
 // New returns a node without resources.
@@ -286,10 +283,9 @@
 	for {
 		now := n.now()
 		due, _ := n.sessions.Due(session, n.store, now)
-		if len(due) > 0 || !now.Before(until) || w.cut != n.cuts {
+		if len(due) > 0 || !now.Before(until) {
 			n.finish(session, w, now)
 			w.updated = len(due) > 0
-			w.cut = n.cuts
 			return n.answer(session, due), nil
 		}
 		n.arm(now)
@@ -355,7 +351,7 @@
 
 // answer encodes what is due.
 func (n *Node) answer(session *distribution.Session, due []distribution.Due) *httpapi.Answer {
-	a := &httpapi.Answer{Session: session.ID, SourceAge: n.age(), CutOff: n.cutOff}
+	a := &httpapi.Answer{Session: session.ID, SourceAge: n.age()}
 	size := 0
 	for _, d := range due {
 		if size >= responseBytes {
@@ -506,27 +502,6 @@
 	return n.store.Whole(name)
 }
 
-// CutOff implements httpapi.Service.
-func (n *Node) CutOff() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.cutOff
-}
-
-// setCutOff says whether all upstreams are lost. When that changes, every read that waits is answered with it.
-func (n *Node) setCutOff(cutOff bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if cutOff == n.cutOff {
-		return
-	}
-	n.cutOff = cutOff
-	n.cuts++
-	for _, w := range n.readers {
-		w.signal()
-	}
-}
-
 // Stats implements httpapi.Service.
 func (n *Node) Stats() distribution.Stats {
 	n.mu.Lock()
--- a/internal/distribution/node/relay.go
+++ b/internal/distribution/node/relay.go
@@ -17,10 +17,6 @@
 	reportGap = 50 * time.Millisecond
 	// unfollowAfter is how long a relay follows a resource that nobody behind it follows any more.
 	unfollowAfter = time.Minute
-	// cutOffAfter is how long a relay tries its upstreams in vain until it says that it is cut off.
-	cutOffAfter = 500 * time.Millisecond
-	// cutOffEvery is how often that is looked at.
-	cutOffEvery = 100 * time.Millisecond
 )
 
 // Relay is a Node that follows its upstream: what its followers follow, and nothing else.
@@ -56,7 +52,6 @@
 	parts.Go(func() { r.Node.Run(ctx) })
 	parts.Go(func() { r.follower.Run(ctx) })
 	parts.Go(func() { r.reportLoop(ctx) })
-	parts.Go(func() { r.watchUpstreams(ctx) })
 	parts.Wait()
 }
 
@@ -93,30 +88,6 @@
 	return max(0, r.now().Sub(h.Heard)) + h.SourceAge
 }
 
-// watchUpstreams keeps up whether the relay is cut off from the source.
-func (r *Relay) watchUpstreams(ctx context.Context) {
-	ticker := time.NewTicker(cutOffEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			r.setCutOff(r.lost())
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// lost tells whether no upstream answers, or the one that does is cut off itself.
-func (r *Relay) lost() bool {
-	h := r.follower.Health()
-	silent := h.Silent
-	if h.Heard.IsZero() {
-		silent = r.began
-	}
-	return h.CutOff || !silent.IsZero() && r.now().Sub(silent) >= cutOffAfter
-}
-
 // upstreamStats fills in the counters of the relay's own reads. The node's lock is held.
 func (r *Relay) upstreamStats(s *distribution.Stats) {
 	up := r.follower.Stats()
