--- a/internal/rig/rollout/rollout_test.go
+++ b/internal/rig/rollout/rollout_test.go
@@ -221,24 +221,58 @@
 		all.Go(func() {
 			sc := decode(t, string(data))
 			sc.Seed += seed
-			sc.Bounds.RelayMB *= raceMemory
-			// A data race ends its process, which the checkers see.
-			o := rollout.Options{Relay: []string{program}, Actor: self(roleActor), Env: []string{"GORACE=halt_on_error=1"}, Logs: os.Stderr}
-			verdicts, f := play(t, sc, o)
-			for _, v := range verdicts {
-				t.Errorf("seed %d: %s", sc.Seed, v)
-			}
+			f := hold(t, sc)
 			if f.InForce < 500 || f.Judged < 50 || f.Twins == 0 {
 				t.Errorf("seed %d: %d updates in force, %d urgent ones judged, %d puts within 1 ms: the run shows nothing", sc.Seed, f.InForce, f.Judged, f.Twins)
 			}
-			if len(verdicts) > 0 {
-				t.Logf("seed %d's faults:\n%s", sc.Seed, strings.Join(describe(sc), "\n"))
-			}
 		})
 	}
+	all.Go(func() { // one relay of a zone is cut off from both regions for longer than a version may take
+		sc := decode(t, cutOffScenario)
+		if f := hold(t, sc); f.Faults != 1 || f.InForce < 200 {
+			t.Errorf("%s: %d faults, %d updates in force: the run shows nothing", sc.Name, f.Faults, f.InForce)
+		}
+	})
 	all.Wait()
 }
 
+const cutOffScenario = `
+name = "cut-off"
+for = "14s"
+settle = "14s"
+[relays]
+hold = "1s"
+[followers]
+processes = 2
+each = 10
+hold = "1s"
+[publisher]
+rate = 4
+[bounds]
+late = "8s"
+[[faults]]
+at = "2s"
+for = "11s"
+kind = "cut"
+link = "zones-regions"
+names = ["zone-1"]
+`
+
+// hold plays a scenario with the programs of this tree, which have to pass all checks.
+func hold(t *testing.T, sc *plan.Scenario) check.Figures {
+	sc.Bounds.RelayMB *= raceMemory
+	// A data race ends its process, which the checkers see.
+	o := rollout.Options{Relay: []string{program}, Actor: self(roleActor), Env: []string{"GORACE=halt_on_error=1"}, Logs: os.Stderr}
+	verdicts, f := play(t, sc, o)
+	for _, v := range verdicts {
+		t.Errorf("%s, seed %d: %s", sc.Name, sc.Seed, v)
+	}
+	if len(verdicts) > 0 {
+		t.Logf("%s, seed %d's faults:\n%s", sc.Name, sc.Seed, strings.Join(describe(sc), "\n"))
+	}
+	return f
+}
+
 func describe(sc *plan.Scenario) (out []string) {
 	for _, f := range sc.Schedule() {
 		out = append(out, f.String())
