Pass over changes that cross a new subscription in a follower

Cause: a service that is taken out and put in again by two reloads subscribes from nothing while an answer with changes to its old version is on its way; that ended the session and had the relay count as failed (found by reading, follower.put). Change: what does not fit is passed over as long as the relay has not been told what stands. TestChangesCrossANewSubscription fails without; the package's tests 20 times with -race, no failure.

--- a/internal/distribution/follow/follower.go
+++ b/internal/distribution/follow/follower.go
@@ -265,14 +265,11 @@
 	}
 	stands, unsaid := sub.position.InForce, f.dirty[u.Resource]
 	f.mu.Unlock()
-	if !u.Version.After(stands) && unsaid {
-		return nil // what it has was said anew meanwhile
-	}
-	if !u.Version.After(stands) {
-		return fmt.Errorf("%s: version %v found, one after %v expected", u.Resource, u.Version, stands)
-	}
-	if !u.Whole() && u.From != stands {
-		return &distribution.BaseError{Resource: u.Resource, Stands: stands, From: u.From}
+	if err := fits(u, stands); err != nil {
+		if unsaid {
+			return nil // the relay did not know what stands: its answer crossed a new subscription
+		}
+		return err
 	}
 	err := sub.subscriber.Updated(*u)
 
@@ -296,6 +293,17 @@
 	return nil
 }
 
+// fits tells whether an update leads on from the version that stands.
+func fits(u *distribution.Update, stands distribution.Version) error {
+	if !u.Version.After(stands) {
+		return fmt.Errorf("%s: version %v found, one after %v expected", u.Resource, u.Version, stands)
+	}
+	if !u.Whole() && u.From != stands {
+		return &distribution.BaseError{Resource: u.Resource, Stands: stands, From: u.From}
+	}
+	return nil
+}
+
 // reason is an error's text, cut to what is taken.
 func reason(err error) string {
 	text := err.Error()
--- a/internal/distribution/follow/follower_test.go
+++ b/internal/distribution/follow/follower_test.go
@@ -292,3 +292,26 @@
 		t.Errorf("%+v", h)
 	}
 }
+
+// An answer with changes that crosses a new subscription from nothing is no fault of the relay's: the next read says what
+// stands. Once the relay has been told, it is one.
+func TestChangesCrossANewSubscription(t *testing.T) {
+	f := &fixture{t: t, updates: make(chan distribution.Update, 10)}
+	f.Follower = newFollower(Config{Name: "p", Kind: distribution.KindProxy}, &scripted{}, new(wireCounter))
+	f.Subscribe("r", version(3), f)
+	f.due(true) // the relay is told of version 3, and its changes are on their way
+	f.Subscribe("r", distribution.Version{}, f)
+	changes := []distribution.Update{{Resource: "r", From: version(3), Version: version(5)}}
+	if err := f.take(changes); err != nil {
+		t.Errorf("the session would end: %v", err)
+	}
+	if positions, _ := f.due(false); len(positions) != 1 || !positions[0].InForce.IsZero() {
+		t.Errorf("the next read says %+v", positions)
+	}
+	if err := f.take(changes); err == nil {
+		t.Error("changes to another version than the one that the relay was told of were taken")
+	}
+	if len(f.updates) > 0 {
+		t.Errorf("put in force: %+v", <-f.updates)
+	}
+}
