Open a new connection to a source that has restarted, in its test

TestSourceDiesBetweenTwoWrites failed once in 20 runs with EOF: the client had the dead process's connection still open and wrote to it, and a write is rightly not sent again by itself.

--- a/internal/distribution/node/failure_test.go
+++ b/internal/distribution/node/failure_test.go
@@ -268,6 +268,7 @@
 	}
 	source.kill()
 	source = startSource(t, dir, source.address, 1)
+	c.Close() // its connection is to the process that died
 	var conflict *distribution.ConflictError
 	if _, err := c.Put(context.Background(), source.address, second); !errors.As(err, &conflict) || conflict.Found.IsZero() {
 		t.Errorf("%v; the kept write expected", err)
