Judge urgent versions against what their processes waited for a core

The rig's own lags said too little where the machine is loaded: a version passes some fifteen wake-ups, each of which waits for less than the least lag. Now the kernel's account of each process on the way counts, and nothing else.

--- a/cmd/fernctl/rigrollout.go
+++ b/cmd/fernctl/rigrollout.go
@@ -168,7 +168,7 @@
 		f.Scenario, f.Seed, f.Seconds, f.Faults, f.Puts, f.Unanswered, f.Twins, f.InForce, f.Wholes, f.Refused, f.Resumed, f.Reports)
 	fmt.Fprintf(out, "in force, ways without faults: %.0f ms median, %.0f p99, %.0f last; urgent (%d judged): %.0f, %.0f, %.0f; with faults: %.2f s p99, %.2f last\n",
 		f.QuietP50, f.QuietP99, f.QuietMax, f.Judged, f.UrgentP50, f.UrgentP99, f.UrgentMax, f.WorstP99, f.WorstMax)
-	fmt.Fprintf(out, "the machine kept a process of the rig waiting for %.0f ms at most; %d urgent updates came late by no more than that explains\n", f.LagMax, f.Lagged)
+	fmt.Fprintf(out, "the machine kept a process of the rig waiting for %.0f ms at most; %d urgent updates came late by no more than the processes on their way waited for a core\n", f.LagMax, f.Lagged)
 	if f.Unsettled {
 		fmt.Fprintln(out, "the last reports are not judged: the machine kept processes waiting for so long that reads broke")
 	}
--- a/internal/rig/process/process.go
+++ b/internal/rig/process/process.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -258,6 +259,22 @@
 	return kilobytes(fmt.Sprintf("/proc/%d/status", pid), "VmRSS:")
 }
 
+// Waited is how long all threads of a process have been ready to run and waited for a core; 0 where that can't be read.
+func Waited(pid int) (sum time.Duration) {
+	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid)) // the pattern is right
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			continue // the thread has ended
+		}
+		if fields := strings.Fields(string(data)); len(fields) > 1 {
+			n, _ := strconv.ParseInt(fields[1], 10, 64)
+			sum += time.Duration(n)
+		}
+	}
+	return sum
+}
+
 // Available is the machine's memory that is free for processes, in bytes; 0 where that can't be read.
 func Available() int64 { return kilobytes("/proc/meminfo", "MemAvailable:") }
 
--- a/internal/rig/rollout/check/check.go
+++ b/internal/rig/rollout/check/check.go
@@ -38,8 +38,7 @@
 	afterFault   = 10 * time.Second       // a fault is felt this much longer
 	beginsAnew   = 3                      // holds after which a relay forgets a follower that has gone to another
 	movesBack    = 10 * time.Second       // until followers have gone back to the relay of their choice
-	onTheWay     = 5                      // processes between a put and a follower: publisher, source, region relay, zone relay, follower
-	lagSlack     = 50 * time.Millisecond  // that the machine may keep a process waiting without more time for urgent versions
+	waitSample   = 50 * time.Millisecond  // between two looks at how long processes waited
 	breaksReads  = 500 * time.Millisecond // that the machine keeps a process waiting before relays may take its reads for broken
 	countedAfter = 5 * time.Second        // from a follower's start until reports count it
 	mostOfCheck  = 20                     // verdicts of one check that are listed
@@ -133,7 +132,7 @@
 			if !d.urgent || !r.undisturbed(key.follower, d.since, d.since+bound) {
 				continue
 			}
-			if took := r.upTo(r.has(key, d.version, d.from)) - d.since; took > bound+r.lagged(d.since, took) {
+			if took := r.upTo(r.has(key, d.version, d.from)) - d.since; took > bound && took > bound+r.waited(sc, key.follower, d.since, took) {
 				out = append(out, Verdict{Check: Urgent, At: d.since, What: fmt.Sprintf("%s has %s of %s, which takes an item out, %d ms after its put was answered",
 					key.follower, d.version, key.resource, took/1000)})
 			}
@@ -149,15 +148,23 @@
 	})
 }
 
-// lagged is by how much longer something may take, from a moment on, where the machine kept processes of the rig waiting
-// meanwhile: each process on the way may have waited for as long as the one that noticed the longest wait.
-func (r *record) lagged(from, took int64) (longer int64) {
-	for _, s := range r.lags {
-		if long := s.to - s.from; long >= lagSlack.Microseconds() && s.from <= from+took && from <= s.to {
-			longer = max(longer, onTheWay*long)
+// waited is how long the processes on a follower's way waited for a core, from a moment on, in all: so much later may
+// something come without a fault of theirs. Of the relays of a level the one counts that waited longest.
+func (r *record) waited(sc *plan.Scenario, follower string, from, took int64) int64 {
+	within := span{from, from + took + waitSample.Microseconds()}
+	most := func(names []string) (most int64) {
+		for _, name := range names {
+			sum := int64(0)
+			for _, e := range r.waits[name] {
+				if within.from <= e.At && e.At <= within.to {
+					sum += e.Took
+				}
+			}
+			most = max(most, sum)
 		}
+		return most
 	}
-	return longer
+	return most([]string{plan.Source}) + most(sc.Names(plan.OnRegions)) + most(sc.RelaysOf(follower)) + most([]string{sc.ProcessOf(follower)})
 }
 
 // whole judges followers that were sent everything though they had a version that the same relay had brought somebody to
--- a/internal/rig/rollout/check/check_test.go
+++ b/internal/rig/rollout/check/check_test.go
@@ -134,10 +134,12 @@
 			[]history.Event{put(1*second, 1, false), inForce(1*second, 0, 1), put(2*second, 2, true), inForce(2*second+251*ms, 1, 2)}},
 		{"an urgent version after 251 ms, the fault 11 s ago", check.Urgent, 1,
 			append(fault("1-kill", 20*second, 24*second), put(35*second, 1, true), inForce(35*second+251*ms, 0, 1))},
-		{"an urgent version after 251 ms, a lag within the slack", check.Urgent, 1,
-			[]history.Event{put(1*second, 1, true), inForce(1*second+251*ms, 0, 1), {At: 1*second + 100*ms, Kind: history.Lag, Who: "rig", Took: 49 * ms}}},
-		{"an urgent version later than five waits explain", check.Urgent, 1,
-			[]history.Event{put(1*second, 1, true), inForce(1*second+501*ms, 0, 1), {At: 1*second + 100*ms, Kind: history.Lag, Who: "rig", Took: 50 * ms}}},
+		{"an urgent version after 251 ms, another zone's relay waited", check.Urgent, 1,
+			[]history.Event{put(1*second, 1, true), inForce(1*second+251*ms, 0, 1), waited("followers-9", 1*second+100*ms, 100*ms)}},
+		{"an urgent version later than the waits for a core explain", check.Urgent, 1,
+			[]history.Event{put(1*second, 1, true), inForce(1*second+301*ms, 0, 1), waited("source", 1*second+100*ms, 30*ms), waited("zone-1", 1*second+150*ms, 20*ms)}},
+		{"an urgent version late before a wait for a core", check.Urgent, 1,
+			[]history.Event{put(1*second, 1, true), inForce(1*second+251*ms, 0, 1), waited("source", 1*second+310*ms, 30*ms)}},
 		{"a whole resource from the relay that had told the version", check.Whole, 2,
 			[]history.Event{inForce(1*second, 0, 1), subscribed(2*second, 1), inForce(3*second, 0, 2)}},
 		{"different items of one version", check.Converged, 2,
@@ -181,6 +183,11 @@
 	}
 }
 
+// waited is that a process's threads waited for a core.
+func waited(who string, at, took int64) history.Event {
+	return history.Event{At: at, Kind: history.Waited, Who: who, Took: took}
+}
+
 func used(at int64, bytes float64) history.Event {
 	return history.Event{At: at, Kind: history.Used, Who: "followers-1", Figures: map[string]float64{history.UsedBytes: bytes, history.UsedFollowers: 1}}
 }
@@ -208,8 +215,8 @@
 			append(fault("1-kill", 20*second, 24*second), put(33*second, 1, true), inForce(33*second+251*ms, 0, 1))},
 		{"an urgent version after 251 ms, 10 s after the follower's start", 1,
 			append(fault("2-restart", 30*second, 31*second), put(39*second, 1, true), inForce(39*second+251*ms, 0, 1))},
-		{"an urgent version as late as five waits explain", 1,
-			[]history.Event{put(1*second, 1, true), inForce(1*second+500*ms, 0, 1), {At: 1*second + 100*ms, Kind: history.Lag, Who: "rig", Took: 50 * ms}}},
+		{"an urgent version as late as the waits for a core explain", 1,
+			[]history.Event{put(1*second, 1, true), inForce(1*second+300*ms, 0, 1), waited("source", 1*second+100*ms, 30*ms), waited("zone-1", 1*second+150*ms, 20*ms)}},
 		{"a whole resource from a relay that has started anew", 2,
 			[]history.Event{inForce(1*second, 0, 1), {At: 2 * second, Kind: history.Started, Who: relay}, inForce(3*second, 0, 2)}},
 		{"a whole resource from a relay that has never told the version", 2,
--- a/internal/rig/rollout/check/figures.go
+++ b/internal/rig/rollout/check/figures.go
@@ -26,7 +26,7 @@
 	Reports    int `json:"reports"`
 
 	Judged    int     `json:"urgent_judged"`                    // followers and urgent versions where no fault touches the way
-	Lagged    int     `json:"urgent_late_while_machine_lagged"` // late, by no more than processes of the rig were kept waiting
+	Lagged    int     `json:"urgent_late_by_waits_for_a_core"`  // late, by no more than the processes on the way waited for a core
 	Unsettled bool    `json:"last_report_while_machine_lagged"` // not judged: followers may count at two relays
 	LagMax    float64 `json:"lag_max_ms"`
 	UrgentP50 float64 `json:"urgent_p50_ms"`
@@ -117,7 +117,7 @@
 			case !d.urgent:
 			default:
 				urgent = append(urgent, took)
-				if us := int64(took * 1000); us > bound && us <= bound+r.lagged(d.since, us) {
+				if us := int64(took * 1000); us > bound && us <= bound+r.waited(sc, key.follower, d.since, us) {
 					f.Lagged++
 				}
 			}
--- a/internal/rig/rollout/play.go
+++ b/internal/rig/rollout/play.go
@@ -23,6 +23,8 @@
 	askWithin   = time.Second // the source and relays, of what they know of themselves
 	askEvery    = 300 * time.Millisecond
 	answerBytes = 64 << 20
+	waitEvery   = 50 * time.Millisecond
+	waitLeast   = time.Millisecond // that is told
 	rigName     = "rig"
 )
 
@@ -42,6 +44,7 @@
 	}
 	asking, stop := context.WithCancel(ctx)
 	r.faults.Go(func() { r.ask(asking) })
+	r.faults.Go(func() { r.watchWaits(asking) })
 	r.faults.Go(func() { history.WatchLag(asking, rigName, r.clock, r.tell) })
 	defer stop()
 	if err := r.carryOut(ctx, began); err != nil {
@@ -182,6 +185,29 @@
 	}
 }
 
+// watchWaits tells how long the processes on the ways from the source to followers wait for a core.
+func (r *run) watchWaits(ctx context.Context) {
+	tick := time.NewTicker(waitEvery)
+	defer tick.Stop()
+	before := map[int]time.Duration{} // by process id
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		for _, name := range slices.Concat(r.servers(), r.sc.Names(plan.OnFollowers)) {
+			pid := r.procs.PID(name)
+			waited := process.Waited(pid)
+			last, known := before[pid]
+			before[pid] = waited
+			if took := waited - last; known && took >= waitLeast {
+				r.tell(history.Event{Kind: history.Waited, Who: name, Took: took.Microseconds()})
+			}
+		}
+	}
+}
+
 // askStats tells what a server says of itself, and what the system says of it.
 func (r *run) askStats(ctx context.Context, name string) {
 	var stats map[string]any
