Bound by how much waits for a core excuse an urgent version

Over a long wait the sums of waits excused anything: an update 8.9 s late, since a fault began while it waited. One second at most now, and no fault in that time.

--- a/internal/rig/rollout/check/check.go
+++ b/internal/rig/rollout/check/check.go
@@ -39,6 +39,7 @@
 	beginsAnew   = 3                      // holds after which a relay forgets a follower that has gone to another
 	movesBack    = 10 * time.Second       // until followers have gone back to the relay of their choice
 	waitSample   = 50 * time.Millisecond  // between two looks at how long processes waited
+	mostLonger   = time.Second            // that an urgent version may take for waits
 	breaksReads  = 500 * time.Millisecond // that the machine keeps a process waiting before relays may take its reads for broken
 	countedAfter = 5 * time.Second        // from a follower's start until reports count it
 	mostOfCheck  = 20                     // verdicts of one check that are listed
@@ -128,13 +129,13 @@
 func urgent(sc *plan.Scenario, r *record) (out []Verdict) {
 	for _, key := range pairs(sc) {
 		for _, d := range r.duties(key) {
-			bound := sc.Bounds.Urgent.Microseconds()
-			if !d.urgent || !r.undisturbed(key.follower, d.since, d.since+bound) {
+			if !d.urgent {
 				continue
 			}
-			if took := r.upTo(r.has(key, d.version, d.from)) - d.since; took > bound && took > bound+r.waited(sc, key.follower, d.since, took) {
-				out = append(out, Verdict{Check: Urgent, At: d.since, What: fmt.Sprintf("%s has %s of %s, which takes an item out, %d ms after its put was answered",
-					key.follower, d.version, key.resource, took/1000)})
+			within := sc.Bounds.Urgent.Microseconds() + r.waited(sc, key.follower, d.since)
+			if took := r.upTo(r.has(key, d.version, d.from)) - d.since; took > within && r.undisturbed(key.follower, d.since, d.since+within) {
+				out = append(out, Verdict{Check: Urgent, At: d.since, What: fmt.Sprintf("%s has %s of %s, which takes an item out, %d ms after its put was answered, %d expected at most",
+					key.follower, d.version, key.resource, took/1000, within/1000)})
 			}
 		}
 	}
@@ -148,15 +149,27 @@
 	})
 }
 
-// waited is how long the processes on a follower's way waited for a core, from a moment on, in all: so much later may
-// something come without a fault of theirs. Of the relays of a level the one counts that waited longest.
-func (r *record) waited(sc *plan.Scenario, follower string, from, took int64) int64 {
-	within := span{from, from + took + waitSample.Microseconds()}
+// waited is by how much longer an urgent version may take, from a moment on, where the machine kept the processes on a
+// follower's way waiting for a core, within a bound.
+func (r *record) waited(sc *plan.Scenario, follower string, from int64) (longer int64) {
+	bound := sc.Bounds.Urgent.Microseconds()
+	for {
+		more := min(r.waits(sc, follower, span{from, from + bound + longer}), mostLonger.Microseconds())
+		if more <= longer {
+			return longer
+		}
+		longer = more
+	}
+}
+
+// waits is how long the processes on a follower's way waited for a core in a stretch of time, in all. Of the relays of a
+// level the one counts that waited longest.
+func (r *record) waits(sc *plan.Scenario, follower string, within span) int64 {
 	most := func(names []string) (most int64) {
 		for _, name := range names {
 			sum := int64(0)
-			for _, e := range r.waits[name] {
-				if within.from <= e.At && e.At <= within.to {
+			for _, e := range r.waitsOf[name] {
+				if within.from <= e.At && e.At <= within.to+waitSample.Microseconds() {
 					sum += e.Took
 				}
 			}
--- a/internal/rig/rollout/check/figures.go
+++ b/internal/rig/rollout/check/figures.go
@@ -112,15 +112,18 @@
 				continue
 			}
 			quiet = append(quiet, took)
+			if !d.urgent {
+				continue
+			}
 			bound := sc.Bounds.Urgent.Microseconds()
+			longer, us := r.waited(sc, key.follower, d.since), int64(took*1000)
 			switch {
-			case !d.urgent:
-			default:
-				urgent = append(urgent, took)
-				if us := int64(took * 1000); us > bound && us <= bound+r.waited(sc, key.follower, d.since, us) {
-					f.Lagged++
-				}
+			case us > bound && !r.undisturbed(key.follower, d.since, d.since+bound+longer):
+				continue // a fault came before the waits were over
+			case us > bound && us <= bound+longer:
+				f.Lagged++
 			}
+			urgent = append(urgent, took)
 		}
 	}
 	f.Judged = len(urgent)
--- a/internal/rig/rollout/check/record.go
+++ b/internal/rig/rollout/check/record.go
@@ -37,7 +37,7 @@
 	writes  map[string][]history.Event  // answered ones of each resource, by version
 	faults  []fault
 	lags    []span                             // while the machine kept a process of the rig waiting
-	waits   map[string][]history.Event         // for a core, by process
+	waitsOf map[string][]history.Event         // for a core, by process
 	open    map[string]int                     // faults that have not ended, by the names that events give them
 	reports map[string][]history.Event         // of each resource
 	source  map[string]history.Event           // what the source has in the end
@@ -71,7 +71,7 @@
 		used:    map[string][]history.Event{},
 		digests: map[versionOf]map[string]firstSeen{},
 		open:    map[string]int{},
-		waits:   map[string][]history.Event{},
+		waitsOf: map[string][]history.Event{},
 	}
 	schedule := sc.Schedule()
 	for _, e := range all {
@@ -89,7 +89,7 @@
 		case history.Fault:
 			r.fault(schedule, e)
 		case history.Waited:
-			r.waits[e.Who] = append(r.waits[e.Who], e)
+			r.waitsOf[e.Who] = append(r.waitsOf[e.Who], e)
 		case history.Lag:
 			if !r.stopped(e) {
 				r.lags = append(r.lags, span{e.At - e.Took, e.At})
--- a/internal/rig/rollout/naive_test.go
+++ b/internal/rig/rollout/naive_test.go
@@ -34,7 +34,7 @@
 	bugBack      bug = "back"      // goes back to an older version now and then
 	bugForget    bug = "forget"    // forgets all updates of one resource but the first
 	bugDropItem  bug = "drop-item" // leaves an item out of a change
-	bugHoldBack  bug = "hold-back" // holds urgent updates back for a second
+	bugHoldBack  bug = "hold-back" // holds urgent updates back for two seconds
 	bugWhole     bug = "whole"     // sends everything in place of changes
 	bugHeartbeat bug = "heartbeat" // sends everything when a hold is over
 	bugBacklog   bug = "backlog"   // keeps all updates that it has ever encoded
@@ -46,7 +46,7 @@
 const (
 	naiveHold      = 300 * time.Millisecond
 	naiveAgain     = 20 * time.Millisecond // between two tries of other relays
-	naiveHeldBack  = time.Second
+	naiveHeldBack  = 2 * time.Second
 	naiveCrash     = 1500 * time.Millisecond
 	naiveForgotten = "service-1"
 	naiveSession   = "naive"
@@ -282,7 +282,7 @@
 		over := false
 		select {
 		case <-changed:
-		case <-time.After(naiveAgain): // what is held back may be due
+		case <-n.heldBack():
 		case <-late.C:
 			over = true
 		case <-ctx.Done():
@@ -295,6 +295,14 @@
 	}
 }
 
+// heldBack is when to look again at what a bug holds back; nil: nothing is.
+func (n *naiveNode) heldBack() <-chan time.Time {
+	if n.bug != bugHoldBack && n.bug != bugBack {
+		return nil
+	}
+	return time.After(naiveAgain)
+}
+
 // note keeps what a read says of its follower, and has that reported.
 func (n *naiveNode) note(q distribution.FollowRequest) {
 	f := &naiveFollowed{kind: q.Kind, positions: map[string]distribution.Position{}, statuses: map[string]distribution.ResourceStatus{}, heard: time.Now()}
--- a/internal/rig/rollout/rollout_test.go
+++ b/internal/rig/rollout/rollout_test.go
@@ -110,7 +110,7 @@
 const naiveScenario = `
 name = "bugs"
 for = "3s"
-settle = "3500ms"
+settle = "5s"
 [relays]
 regions = 1
 zones = 1
@@ -127,7 +127,7 @@
 items = 30
 urgent = 0.3
 [bounds]
-late = "1500ms"
+late = "3s"
 rest_bytes_per_s = 6000
 cache_bytes = 10000
 `
@@ -163,7 +163,7 @@
 
 // Each checker finds the stand-in with the one bug that it is there for, and only a stand-in without a bug passes all.
 func TestCheckersFindSeededBugs(t *testing.T) {
-	together := make(chan struct{}, 4)
+	together := make(chan struct{}, 5)
 	for _, c := range []struct {
 		bug    bug
 		faults string
