--- a/internal/scale/fit/fit_test.go
+++ b/internal/scale/fit/fit_test.go
@@ -18,7 +18,7 @@
 
 // play makes up a sweep of six sizes and three rounds in which truth is measured with a relative noise.
 func play(d result.Dimension, changes float64, truth func(Drivers) float64, noise float64, rng *rand.Rand) *result.Result {
-	r := &result.Result{Format: result.Format, Scenario: string(d), Source: result.SourceConsul, Dimension: d, Hollow: true}
+	r := &result.Result{Format: result.Format, Scenario: string(d), Source: result.SourceRelay, Dimension: d, Hollow: true}
 	for k := range 6 {
 		size := result.Size{Proxies: 200, Services: 10, ServicesInAll: 100, Backends: 23, ChangesPerSecond: changes}
 		factor := 1 << k
@@ -53,7 +53,7 @@
 	rng := rand.New(rand.NewPCG(1, 2))
 	for try := range 40 {
 		truth := slopes{proxy: 100 + 1000*rng.Float64(), endpoint: 50 + 50*rng.Float64(), delivered: 2000 * rng.Float64(), changed: 100 + 100*rng.Float64()}
-		m := Join(playAll(truth.at, 0.01, rng), result.SourceConsul, true).Get(Proxies, BytesIn)
+		m := Join(playAll(truth.at, 0.01, rng), result.SourceRelay, true).Get(Proxies, BytesIn)
 		target := Drivers{Processes: 28_000, Proxies: 28_000, Followed: 280_000, EndpointsHeld: 2e7, Delivered: 5000, EndpointsChanged: 1e6}
 		if got, want := m.Predict(target), truth.at(target); math.Abs(got/want-1) > 0.05 {
 			t.Errorf("try %d: %.4g predicted at the target, %.4g true; terms %+v", try, got, want, m.Terms)
@@ -67,7 +67,7 @@
 
 func TestJointModelWithoutNoiseIsExact(t *testing.T) {
 	truth := slopes{proxy: 300, followed: 40, endpoint: 7, delivered: 500}
-	m := Join(playAll(truth.at, 0, rand.New(rand.NewPCG(1, 2))), result.SourceConsul, true).Get(Proxies, BytesIn)
+	m := Join(playAll(truth.at, 0, rand.New(rand.NewPCG(1, 2))), result.SourceRelay, true).Get(Proxies, BytesIn)
 	for name, want := range map[string]float64{"proxy": 300, "service followed": 40, "endpoint followed": 7, "change delivered a second": 500} {
 		if got := m.Term(name).Value; math.Abs(got/want-1) > 0.01 {
 			t.Errorf("%s: %.4g, %.4g expected", name, got, want)
@@ -78,10 +78,31 @@
 	}
 }
 
+// By consul changes end reads early: what they cost is that of the lists read, which is not linear in changes.
+func TestConsulIsFittedByTheListsThatAreRead(t *testing.T) {
+	truth := func(d Drivers) float64 { return 300*d.ListsRead + 110*d.EndpointsRead }
+	results := playAll(truth, 0.01, rand.New(rand.NewPCG(1, 2)))
+	for _, r := range results {
+		r.Source = result.SourceConsul
+	}
+	m := Join(results, result.SourceConsul, true).Get(Proxies, BytesIn)
+	for name, want := range map[string]float64{TermListRead: 300, TermEndpointRead: 110} {
+		if got := m.Term(name); math.Abs(got.Value-want) > 5*got.Error || got.Error > 0.1*want {
+			t.Errorf("%s: %.4g +- %.2g, %.4g expected", name, got.Value, got.Error, want)
+		}
+	}
+	if at := ReadRate(0); at != 0.5 {
+		t.Errorf("%g reads a second at rest, 0.5 expected", at)
+	}
+	if busy := ReadRate(100); math.Abs(busy-100) > 1e-6 {
+		t.Errorf("%g reads a second at 100 changes, 100 expected", busy)
+	}
+}
+
 func TestModelNamesTermsThatTheSizesCannotTellApart(t *testing.T) {
 	truth := slopes{proxy: 300, delivered: 500}
 	r := play(result.Changes, 0, truth.at, 0, rand.New(rand.NewPCG(1, 2)))
-	m := Join([]*result.Result{r}, result.SourceConsul, true).Get(Proxies, BytesIn)
+	m := Join([]*result.Result{r}, result.SourceRelay, true).Get(Proxies, BytesIn)
 	if !slices.Contains(m.Aliased, "endpoint of a changed list a second") && !slices.Contains(m.Aliased, "change delivered a second") {
 		t.Errorf("aliased: %q; one of the two terms of changes expected: every list has 23 endpoints", m.Aliased)
 	}
@@ -148,7 +169,7 @@
 
 func TestWhatIsNothingEverywhereHasNoTermsAndIsFlat(t *testing.T) {
 	r := play(result.Proxies, 0, slopes{proxy: 100}.at, 0, rand.New(rand.NewPCG(1, 2)))
-	if m := Join([]*result.Result{r}, result.SourceConsul, true).Get(Proxies, BytesOut); m == nil || len(m.Terms) > 0 || m.Predict(Drivers{Proxies: 1}) != 0 || m.R2 != 1 {
+	if m := Join([]*result.Result{r}, result.SourceRelay, true).Get(Proxies, BytesOut); m == nil || len(m.Terms) > 0 || m.Predict(Drivers{Proxies: 1}) != 0 || m.R2 != 1 {
 		t.Errorf("%+v; a model without terms expected", m)
 	}
 	for _, s := range Sweeps(r) {
@@ -162,13 +183,13 @@
 	truth := slopes{proxy: 300, endpoint: 7}
 	rng := rand.New(rand.NewPCG(1, 2))
 	results := playAll(truth.at, 0, rng)
-	without := Join(results, result.SourceConsul, true).Get(Proxies, BytesIn).Terms
+	without := Join(results, result.SourceRelay, true).Get(Proxies, BytesIn).Terms
 	last := &results[0].Points[5]
 	last.HeldOut = true
 	for k := range last.Rounds {
 		last.Rounds[k].Proxies.BytesIn *= 2
 	}
-	m := Join(results, result.SourceConsul, true)
+	m := Join(results, result.SourceRelay, true)
 	with := m.Get(Proxies, BytesIn).Terms
 	for i := range with {
 		if math.Abs(with[i].Value/without[i].Value-1) > 1e-6 {
--- a/internal/scale/fit/model.go
+++ b/internal/scale/fit/model.go
@@ -18,6 +18,8 @@
 	Changes          float64 // a second, at the origin
 	Delivered        float64 // a second: changes, each counted for every proxy that follows it
 	EndpointsChanged float64 // a second: endpoints of the lists in which they are
+	ListsRead        float64 // a second: whole lists that blocking reads bring, at rest and because of changes
+	EndpointsRead    float64 // a second: endpoints of these
 	Calls            float64 // a second, over all proxies
 	Services         float64 // in all
 	Endpoints        float64 // in all
@@ -32,9 +34,25 @@
 		d.Delivered = s.ChangesPerSecond * n * services / float64(s.ServicesInAll)
 	}
 	d.EndpointsChanged = d.Delivered * backends
+	if s.ServicesInAll > 0 {
+		d.ListsRead = d.Followed * ReadRate(s.ChangesPerSecond/float64(s.ServicesInAll))
+	}
+	d.EndpointsRead = d.ListsRead * backends
 	return d
 }
 
+// readHold is how long a blocking read of package blocking waits for news, in seconds.
+const readHold = 2.0
+
+// ReadRate is the number of blocking reads a second of one list that changes so many times a second: each ends with the
+// first change or after its hold.
+func ReadRate(changes float64) float64 {
+	if changes < 1e-9 {
+		return 1 / readHold
+	}
+	return changes / -math.Expm1(-changes*readHold)
+}
+
 // driver is one of the Drivers with the name of its term.
 type driver struct {
 	name string
@@ -42,7 +60,7 @@
 }
 
 // The drivers of what is added up over processes, and of times.
-func driversOf(role Role, figure Figure) []driver {
+func driversOf(source result.Source, role Role, figure Figure) []driver {
 	constant := driver{"in all", func(*Drivers) float64 { return 1 }}
 	var base []driver // what a process costs that has nothing to do; no bytes pass for it
 	if figure == RSS || figure == Heap || figure == Goroutines {
@@ -52,9 +70,8 @@
 		{"proxy", func(d *Drivers) float64 { return d.Proxies }},
 		{"service followed", func(d *Drivers) float64 { return d.Followed }},
 		{"endpoint followed", func(d *Drivers) float64 { return d.EndpointsHeld }},
-		{"change delivered a second", func(d *Drivers) float64 { return d.Delivered }},
-		{"endpoint of a changed list a second", func(d *Drivers) float64 { return d.EndpointsChanged }},
 	}
+	load = append(load, news(source)...)
 	calls := driver{"call a second", func(d *Drivers) float64 { return d.Calls }}
 	switch {
 	case figure.IsTime():
@@ -67,6 +84,26 @@
 	return append(append(base, load...), atTheOrigin()...)
 }
 
+// The terms of whole lists that are read, which are also what a proxy's first reading costs.
+const (
+	TermListRead     = "list read a second"
+	TermEndpointRead = "endpoint of a list read a second"
+)
+
+// news are the drivers of what brings news: blocking reads of whole lists by consul, changes otherwise.
+func news(source result.Source) []driver {
+	if source == result.SourceConsul {
+		return []driver{
+			{TermListRead, func(d *Drivers) float64 { return d.ListsRead }},
+			{TermEndpointRead, func(d *Drivers) float64 { return d.EndpointsRead }},
+		}
+	}
+	return []driver{
+		{"change delivered a second", func(d *Drivers) float64 { return d.Delivered }},
+		{"endpoint of a changed list a second", func(d *Drivers) float64 { return d.EndpointsChanged }},
+	}
+}
+
 // atEachRelay are the drivers of what every relay does for itself: each follows all that those behind it follow.
 func atEachRelay() []driver {
 	return []driver{
@@ -164,7 +201,7 @@
 				continue
 			}
 			m := Model{Source: source, Hollow: hollow, Role: role, Figure: figure, Rounds: len(all)}
-			m.fit(all, driversOf(role, figure))
+			m.fit(all, driversOf(source, role, figure))
 			out.Of = append(out.Of, m)
 		}
 	}
--- a/internal/scale/predict/curve.go
+++ b/internal/scale/predict/curve.go
@@ -48,7 +48,7 @@
 	row := []string{fmt.Sprintf("%d, %s", n, kind), short(endpoints) + " w", short(connections) + " w"}
 	note(breaks, "", largest, "descriptors", n, connections > c.t.Get(Descriptors))
 	for _, w := range ways() {
-		p := c.proxyNeeds(w, c.ordinaryDrivers(s, w))
+		p := c.proxyNeeds(w, c.ordinaryDrivers(s))
 		row = append(row, p.bytes.shown(WorkedOut, bytesASecond), p.cores.shown(WorkedOut, percent), p.memory.shown(WorkedOut, bytesOf))
 		note(breaks, w, largest, "bytes", n, p.bytes.value > c.t.Limits.ProxyBytesASec)
 		note(breaks, w, largest, "processor", n, p.cores.value > c.t.Limits.ProxyCores)
--- a/internal/scale/predict/events.go
+++ b/internal/scale/predict/events.go
@@ -70,64 +70,39 @@
 	return out
 }
 
-// outcome is an event by one way.
+// outcome is an event by one way. What goes on at rest is counted in.
 type outcome struct {
-	messages   float64 // answers with news that reach proxies
-	deliveries float64 // changes, or whole lists, in them
-	bytes      amount  // to a typical proxy, over the whole event
-	cores      amount  // of the tier in front of the proxies, beyond its rest
-	inForce    amount  // seconds until it is in force everywhere
+	messages amount // answers to proxies, over the whole event
+	bytes    amount // to a typical proxy, over the whole event
+	cores    amount // of the tier in front of the proxies
+	inForce  amount // seconds until it is in force everywhere
 }
 
 func (c *Calculator) play(w way, s *shape, x event) outcome {
+	role, machines, hops := fit.Lists, float64(c.t.Limits.ControlMachines), 1
+	d := control(s.under(x.load, c.gap()))
+	reads, resumes := x.reads, 0.0
 	if w == result.SourceRelay {
-		return c.distributed(s, x)
+		role, hops, resumes = fit.Relays, relayHops, x.resumes
+		machines, _ = c.relays(s.fleet)
+		d = ofRelays(machines, d)
+		if x.resumed {
+			reads = 0
+		}
 	}
-	gap := c.gap(w)
-	changes, _ := s.delivered(x.load, gap)
-	d := s.under(x.load, gap)
-	whole := c.e.wholeReading(c.t)
-	wholeEndpoints := x.reads * s.endpointsFollowed() / s.fleet.ServicesFollowed
-	out := outcome{messages: changes + x.reads, deliveries: changes + x.reads}
-	rest := control(s.atRest())
-	extra := c.e.predict(w, fit.Proxies, fit.BytesIn, control(d))
-	extra.value -= c.e.predict(w, fit.Proxies, fit.BytesIn, rest).value
-	out.bytes = amount{(extra.value*x.load.seconds + whole.bytes(x.reads, wholeEndpoints)) / float64(s.fleet.Proxies), extra.known}
-	at := c.e.predict(w, fit.Lists, fit.CPU, control(d))
-	out.cores = amount{at.value + whole.cpuSeconds(x.reads, wholeEndpoints)/x.load.seconds, at.known && whole.measured}
-	out.inForce = c.inForce(w, out.cores, x.load.seconds, float64(c.t.Limits.ControlMachines), 1)
-	return out
-}
-
-// distributed plays an event by distribution.
-func (c *Calculator) distributed(s *shape, x event) outcome {
-	w := result.SourceRelay
-	changes, _ := s.delivered(x.load, 0)
-	d, rest := control(s.under(x.load, 0)), control(s.atRest())
 	whole := c.e.wholeReading(c.t)
-	reads := x.reads
-	if x.resumed {
-		reads = 0
-	}
-	wholeEndpoints := reads * s.endpointsFollowed() / s.fleet.ServicesFollowed
-	resumed := x.resumes * s.fleet.ServicesFollowed * c.t.Get(ResumeBytes)
-	out := outcome{messages: c.together(s, x.load, changes) + x.resumes, deliveries: changes + reads}
-	extra := c.e.predict(w, fit.Proxies, fit.BytesIn, d)
-	extra.value -= c.e.predict(w, fit.Proxies, fit.BytesIn, rest).value
-	out.bytes = amount{(extra.value*x.load.seconds + whole.bytes(reads, wholeEndpoints) + resumed) / float64(s.fleet.Proxies), extra.known}
-	zone, _ := c.relays(s.fleet)
-	at := c.e.predict(w, fit.Relays, fit.CPU, ofRelays(zone, d))
-	out.cores = amount{at.value + whole.cpuSeconds(reads+x.resumes, wholeEndpoints)/x.load.seconds, at.known && whole.measured}
-	out.inForce = c.inForce(w, out.cores, x.load.seconds, zone, relayHops)
+	endpoints := reads * s.endpointsFollowed() / s.fleet.ServicesFollowed
+	span, n := x.load.seconds, float64(s.fleet.Proxies)
+	out := outcome{messages: c.e.predict(w, fit.Proxies, fit.MessagesIn, d).times(span), bytes: c.e.predict(w, fit.Proxies, fit.BytesIn, d).times(span / n),
+		cores: c.e.predict(w, role, fit.CPU, d)}
+	out.messages.value += reads + resumes
+	out.bytes.value += (whole.bytes(reads, endpoints) + resumes*s.fleet.ServicesFollowed*c.t.Get(ResumeBytes)) / n
+	out.cores.value += whole.cpuSeconds(reads+resumes, endpoints) / span
+	out.cores.known = out.cores.known && whole.measured
+	out.inForce = c.inForce(w, out.cores, span, machines, hops)
 	return out
 }
 
-// together is how many answers bring changes to proxies, where those that come within a relay's hold go together.
-func (c *Calculator) together(s *shape, l load, changes float64) float64 {
-	answers := 1 + l.seconds/(c.t.Get(CoalescingMs)/1000)
-	return min(changes, answers*float64(s.fleet.Proxies))
-}
-
 // relayHops are the hops from the source to a proxy: to the region's relay, to the zone's, to the proxy.
 const relayHops = 3
 
@@ -147,19 +122,21 @@
 // Events is the table of events at a size.
 func (c *Calculator) Events(name string, f Fleet) Table {
 	s := shapeOf(f, c.t)
-	t := Table{Title: name, Head: []string{"event", "changes at the origin", "way", "messages to proxies", "changes or lists in them", "bytes to a proxy", "cores that serve them", "in force everywhere", "verdict"}}
+	t := Table{Title: name, Head: []string{"event", "changes at the origin", "changes delivered", "way", "messages to proxies", "bytes to a proxy", "cores that serve them", "in force everywhere", "verdict"}}
 	for _, x := range c.events(s) {
+		changes, _ := s.delivered(x.load)
+		at := []string{short(x.load.total()) + " w", short(changes) + " w"}
 		what := x.name
 		if x.note != "" {
 			what += " (" + x.note + ")"
 		}
 		for _, w := range ways() {
 			if x.configuration && w != result.SourceRelay {
-				t.Rows = append(t.Rows, []string{what, short(x.load.total()) + " w", wayName(w), "-", "-", "-", "-", "-", "**misses: nothing carries it**"})
+				t.Rows = append(t.Rows, []string{what, at[0], at[1], wayName(w), "-", "-", "-", "-", "**misses: nothing carries it**"})
 				continue
 			}
 			o := c.play(w, s, x)
-			t.Rows = append(t.Rows, []string{what, short(x.load.total()) + " w", wayName(w), short(o.messages) + " w", short(o.deliveries) + " w", o.bytes.shown(WorkedOut, bytesOf),
+			t.Rows = append(t.Rows, []string{what, at[0], at[1], wayName(w), o.messages.shown(WorkedOut, plain), o.bytes.shown(WorkedOut, bytesOf),
 				o.cores.shown(WorkedOut, plain), o.inForce.shown(WorkedOut, seconds), verdict(o.inForce, c.t.Limits.InForceSeconds)})
 		}
 	}
--- a/internal/scale/predict/evidence.go
+++ b/internal/scale/predict/evidence.go
@@ -97,6 +97,9 @@
 // over divides an amount.
 func (a amount) over(divisor float64) amount { return amount{a.value / divisor, a.known} }
 
+// times multiplies an amount.
+func (a amount) times(factor float64) amount { return amount{a.value * factor, a.known} }
+
 // plus adds two amounts; it is unknown where one is.
 func (a amount) plus(b amount) amount { return amount{a.value + b.value, a.known && b.known} }
 
@@ -140,7 +143,7 @@
 	return max(0, sum/float64(max(n, 1))), n > 0
 }
 
-// inForce is the median over all measured points of the time until a change is in force, by its 99th percentile: source and
+// inForce is the median over all points that are not held out of the time until a change is in force, by its 99th percentile: source and
 // proxies on one machine, one relay between them at most.
 func (e *Evidence) inForce(w way) amount {
 	var all []float64
@@ -150,6 +153,9 @@
 			continue
 		}
 		for _, p := range f.Result.Points {
+			if p.HeldOut {
+				continue
+			}
 			for _, r := range p.Rounds {
 				if r.InForce.Count > 0 {
 					all = append(all, r.InForce.P99)
@@ -171,21 +177,15 @@
 	measured                    bool
 }
 
-// wholeReading divides the costs of following a service by consul by the rate of its readings.
+// wholeReading takes the costs of a read list from what was measured with consul.
 func (e *Evidence) wholeReading(t *Target) wholeReading {
 	m := e.models[result.SourceConsul]
-	out := wholeReading{bytesAnEndpoint: t.Get(EndpointBytes)}
-	received, reads, cores := m.Get(fit.Proxies, fit.BytesIn), m.Get(fit.Proxies, fit.MessagesIn), m.Get(fit.Lists, fit.CPU)
-	if received == nil || reads == nil || cores == nil {
-		return out
-	}
-	const service, endpoint = "service followed", "endpoint followed"
-	rate := reads.Term(service).Value
-	if rate <= 0 {
-		return out
+	received, cores := m.Get(fit.Proxies, fit.BytesIn), m.Get(fit.Lists, fit.CPU)
+	if received == nil || cores == nil {
+		return wholeReading{bytesAnEndpoint: t.Get(EndpointBytes)}
 	}
-	return wholeReading{bytesARead: received.Term(service).Value / rate, bytesAnEndpoint: received.Term(endpoint).Value / rate,
-		coresARead: cores.Term(service).Value / rate, coresAnEndpoint: cores.Term(endpoint).Value / rate, measured: true}
+	return wholeReading{bytesARead: received.Term(fit.TermListRead).Value, bytesAnEndpoint: received.Term(fit.TermEndpointRead).Value,
+		coresARead: cores.Term(fit.TermListRead).Value, coresAnEndpoint: cores.Term(fit.TermEndpointRead).Value, measured: true}
 }
 
 func (r wholeReading) bytes(reads, endpoints float64) float64 {
--- a/internal/scale/predict/measured.go
+++ b/internal/scale/predict/measured.go
@@ -26,7 +26,7 @@
 	row("calls a second of a proxy", WorkedOut, func(s *shape) float64 { return s.fleet.CallsPerSecond / float64(s.fleet.Proxies) })
 	row("changes to lists a day", WorkedOut, func(s *shape) float64 { return s.ordinary(c.t).total() - s.fleet.ChangesPerDay })
 	row("changes of configuration a day", Told, func(s *shape) float64 { return s.fleet.ChangesPerDay })
-	row("of both delivered to proxies, a second", WorkedOut, func(s *shape) float64 { n, _ := s.delivered(s.ordinary(c.t), 0); return n / day })
+	row("of both delivered to proxies, a second", WorkedOut, func(s *shape) float64 { n, _ := s.delivered(s.ordinary(c.t)); return n / day })
 	return t
 }
 
--- a/internal/scale/predict/order.go
+++ b/internal/scale/predict/order.go
@@ -40,7 +40,7 @@
 
 // perWay divides a proxy's need by what is allowed, by consul and by distribution.
 func (c *Calculator) perWay(s *shape, allowed float64, need func(proxyNeeds) amount) (without, with amount) {
-	of := func(w way) amount { return need(c.proxyNeeds(w, c.ordinaryDrivers(s, w))).over(allowed) }
+	of := func(w way) amount { return need(c.proxyNeeds(w, c.ordinaryDrivers(s))).over(allowed) }
 	return of(result.SourceConsul), of(result.SourceRelay)
 }
 
@@ -68,7 +68,7 @@
 func (c *Calculator) listMachines(s *shape) candidate {
 	of := func(w way) (sum amount) {
 		sum.known = true
-		for _, x := range c.tiersOf(w, s, c.ordinaryDrivers(s, w)) {
+		for _, x := range c.tiersOf(w, s, c.ordinaryDrivers(s)) {
 			cpu, out := c.e.predict(w, x.role, fit.CPU, x.d), c.e.predict(w, x.role, fit.BytesOut, x.d)
 			need := c.machines(cpu, out)
 			sum = sum.plus(amount{math.Ceil(need.value), need.known})
--- a/internal/scale/predict/predict_test.go
+++ b/internal/scale/predict/predict_test.go
@@ -73,8 +73,8 @@
 	}
 	in, reads := relayAtRest*d.Proxies+bytesAChange*d.Delivered, 0.25*d.Proxies
 	if w == result.SourceConsul {
-		reads = readsAService*d.Followed + d.Delivered
-		in = bytesAnEntry * (readsAService*d.EndpointsHeld + d.EndpointsChanged)
+		reads = d.ListsRead
+		in = bytesAnEntry * d.EndpointsRead
 	}
 	entries := in / bytesAnEntry
 	r.Proxies.BytesIn, r.Proxies.MessagesIn, r.Proxies.CPUSeconds = int64(span*in), int64(span*reads), span*coresAnEntry*entries
--- a/internal/scale/predict/roles.go
+++ b/internal/scale/predict/roles.go
@@ -47,17 +47,12 @@
 }
 
 // ordinaryDrivers are those of a fleet on an ordinary day, without calls.
-func (c *Calculator) ordinaryDrivers(s *shape, w way) fit.Drivers {
-	return control(s.under(s.ordinary(c.t), c.gap(w)))
+func (c *Calculator) ordinaryDrivers(s *shape) fit.Drivers {
+	return control(s.under(s.ordinary(c.t), c.gap()))
 }
 
-// gap is the time between two answers with news to a proxy.
-func (c *Calculator) gap(w way) float64 {
-	if w == result.SourceRelay {
-		return 0 // its costs are those of each change, however many go together
-	}
-	return c.t.Get(ReadPaceMs) / 1000
-}
+// gap is the least time between two whole readings of a list by a proxy, in seconds.
+func (c *Calculator) gap() float64 { return c.t.Get(ReadPaceMs) / 1000 }
 
 // worstOf is the budget of a proxy that is missed by most, or fits least.
 func (c *Calculator) worstOf(n proxyNeeds) string {
@@ -90,7 +85,7 @@
 	s := shapeOf(f, c.t)
 	t := Table{Title: name, Head: []string{"role", "way", "state", "messages in, out", "bytes in, out", "processor", "memory", "connections", "verdict"}}
 	for _, w := range ways() {
-		d := c.ordinaryDrivers(s, w)
+		d := c.ordinaryDrivers(s)
 		t.Rows = append(t.Rows, c.callerRow(w, s, d), c.backendProxyRow(w, s, d))
 		t.Rows = append(t.Rows, c.tiers(w, s, d)...)
 	}
--- a/internal/scale/predict/shape.go
+++ b/internal/scale/predict/shape.go
@@ -120,31 +120,38 @@
 
 func (l load) total() float64 { return total(l.changes) }
 
-// delivered is the number of changes, each counted for each proxy that follows its service; at most changes of one service
-// a gap reach a proxy one by one, further ones go with them. A gap of 0 holds nothing back.
-func (s *shape) delivered(l load, gap float64) (changes, endpoints float64) {
+// delivered is the number of changes, each counted for each proxy that follows its service, and the endpoints of the lists
+// that they are changes to.
+func (s *shape) delivered(l load) (changes, endpoints float64) {
 	for i, c := range l.changes {
-		if gap > 0 {
-			c = min(c, 1+l.seconds/gap)
-		}
 		changes += s.callers(i) * c
 		endpoints += s.callers(i) * c * s.sizes[i]
 	}
 	return changes, endpoints
 }
 
-// atRest are the drivers of the fleet without any change.
-func (s *shape) atRest() fit.Drivers {
-	n := float64(s.fleet.Proxies)
-	return fit.Drivers{Proxies: n, Followed: n * total(s.followed), EndpointsHeld: n * s.endpointsFollowed(),
-		Calls: s.fleet.CallsPerSecond, Services: float64(s.fleet.Services), Endpoints: total(s.sizes)}
+// read is the number of whole lists that blocking reads bring a second, and their endpoints. A proxy reads a list once a gap
+// at most.
+func (s *shape) read(l load, gap float64) (lists, endpoints float64) {
+	for i, c := range l.changes {
+		rate := min(fit.ReadRate(c/l.seconds), 1/gap)
+		lists += s.callers(i) * rate
+		endpoints += s.callers(i) * rate * s.sizes[i]
+	}
+	return lists, endpoints
 }
 
-// under are the drivers of the fleet under a load.
+// atRest are the drivers of the fleet without any change.
+func (s *shape) atRest() fit.Drivers { return s.under(s.perBackend(0, 1), 1) }
+
+// under are the drivers of the fleet under a load, with at most one reading of a list by a proxy in a gap.
 func (s *shape) under(l load, gap float64) fit.Drivers {
-	d := s.atRest()
-	changes, endpoints := s.delivered(l, gap)
+	n := float64(s.fleet.Proxies)
+	d := fit.Drivers{Proxies: n, Followed: n * total(s.followed), EndpointsHeld: n * s.endpointsFollowed(),
+		Calls: s.fleet.CallsPerSecond, Services: float64(s.fleet.Services), Endpoints: total(s.sizes)}
+	changes, endpoints := s.delivered(l)
 	d.Changes, d.Delivered, d.EndpointsChanged = l.total()/l.seconds, changes/l.seconds, endpoints/l.seconds
+	d.ListsRead, d.EndpointsRead = s.read(l, gap)
 	return d
 }
 
