--- a/internal/distribution/follow/follower.go
+++ b/internal/distribution/follow/follower.go
@@ -28,8 +28,9 @@
 	reportAgain = 200 * time.Millisecond
 	// probeTimeout is of a health check.
 	probeTimeout = 500 * time.Millisecond
-	// The first choice is asked for its health so often while another is read from, and returned to after a further wait
-	// of up to returnSpread, so that not all its followers come back at once.
+	// Earlier choices are asked so often whether they are ready while a later one is read from, and returned to after a
+	// further wait of up to returnSpread, so that not all their followers come back at once. All others are asked while the
+	// relay that is read from is cut off from the source, and gone to at once.
 	probeEvery   = 2 * time.Second
 	returnSpread = 5 * time.Second
 	// missedAfter is how long after a hold no relay has answered until that is news.
@@ -38,7 +39,7 @@
 	sayEvery = 5 * time.Second
 )
 
-// Subscriber takes what is followed. Its calls come one at a time and in order.
+// Subscriber takes what is followed. Its calls come one at a time and in order, all from Run.
 type Subscriber interface {
 	// Updated puts an update in force; an error refuses it: what stood stays in force, and the error's text is reported.
 	Updated(distribution.Update) error
@@ -50,7 +51,8 @@
 type Transport interface {
 	// Follow reads. Errors: distribution.ErrUnknownSession, *httpapi.BusyError, others.
 	Follow(ctx context.Context, address string, req *distribution.FollowRequest) (*distribution.FollowResponse, error)
-	Healthy(ctx context.Context, address string) error
+	// Ready asks whether a relay answers and hears from the source.
+	Ready(ctx context.Context, address string) error
 	Close()
 }
 
@@ -72,6 +74,7 @@
 	Silent    time.Time     // since when no relay has answered; zero while one does
 	Heard     time.Time     // the last answer
 	SourceAge time.Duration // how long before Heard the source was last heard
+	Cut       bool          // the relay, or one above it, hears from no upstream
 }
 
 // Stats count since the start.
@@ -104,11 +107,10 @@
 	stats      Stats
 }
 
-// subscription is a resource that is followed.
+// subscription is a resource that is followed. Its subscriber is called by Run's goroutine alone.
 type subscription struct {
 	subscriber Subscriber
 	position   distribution.Position
-	calling    sync.Mutex // held while the subscriber is called
 }
 
 // New returns a follower.
@@ -134,8 +136,8 @@
 }
 
 // Subscribe follows a resource, of which the subscriber has a version (zero: none), until cancel is called. A subscriber
-// that follows several resources gets a call at a time for each of them. A resource has one subscriber at a time: another
-// takes its place.
+// may follow several resources. A resource has one subscriber at a time: another
+// takes its place. A call that was about to begin may still come after cancel has returned.
 func (f *Follower) Subscribe(resource string, has distribution.Version, s Subscriber) (cancel func()) {
 	sub := &subscription{subscriber: s, position: distribution.Position{Resource: resource, InForce: has}}
 	f.mu.Lock()
@@ -152,6 +154,7 @@
 	if f.subscribed[resource] == sub {
 		delete(f.subscribed, resource)
 		delete(f.dirty, resource)
+		delete(f.statuses, resource)
 		f.unfollowed[resource] = true
 	}
 	f.mu.Unlock()
@@ -162,6 +165,9 @@
 func (f *Follower) Report(statuses []distribution.ResourceStatus) {
 	f.mu.Lock()
 	for i := range statuses {
+		if f.subscribed[statuses[i].Resource] == nil {
+			continue // nobody up there takes it
+		}
 		f.statuses[statuses[i].Resource] = &statuses[i]
 		f.unreported[statuses[i].Resource] = true
 	}
@@ -259,18 +265,13 @@
 	}
 	stands, unsaid := sub.position.InForce, f.dirty[u.Resource]
 	f.mu.Unlock()
-	if !u.Version.After(stands) && unsaid {
-		return nil // what it has was said anew meanwhile
-	}
-	if !u.Version.After(stands) {
-		return fmt.Errorf("%s: version %v found, one after %v expected", u.Resource, u.Version, stands)
-	}
-	if !u.Whole() && u.From != stands {
-		return &distribution.BaseError{Resource: u.Resource, Stands: stands, From: u.From}
+	if err := fits(u, stands); err != nil {
+		if unsaid {
+			return nil // the relay did not know what stands: its answer crossed a new subscription
+		}
+		return err
 	}
-	sub.calling.Lock()
 	err := sub.subscriber.Updated(*u)
-	sub.calling.Unlock()
 
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -292,6 +293,17 @@
 	return nil
 }
 
+// fits tells whether an update leads on from the version that stands.
+func fits(u *distribution.Update, stands distribution.Version) error {
+	if !u.Version.After(stands) {
+		return fmt.Errorf("%s: version %v found, one after %v expected", u.Resource, u.Version, stands)
+	}
+	if !u.Whole() && u.From != stands {
+		return &distribution.BaseError{Resource: u.Resource, Stands: stands, From: u.From}
+	}
+	return nil
+}
+
 // reason is an error's text, cut to what is taken.
 func reason(err error) string {
 	text := err.Error()
@@ -311,9 +323,7 @@
 	}
 	f.mu.Unlock()
 	for _, sub := range subs {
-		sub.calling.Lock()
 		sub.subscriber.Missed()
-		sub.calling.Unlock()
 	}
 }
 
--- a/internal/rig/rollout/check/record.go
+++ b/internal/rig/rollout/check/record.go
@@ -37,9 +37,11 @@
 	writes  map[string][]history.Event  // answered ones of each resource, by version
 	faults  []fault
 	lags    []span                             // while the machine kept a process of the rig waiting
+	waitsOf map[string][]history.Event         // for a core, by process
 	open    map[string]int                     // faults that have not ended, by the names that events give them
 	reports map[string][]history.Event         // of each resource
 	source  map[string]history.Event           // what the source has in the end
+	sources []history.Event                    // all that it was asked for
 	used    map[string][]history.Event         // by process
 	touches map[string][]span                  // of each follower: faults that touch a way of it, restarts included
 	clear   map[string]map[string][]span       // of each follower: each of its ways, when no fault touches it
@@ -69,6 +71,7 @@
 		used:    map[string][]history.Event{},
 		digests: map[versionOf]map[string]firstSeen{},
 		open:    map[string]int{},
+		waitsOf: map[string][]history.Event{},
 	}
 	schedule := sc.Schedule()
 	for _, e := range all {
@@ -85,6 +88,8 @@
 			}
 		case history.Fault:
 			r.fault(schedule, e)
+		case history.Waited:
+			r.waitsOf[e.Who] = append(r.waitsOf[e.Who], e)
 		case history.Lag:
 			if !r.stopped(e) {
 				r.lags = append(r.lags, span{e.At - e.Took, e.At})
@@ -93,6 +98,7 @@
 			r.reports[e.Resource] = append(r.reports[e.Resource], e)
 		case history.Source:
 			r.source[e.Resource] = e
+			r.sources = append(r.sources, e)
 		case history.Used:
 			r.used[e.Who] = append(r.used[e.Who], e)
 		}
