--- a/internal/scale/fit/figure.go
+++ b/internal/scale/fit/figure.go
@@ -64,6 +64,11 @@
 	return false
 }
 
+// isState tells whether the figure is something that is held, not done.
+func (f Figure) isState() bool {
+	return f == RSS || f == Heap || f == Goroutines || f == Connections
+}
+
 // Unit is the figure's unit as people read it, and the number of base units in it.
 func (f Figure) Unit() (name string, base float64) {
 	switch f {
--- a/internal/scale/fit/model.go
+++ b/internal/scale/fit/model.go
@@ -59,31 +59,32 @@
 	of   func(*Drivers) float64
 }
 
-// The drivers of what is added up over processes, and of times.
-func driversOf(source result.Source, role Role, figure Figure) []driver {
-	constant := driver{"in all", func(*Drivers) float64 { return 1 }}
-	var base []driver // what a process costs that has nothing to do; no bytes pass for it
+// driversOf are the drivers that a figure may grow with. By consul, work and traffic grow with what is followed only as far as
+// whole lists of it are read.
+func driversOf(source result.Source, role Role, figure Figure) (all []driver) {
+	if figure.IsTime() {
+		return append([]driver{{"in all", func(*Drivers) float64 { return 1 }}, perProxy()}, news(source)...)
+	}
 	if figure == RSS || figure == Heap || figure == Goroutines {
-		base = []driver{{"process", func(d *Drivers) float64 { return d.Processes }}}
+		all = append(all, driver{"process", func(d *Drivers) float64 { return d.Processes }})
 	}
-	load := []driver{
-		{"proxy", func(d *Drivers) float64 { return d.Proxies }},
-		{"service followed", func(d *Drivers) float64 { return d.Followed }},
-		{"endpoint followed", func(d *Drivers) float64 { return d.EndpointsHeld }},
+	all = append(all, perProxy())
+	if figure.isState() || source != result.SourceConsul {
+		all = append(all, driver{"service followed", func(d *Drivers) float64 { return d.Followed }},
+			driver{"endpoint followed", func(d *Drivers) float64 { return d.EndpointsHeld }})
 	}
-	load = append(load, news(source)...)
-	calls := driver{"call a second", func(d *Drivers) float64 { return d.Calls }}
-	switch {
-	case figure.IsTime():
-		return append([]driver{constant}, load...)
-	case role == Proxies:
-		return append(append(base, calls), load...)
-	case role == Relays:
-		return append(append(base, load...), atEachRelay()...)
+	all = append(all, news(source)...)
+	switch role {
+	case Proxies:
+		return append(all, driver{"call a second", func(d *Drivers) float64 { return d.Calls }})
+	case Relays:
+		return append(all, atEachRelay()...)
 	}
-	return append(append(base, load...), atTheOrigin()...)
+	return append(all, atTheOrigin()...)
 }
 
+func perProxy() driver { return driver{"proxy", func(d *Drivers) float64 { return d.Proxies }} }
+
 // The terms of whole lists that are read, which are also what a proxy's first reading costs.
 const (
 	TermListRead     = "list read a second"
--- a/internal/scale/predict/events.go
+++ b/internal/scale/predict/events.go
@@ -137,8 +137,20 @@
 			}
 			o := c.play(w, s, x)
 			t.Rows = append(t.Rows, []string{what, at[0], at[1], wayName(w), o.messages.shown(WorkedOut, plain), o.bytes.shown(WorkedOut, bytesOf),
-				o.cores.shown(WorkedOut, plain), o.inForce.shown(WorkedOut, seconds), verdict(o.inForce, c.t.Limits.InForceSeconds)})
+				o.cores.shown(WorkedOut, plain), o.inForce.shown(WorkedOut, seconds), c.eventVerdict(x, o)})
 		}
 	}
 	return t
 }
+
+// eventVerdict holds the time until in force against what is allowed; of what lasts a minute or more, a proxy's bytes too.
+func (c *Calculator) eventVerdict(x event, o outcome) string {
+	text := verdict(o.inForce, c.t.Limits.InForceSeconds)
+	rate := o.bytes.over(x.load.seconds)
+	if x.load.seconds >= lasting && rate.known && rate.value > c.t.Limits.ProxyBytesASec {
+		text += "; bytes: " + verdict(rate, c.t.Limits.ProxyBytesASec)
+	}
+	return text
+}
+
+const lasting = 60.0 // seconds
