--- a/cmd/fernctl/scale_fit_test.go
+++ b/cmd/fernctl/scale_fit_test.go
@@ -73,7 +73,7 @@
 	run := filepath.Join(dir, "run.json")
 	writeResult(t, run)
 	code, out, complaints := ctl("scale", "fit", run)
-	if code != 0 || !strings.Contains(out, "Prediction against fact") || !strings.Contains(out, "yes") {
+	if code != 0 || !strings.Contains(out, "Prediction against fact") || !strings.Contains(out, "both") {
 		t.Errorf("fit: code %d, %s\n%s", code, complaints, out)
 	}
 	page := filepath.Join(dir, "page.md")
--- a/internal/scale/fit/fit_test.go
+++ b/internal/scale/fit/fit_test.go
@@ -184,7 +184,11 @@
 	rng := rand.New(rand.NewPCG(1, 2))
 	results := playAll(truth.at, 0, rng)
 	without := Join(results, result.SourceRelay, true).Get(Proxies, BytesIn).Terms
-	last := &results[0].Points[5]
+	alone := *results[0] // as a file of its own
+	alone.Points = results[0].Points[5:]
+	results[0].Points = results[0].Points[:5]
+	results = append(results, &alone)
+	last := &alone.Points[0]
 	last.HeldOut = true
 	for k := range last.Rounds {
 		last.Rounds[k].Proxies.BytesIn *= 2
@@ -200,8 +204,11 @@
 	for _, c := range m.HeldOut(results) {
 		if c.Figure == BytesIn {
 			found = true
-			if math.Abs(c.Ratio()-0.5) > 0.01 || c.Within() {
-				t.Errorf("ratio %.3f, within %v; 0.5 and false expected", c.Ratio(), c.Within())
+			if math.Abs(c.Ratio()-0.5) > 0.01 || Within(c.Ratio()) {
+				t.Errorf("ratio %.3f, within %v; 0.5 and false expected", c.Ratio(), Within(c.Ratio()))
+			}
+			if math.Abs(c.LineRatio()-0.5) > 0.01 {
+				t.Errorf("ratio by the line %.3f, 0.5 expected", c.LineRatio())
 			}
 		}
 	}
--- a/internal/scale/fit/heldout.go
+++ b/internal/scale/fit/heldout.go
@@ -16,23 +16,26 @@
 	Size      result.Size
 	Role      Role
 	Figure    Figure
-	Predicted float64
+	Predicted float64 // by the model of all sweeps
+	ByLine    float64 // by the line of the sweep that the point is of; NaN where that has none
 	Measured  float64 // mean over the rounds
 }
 
-// Ratio is predicted to measured.
-func (c Comparison) Ratio() float64 {
-	if c.Measured == 0 {
-		if c.Predicted == 0 {
-			return 1
-		}
-		return math.Inf(1)
+// Ratio is predicted by the model to measured.
+func (c Comparison) Ratio() float64 { return ratio(c.Predicted, c.Measured) }
+
+// LineRatio is predicted by the line to measured.
+func (c Comparison) LineRatio() float64 { return ratio(c.ByLine, c.Measured) }
+
+func ratio(predicted, measured float64) float64 {
+	if measured == 0 && predicted == 0 {
+		return 1
 	}
-	return c.Predicted / c.Measured
+	return predicted / measured
 }
 
-// Within tells whether the prediction is within the Tolerance.
-func (c Comparison) Within() bool { return math.Abs(c.Ratio()-1) <= Tolerance }
+// Within tells whether a ratio is within the Tolerance.
+func Within(ratio float64) bool { return math.Abs(ratio-1) <= Tolerance }
 
 // HeldOut compares all held-out points of the results of a models' source with their predictions.
 func (m *Models) HeldOut(results []*result.Result) (all []Comparison) {
@@ -42,14 +45,26 @@
 		}
 		for i := range r.Points {
 			if r.Points[i].HeldOut {
-				all = append(all, m.compare(r, &r.Points[i])...)
+				all = append(all, m.compare(r, &r.Points[i], Sweeps(sweepOf(r, results)))...)
 			}
 		}
 	}
 	return all
 }
 
-func (m *Models) compare(res *result.Result, p *result.Point) (all []Comparison) {
+// sweepOf is the sweep of a result with its points in other files: a size that is held out may have been played alone.
+func sweepOf(r *result.Result, results []*result.Result) *result.Result {
+	whole := *r
+	whole.Points = nil
+	for _, other := range results {
+		if other.Scenario == r.Scenario && other.Source == r.Source && other.Hollow == r.Hollow && other.Dimension == r.Dimension {
+			whole.Points = append(whole.Points, other.Points...)
+		}
+	}
+	return &whole
+}
+
+func (m *Models) compare(res *result.Result, p *result.Point, lines []Sweep) (all []Comparison) {
 	for i := range m.Of {
 		model := &m.Of[i]
 		c := Comparison{Scenario: res.Scenario, Source: res.Source, Size: p.Size, Role: model.Role, Figure: model.Figure}
@@ -65,13 +80,28 @@
 			n++
 		}
 		if n > 0 {
-			c.Measured, c.Predicted = c.Measured/float64(n), c.Predicted/float64(n)
+			c.Measured, c.Predicted, c.ByLine = c.Measured/float64(n), c.Predicted/float64(n), byLine(lines, model, p.Size)
 			all = append(all, c)
 		}
 	}
 	return all
 }
 
+// byLine is a figure at a size by the line of its sweep; NaN where there is none.
+func byLine(lines []Sweep, m *Model, size result.Size) float64 {
+	for _, s := range lines {
+		if s.Role != m.Role || s.Figure != m.Figure {
+			continue
+		}
+		value := s.Line.at(Along(s.Dimension, size))
+		if s.PerProxy {
+			value *= float64(size.Proxies)
+		}
+		return value
+	}
+	return math.NaN()
+}
+
 // Pair is a figure measured of hollow and of real processes on the same work.
 type Pair struct {
 	Source       result.Source
--- a/internal/scale/predict/measured.go
+++ b/internal/scale/predict/measured.go
@@ -142,37 +142,50 @@
 
 // HeldOut is the table of prediction against fact.
 func (e *Evidence) HeldOut(figures []fit.Figure) Table {
-	t := Table{Head: []string{"run", "size", "role", "figure", "predicted", "measured", "ratio", "within 15%"}}
+	t := Table{Head: []string{"run", "size", "role", "figure", "by the formula", "by the sweep's line", "measured", "formula to measured", "line to measured", "within 15%"}}
 	results := e.results()
-	missed, all := 0, 0
+	all, formula, line := 0, 0, 0
 	for _, w := range []way{result.SourceStatic, result.SourceConsul, result.SourceCatalog, result.SourceRelay} {
 		if e.models[w] == nil {
 			continue
 		}
 		for _, x := range e.models[w].HeldOut(results) {
-			if slices.Contains(figures, x.Figure) {
-				t.Rows = append(t.Rows, heldOutRow(x))
-				if all++; !x.Within() {
-					missed++
-				}
+			if !slices.Contains(figures, x.Figure) {
+				continue
 			}
+			t.Rows = append(t.Rows, heldOutRow(x))
+			all++
+			formula += counted(fit.Within(x.Ratio()))
+			line += counted(fit.Within(x.LineRatio()))
 		}
 	}
 	if all > 0 {
-		t.Notes = append(t.Notes, fmt.Sprintf("%d of %d figures are predicted within 15%%.", all-missed, all))
+		t.Notes = append(t.Notes, fmt.Sprintf("Of %d figures the formulas over all sweeps predict %d within 15%%, the line of the sweep itself %d.", all, formula, line))
 	}
 	return t
 }
 
+func counted(yes bool) int {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
 // heldOutRow is a comparison as a row of HeldOut.
 func heldOutRow(x fit.Comparison) []string {
 	unit, base := x.Figure.Unit()
-	yes := "yes"
-	if !x.Within() {
-		yes = "**no**"
-	}
-	return []string{x.Scenario, sizeText(x.Size), string(x.Role), strings.TrimSuffix(fmt.Sprintf("%s, %s", x.Figure, unit), ", "), short(x.Predicted / base), short(x.Measured / base),
-		fmt.Sprintf("%.2f", x.Ratio()), yes}
+	within := "both"
+	switch byFormula, byLine := fit.Within(x.Ratio()), fit.Within(x.LineRatio()); {
+	case !byFormula && !byLine:
+		within = "**no**"
+	case !byFormula:
+		within = "line alone"
+	case !byLine:
+		within = "formula alone"
+	}
+	return []string{x.Scenario, sizeText(x.Size), string(x.Role), strings.TrimSuffix(fmt.Sprintf("%s, %s", x.Figure, unit), ", "), short(x.Predicted / base), short(x.ByLine / base),
+		short(x.Measured / base), short(x.Ratio()), short(x.LineRatio()), within}
 }
 
 func sizeText(s result.Size) string {
