--- a/internal/scale/fit/model.go
+++ b/internal/scale/fit/model.go
@@ -16,6 +16,7 @@
 	Followed         float64 // services, added up over the proxies that follow them
 	EndpointsHeld    float64 // endpoints of these
 	Changes          float64 // a second, at the origin
+	EndpointsPut     float64 // a second, at the origin: endpoints of the lists that are changed
 	Delivered        float64 // a second: changes, each counted for every proxy that follows it
 	EndpointsChanged float64 // a second: endpoints of the lists in which they are
 	ListsRead        float64 // a second: whole lists that blocking reads bring, at rest and because of changes
@@ -29,7 +30,7 @@
 func DriversOf(s result.Size, processes, relays int) Drivers {
 	n, services, backends := float64(s.Proxies), float64(s.Services), float64(s.Backends)
 	d := Drivers{Processes: float64(processes), Relays: float64(relays), Proxies: n, Followed: n * services, EndpointsHeld: n * services * backends,
-		Changes: s.ChangesPerSecond, Calls: n * s.CallsPerSecond, Services: float64(s.ServicesInAll), Endpoints: float64(s.ServicesInAll) * backends}
+		Changes: s.ChangesPerSecond, EndpointsPut: s.ChangesPerSecond * backends, Calls: n * s.CallsPerSecond, Services: float64(s.ServicesInAll), Endpoints: float64(s.ServicesInAll) * backends}
 	if s.ServicesInAll > 0 {
 		d.Delivered = s.ChangesPerSecond * n * services / float64(s.ServicesInAll)
 	}
@@ -69,6 +70,9 @@
 		all = append(all, driver{"process", func(d *Drivers) float64 { return d.Processes }})
 	}
 	all = append(all, perProxy())
+	if role == Lists && source == result.SourceRelay {
+		return append(all, atTheOrigin()...) // what proxies get costs their relays
+	}
 	if figure.isState() || source != result.SourceConsul {
 		all = append(all, driver{"service followed", func(d *Drivers) float64 { return d.Followed }},
 			driver{"endpoint followed", func(d *Drivers) float64 { return d.EndpointsHeld }})
@@ -110,6 +114,7 @@
 	return []driver{
 		{"relay", func(d *Drivers) float64 { return d.Relays }},
 		{"change to each relay a second", func(d *Drivers) float64 { return d.Changes * d.Relays }},
+		{"endpoint of a list changed at each relay a second", func(d *Drivers) float64 { return d.EndpointsPut * d.Relays }},
 		{"service at each relay", func(d *Drivers) float64 { return d.Services * d.Relays }},
 		{"endpoint at each relay", func(d *Drivers) float64 { return d.Endpoints * d.Relays }},
 	}
@@ -119,6 +124,7 @@
 func atTheOrigin() []driver {
 	return []driver{
 		{"change a second", func(d *Drivers) float64 { return d.Changes }},
+		{"endpoint of a list changed a second", func(d *Drivers) float64 { return d.EndpointsPut }},
 		{"service in all", func(d *Drivers) float64 { return d.Services }},
 		{"endpoint in all", func(d *Drivers) float64 { return d.Endpoints }},
 		{"relay", func(d *Drivers) float64 { return d.Relays }},
--- a/internal/scale/predict/events.go
+++ b/internal/scale/predict/events.go
@@ -79,44 +79,50 @@
 }
 
 func (c *Calculator) play(w way, s *shape, x event) outcome {
-	role, machines, hops := fit.Lists, float64(c.t.Limits.ControlMachines), 1
-	d := control(s.under(x.load, c.gap()))
-	reads, resumes := x.reads, 0.0
+	reads, resumes, hops := x.reads, 0.0, 1
 	if w == result.SourceRelay {
-		role, hops, resumes = fit.Relays, relayHops, x.resumes
-		machines, _ = c.relays(s.fleet)
-		d = ofRelays(machines, d)
+		hops, resumes = relayHops, x.resumes
 		if x.resumed {
 			reads = 0
 		}
 	}
+	d := control(s.under(x.load, c.gap()))
 	whole := c.e.wholeReading(c.t)
 	endpoints := reads * s.endpointsFollowed() / s.fleet.ServicesFollowed
 	span, n := x.load.seconds, float64(s.fleet.Proxies)
-	out := outcome{messages: c.e.predict(w, fit.Proxies, fit.MessagesIn, d).times(span), bytes: c.e.predict(w, fit.Proxies, fit.BytesIn, d).times(span / n),
-		cores: c.e.predict(w, role, fit.CPU, d)}
+	out := outcome{messages: c.e.predict(w, fit.Proxies, fit.MessagesIn, d).times(span), bytes: c.e.predict(w, fit.Proxies, fit.BytesIn, d).times(span / n)}
 	out.messages.value += reads + resumes
 	out.bytes.value += (whole.bytes(reads, endpoints) + resumes*s.fleet.ServicesFollowed*c.t.Get(ResumeBytes)) / n
-	out.cores.value += whole.cpuSeconds(reads+resumes, endpoints) / span
-	out.cores.known = out.cores.known && whole.measured
-	out.inForce = c.inForce(w, out.cores, span, machines, hops)
+	queue := known(0)
+	for i, tier := range c.tiersOf(w, s, d) {
+		need := c.e.predict(w, tier.role, fit.CPU, tier.d)
+		if i == 0 { // it answers the proxies
+			need.value += whole.cpuSeconds(reads+resumes, endpoints) / span
+			need.known = need.known && whole.measured
+			out.cores = need
+		}
+		queue = amount{max(queue.value, c.queue(need.value, span, tier.have)), queue.known && need.known}
+	}
+	out.inForce = c.inForce(w, hops).plus(queue)
 	return out
 }
 
+// queue is how many seconds a tier's machines are behind after a span in which they need so many cores.
+func (c *Calculator) queue(need, span, machines float64) float64 {
+	capacity := machines * c.t.Get(MachineCores) * c.t.Get(MachineUse)
+	return span * max(0, need/capacity-1)
+}
+
 // relayHops are the hops from the source to a proxy: to the region's relay, to the zone's, to the proxy.
 const relayHops = 3
 
-// inForce is the measured time at one relay or none, the hops that were not played, and the queue of what the machines
-// cannot do in the time.
-func (c *Calculator) inForce(w way, need amount, span, machines float64, hops int) amount {
-	base := c.e.inForce(w)
-	capacity := machines * c.t.Get(MachineCores) * c.t.Get(MachineUse)
-	queue := span * max(0, need.value/capacity-1)
+// inForce is the measured time at one relay or none and the hops that were not played, without any queue.
+func (c *Calculator) inForce(w way, hops int) amount {
 	further := c.t.Get(RegionRoundTripMs) / 1000
 	if hops > 1 {
 		further += float64(hops-2) * c.t.Get(CoalescingMs) / 1000
 	}
-	return amount{base.value + further + queue, base.known && need.known}
+	return c.e.inForce(w).plus(known(further))
 }
 
 // Events is the table of events at a size.
--- a/internal/scale/predict/predict_test.go
+++ b/internal/scale/predict/predict_test.go
@@ -143,12 +143,14 @@
 func TestAZonesLossIsQueuedWhereMachinesAreTooFew(t *testing.T) {
 	c := calculator(t)
 	s := shapeOf(c.t.Target, c.t)
-	enough, few := amount{value: 100, known: true}, amount{value: 1e5, known: true}
-	if got := c.inForce(result.SourceConsul, enough, 1, 50, 1).value; !near(got, 0.25, 0.01) {
-		t.Errorf("%.2f s with machines enough, the measured 0.1 and a round trip expected", got)
+	if got := c.inForce(result.SourceConsul, 1).value; !near(got, 0.25, 0.01) {
+		t.Errorf("%.2f s, the measured 0.1 and a round trip expected", got)
 	}
-	if got := c.inForce(result.SourceConsul, few, 1, 50, 1).value; !near(got, 0.25+1e5/400-1, 0.01) {
-		t.Errorf("%.2f s, the queue's expected", got)
+	if got := c.inForce(result.SourceRelay, relayHops).value; !near(got, 0.3, 0.01) {
+		t.Errorf("%.2f s by distribution, a relay's hold more expected", got)
+	}
+	if enough, few := c.queue(100, 1, 50), c.queue(1e5, 1, 50); enough != 0 || !near(few, 1e5/400-1, 0.01) {
+		t.Errorf("queues of %.2f and %.2f s, none and that of what 400 cores cannot do expected", enough, few)
 	}
 	for _, x := range c.events(s) {
 		a, b := c.play(result.SourceConsul, s, x), c.play(result.SourceRelay, s, x)
--- a/internal/scale/predict/roles.go
+++ b/internal/scale/predict/roles.go
@@ -162,9 +162,9 @@
 // followedBy are the drivers of a tier whose followers are n relays that follow everything between them.
 func (c *Calculator) followedBy(s *shape, n float64, d fit.Drivers) fit.Drivers {
 	services := float64(s.fleet.Services)
-	out := fit.Drivers{Proxies: n, Followed: n * services, EndpointsHeld: n * total(s.sizes), Changes: d.Changes, Services: d.Services, Endpoints: d.Endpoints}
+	out := fit.Drivers{Proxies: n, Followed: n * services, EndpointsHeld: n * total(s.sizes), Changes: d.Changes, EndpointsPut: d.EndpointsPut, Services: d.Services, Endpoints: d.Endpoints}
 	out.Delivered = n * d.Changes
-	out.EndpointsChanged = out.Delivered * total(s.sizes) / services
+	out.EndpointsChanged = n * d.EndpointsPut
 	return out
 }
 
--- a/internal/scale/predict/shape.go
+++ b/internal/scale/predict/shape.go
@@ -152,6 +152,9 @@
 	changes, endpoints := s.delivered(l)
 	d.Changes, d.Delivered, d.EndpointsChanged = l.total()/l.seconds, changes/l.seconds, endpoints/l.seconds
 	d.ListsRead, d.EndpointsRead = s.read(l, gap)
+	for i, c := range l.changes {
+		d.EndpointsPut += c * s.sizes[i] / l.seconds
+	}
 	return d
 }
 
