--- a/internal/rig/history/history.go
+++ b/internal/rig/history/history.go
@@ -55,7 +55,7 @@
 	Refused    Kind = "refused"    // a follower did not put Version of Resource in force; Why
 	Used       Kind = "used"       // what a process has used until now, or holds, in Figures
 	Reported   Kind = "reported"   // the source (Who) answered what it knows of a resource's being in force: Report
-	Waited     Kind = "waited"     // a process's threads waited for a core for Took in all since it was looked at before
+	Waited     Kind = "waited"     // a process's threads waited for a core for Took in all since it was looked at before, at N
 	Lag        Kind = "lag"        // the machine let a process run only when Took had passed since it was to
 	Source     Kind = "source"     // the source has Version of Resource with Digest; it was asked Took before
 )
--- a/internal/rig/rollout/check/check.go
+++ b/internal/rig/rollout/check/check.go
@@ -38,7 +38,6 @@
 	afterFault   = 10 * time.Second       // a fault is felt this much longer
 	beginsAnew   = 3                      // holds after which a relay forgets a follower that has gone to another
 	movesBack    = 10 * time.Second       // until followers have gone back to the relay of their choice
-	waitSample   = 50 * time.Millisecond  // between two looks at how long processes waited
 	mostLonger   = time.Second            // that an urgent version may take for waits
 	breaksReads  = 500 * time.Millisecond // that the machine keeps a process waiting before relays may take its reads for broken
 	countedAfter = 5 * time.Second        // from a follower's start until reports count it
@@ -169,7 +168,7 @@
 		for _, name := range names {
 			sum := int64(0)
 			for _, e := range r.waitsOf[name] {
-				if within.from <= e.At && e.At <= within.to+waitSample.Microseconds() {
+				if within.from <= e.At && e.N <= within.to {
 					sum += e.Took
 				}
 			}
--- a/internal/rig/rollout/check/check_test.go
+++ b/internal/rig/rollout/check/check_test.go
@@ -187,7 +187,7 @@
 
 // waited is that a process's threads waited for a core.
 func waited(who string, at, took int64) history.Event {
-	return history.Event{At: at, Kind: history.Waited, Who: who, Took: took}
+	return history.Event{At: at, Kind: history.Waited, Who: who, N: at - 50*ms, Took: took}
 }
 
 func used(at int64, bytes float64) history.Event {
--- a/internal/rig/rollout/play.go
+++ b/internal/rig/rollout/play.go
@@ -37,6 +37,7 @@
 
 // play has the publisher write, carries out the schedule, waits until all has settled, and asks the source what there is.
 func (r *run) play(ctx context.Context) error {
+	waits := r.lookAtWaits(nil) // so that nothing waits unseen
 	began := time.Now()
 	r.zero = r.clock.Now()
 	if err := r.procs.Say(plan.PublisherName, actor.Command{Do: actor.DoBegin, At: r.zero}); err != nil {
@@ -44,7 +45,7 @@
 	}
 	asking, stop := context.WithCancel(ctx)
 	r.faults.Go(func() { r.ask(asking) })
-	r.faults.Go(func() { r.watchWaits(asking) })
+	r.faults.Go(func() { r.watchWaits(asking, waits) })
 	r.faults.Go(func() { history.WatchLag(asking, rigName, r.clock, r.tell) })
 	defer stop()
 	if err := r.carryOut(ctx, began); err != nil {
@@ -185,27 +186,38 @@
 	}
 }
 
+// look is how long a process had waited for a core in all when it was looked at.
+type look struct {
+	at     int64 // on the run's clock
+	waited time.Duration
+}
+
 // watchWaits tells how long the processes on the ways from the source to followers wait for a core.
-func (r *run) watchWaits(ctx context.Context) {
+func (r *run) watchWaits(ctx context.Context, before map[int]look) {
 	tick := time.NewTicker(waitEvery)
 	defer tick.Stop()
-	before := map[int]time.Duration{} // by process id
 	for {
 		select {
 		case <-tick.C:
+			before = r.lookAtWaits(before)
 		case <-ctx.Done():
 			return
 		}
-		for _, name := range slices.Concat(r.servers(), r.sc.Names(plan.OnFollowers)) {
-			pid := r.procs.PID(name)
-			waited := process.Waited(pid)
-			last, known := before[pid]
-			before[pid] = waited
-			if took := waited - last; known && took >= waitLeast {
-				r.tell(history.Event{Kind: history.Waited, Who: name, Took: took.Microseconds()})
-			}
+	}
+}
+
+// lookAtWaits looks at all processes, by id, and tells how long they have waited since the look before.
+func (r *run) lookAtWaits(before map[int]look) map[int]look {
+	now := map[int]look{}
+	for _, name := range slices.Concat(r.servers(), r.sc.Names(plan.OnFollowers)) {
+		pid := r.procs.PID(name)
+		now[pid] = look{r.clock.Now(), process.Waited(pid)}
+		last, known := before[pid]
+		if took := now[pid].waited - last.waited; known && took >= waitLeast {
+			r.tell(history.Event{Kind: history.Waited, Who: name, N: last.at, Took: took.Microseconds()})
 		}
 	}
+	return now
 }
 
 // askStats tells what a server says of itself, and what the system says of it.
