--- a/internal/scale/fit/model.go
+++ b/internal/scale/fit/model.go
@@ -16,8 +16,11 @@
 	Followed         float64 // services, added up over the proxies that follow them
 	EndpointsHeld    float64 // endpoints of these
 	Changes          float64 // a second, at the origin
+	EndpointsPut     float64 // a second, at the origin: endpoints of the lists that are changed
 	Delivered        float64 // a second: changes, each counted for every proxy that follows it
 	EndpointsChanged float64 // a second: endpoints of the lists in which they are
+	ListsRead        float64 // a second: whole lists that blocking reads bring, at rest and because of changes
+	EndpointsRead    float64 // a second: endpoints of these
 	Calls            float64 // a second, over all proxies
 	Services         float64 // in all
 	Endpoints        float64 // in all
@@ -27,44 +30,83 @@
 func DriversOf(s result.Size, processes, relays int) Drivers {
 	n, services, backends := float64(s.Proxies), float64(s.Services), float64(s.Backends)
 	d := Drivers{Processes: float64(processes), Relays: float64(relays), Proxies: n, Followed: n * services, EndpointsHeld: n * services * backends,
-		Changes: s.ChangesPerSecond, Calls: n * s.CallsPerSecond, Services: float64(s.ServicesInAll), Endpoints: float64(s.ServicesInAll) * backends}
+		Changes: s.ChangesPerSecond, EndpointsPut: s.ChangesPerSecond * backends, Calls: n * s.CallsPerSecond, Services: float64(s.ServicesInAll), Endpoints: float64(s.ServicesInAll) * backends}
 	if s.ServicesInAll > 0 {
 		d.Delivered = s.ChangesPerSecond * n * services / float64(s.ServicesInAll)
 	}
 	d.EndpointsChanged = d.Delivered * backends
+	if s.ServicesInAll > 0 {
+		d.ListsRead = d.Followed * ReadRate(s.ChangesPerSecond/float64(s.ServicesInAll))
+	}
+	d.EndpointsRead = d.ListsRead * backends
 	return d
 }
 
+// readHold is how long a blocking read of package blocking waits for news, in seconds.
+const readHold = 2.0
+
+// ReadRate is the number of blocking reads a second of one list that changes so many times a second: each ends with the
+// first change or after its hold.
+func ReadRate(changes float64) float64 {
+	if changes < 1e-9 {
+		return 1 / readHold
+	}
+	return changes / -math.Expm1(-changes*readHold)
+}
+
 // driver is one of the Drivers with the name of its term.
 type driver struct {
 	name string
 	of   func(*Drivers) float64
 }
 
-// The drivers of what is added up over processes, and of times.
-func driversOf(role Role, figure Figure) []driver {
-	constant := driver{"in all", func(*Drivers) float64 { return 1 }}
-	var base []driver // what a process costs that has nothing to do; no bytes pass for it
+// driversOf are the drivers that a figure may grow with. By consul, work and traffic grow with what is followed only as far as
+// whole lists of it are read.
+func driversOf(source result.Source, role Role, figure Figure) (all []driver) {
+	if figure.IsTime() {
+		return append([]driver{{"in all", func(*Drivers) float64 { return 1 }}, perProxy()}, news(source)...)
+	}
 	if figure == RSS || figure == Heap || figure == Goroutines {
-		base = []driver{{"process", func(d *Drivers) float64 { return d.Processes }}}
+		all = append(all, driver{"process", func(d *Drivers) float64 { return d.Processes }})
+	}
+	all = append(all, perProxy())
+	if role == Lists && source == result.SourceRelay {
+		return append(all, atTheOrigin()...) // what proxies get costs their relays
+	}
+	if figure.isState() || source != result.SourceConsul {
+		all = append(all, driver{"service followed", func(d *Drivers) float64 { return d.Followed }},
+			driver{"endpoint followed", func(d *Drivers) float64 { return d.EndpointsHeld }})
+	}
+	all = append(all, news(source)...)
+	switch role {
+	case Proxies:
+		return append(all, driver{"call a second", func(d *Drivers) float64 { return d.Calls }})
+	case Relays:
+		return append(all, atEachRelay()...)
 	}
-	load := []driver{
-		{"proxy", func(d *Drivers) float64 { return d.Proxies }},
-		{"service followed", func(d *Drivers) float64 { return d.Followed }},
-		{"endpoint followed", func(d *Drivers) float64 { return d.EndpointsHeld }},
+	return append(all, atTheOrigin()...)
+}
+
+func perProxy() driver { return driver{"proxy", func(d *Drivers) float64 { return d.Proxies }} }
+
+// The terms of whole lists that are read, which are also what a proxy's first reading costs.
+const (
+	TermListRead     = "list read a second"
+	TermEndpointRead = "endpoint of a list read a second"
+)
+
+// news are the drivers of what brings news: blocking reads of whole lists by consul, changes otherwise.
+func news(source result.Source) []driver {
+	if source == result.SourceConsul {
+		return []driver{
+			{TermListRead, func(d *Drivers) float64 { return d.ListsRead }},
+			{TermEndpointRead, func(d *Drivers) float64 { return d.EndpointsRead }},
+		}
+	}
+	return []driver{
 		{"change delivered a second", func(d *Drivers) float64 { return d.Delivered }},
 		{"endpoint of a changed list a second", func(d *Drivers) float64 { return d.EndpointsChanged }},
 	}
-	calls := driver{"call a second", func(d *Drivers) float64 { return d.Calls }}
-	switch {
-	case figure.IsTime():
-		return append([]driver{constant}, load...)
-	case role == Proxies:
-		return append(append(base, calls), load...)
-	case role == Relays:
-		return append(append(base, load...), atEachRelay()...)
-	}
-	return append(append(base, load...), atTheOrigin()...)
 }
 
 // atEachRelay are the drivers of what every relay does for itself: each follows all that those behind it follow.
@@ -72,6 +114,7 @@
 	return []driver{
 		{"relay", func(d *Drivers) float64 { return d.Relays }},
 		{"change to each relay a second", func(d *Drivers) float64 { return d.Changes * d.Relays }},
+		{"endpoint of a list changed at each relay a second", func(d *Drivers) float64 { return d.EndpointsPut * d.Relays }},
 		{"service at each relay", func(d *Drivers) float64 { return d.Services * d.Relays }},
 		{"endpoint at each relay", func(d *Drivers) float64 { return d.Endpoints * d.Relays }},
 	}
@@ -81,6 +124,7 @@
 func atTheOrigin() []driver {
 	return []driver{
 		{"change a second", func(d *Drivers) float64 { return d.Changes }},
+		{"endpoint of a list changed a second", func(d *Drivers) float64 { return d.EndpointsPut }},
 		{"service in all", func(d *Drivers) float64 { return d.Services }},
 		{"endpoint in all", func(d *Drivers) float64 { return d.Endpoints }},
 		{"relay", func(d *Drivers) float64 { return d.Relays }},
@@ -164,7 +208,7 @@
 				continue
 			}
 			m := Model{Source: source, Hollow: hollow, Role: role, Figure: figure, Rounds: len(all)}
-			m.fit(all, driversOf(role, figure))
+			m.fit(all, driversOf(source, role, figure))
 			out.Of = append(out.Of, m)
 		}
 	}
