--- a/internal/scale/fit/heldout.go
+++ b/internal/scale/fit/heldout.go
@@ -57,13 +57,31 @@
 	whole := *r
 	whole.Points = nil
 	for _, other := range results {
-		if other.Scenario == r.Scenario && other.Source == r.Source && other.Hollow == r.Hollow && other.Dimension == r.Dimension {
+		if other.Source == r.Source && other.Hollow == r.Hollow && other.Dimension == r.Dimension && besides(other) == besides(r) {
 			whole.Points = append(whole.Points, other.Points...)
 		}
 	}
 	return &whole
 }
 
+// besides is the size that a sweep does not vary.
+func besides(r *result.Result) result.Size {
+	s := r.Points[0].Size
+	switch r.Dimension {
+	case result.Proxies:
+		s.Proxies = 0
+	case result.Services:
+		s.Services = 0
+	case result.Backends:
+		s.Backends = 0
+	case result.Changes:
+		s.ChangesPerSecond = 0
+	case result.Calls:
+		s.CallsPerSecond = 0
+	}
+	return s
+}
+
 func (m *Models) compare(res *result.Result, p *result.Point, lines []Sweep) (all []Comparison) {
 	for i := range m.Of {
 		model := &m.Of[i]
