Never count a proxy for a later version than it has in a bounded status

Cause: a status of more than 1,024 versions added the rest to the oldest version that it kept, which is later than theirs, so that rollout wait could end too early (found by reading boundCounts). Change: the rest counts under the oldest of all. TestStatusIsBounded now asks for every seventh version and fails without.

--- a/internal/distribution/sessions_test.go
+++ b/internal/distribution/sessions_test.go
@@ -207,6 +207,12 @@
 	if progress := merged.Progress(at(2, 1)); progress.Proxies != 5*MaxCounts {
 		t.Errorf("%d proxies, %d expected", progress.Proxies, 5*MaxCounts)
 	}
+	for revision := 1; revision <= 5*MaxCounts; revision += 7 { // a version is never said to be in force where it is not
+		progress := merged.Progress(at(1, uint64(revision)))
+		if most := 5*MaxCounts - revision + 1; progress.InForce > most {
+			t.Errorf("revision %d: in force at %d proxies, %d at most expected", revision, progress.InForce, most)
+		}
+	}
 }
 
 // reader is a proxy in the model test of sessions.
--- a/internal/distribution/status.go
+++ b/internal/distribution/status.go
@@ -37,15 +37,17 @@
 	return merged
 }
 
-// boundCounts adds the oldest versions together where there are too many: nobody asks any more which of them it is.
+// boundCounts adds the oldest versions together where there are too many, under the oldest of them: a proxy must not count
+// for a version that it has not got.
 func boundCounts(counts []VersionCount) []VersionCount {
 	if len(counts) <= MaxCounts {
 		return counts
 	}
-	for _, c := range counts[MaxCounts:] {
-		counts[MaxCounts-1].Proxies += c.Proxies
+	rest := VersionCount{Version: counts[len(counts)-1].Version}
+	for _, c := range counts[MaxCounts-1:] {
+		rest.Proxies += c.Proxies
 	}
-	return counts[:MaxCounts]
+	return append(counts[:MaxCounts-1], rest)
 }
 
 // boundRefusals keeps those of the latest versions, one for each follower.
