Wait under a context in one place

Cause: the rig, blocking reads and replays each had the same wait that a context ends.

Change: package sleep has it, for a duration and until a moment; a time that is over makes no timer.

--- a/internal/membership/blocking/blocking.go
+++ b/internal/membership/blocking/blocking.go
@@ -20,6 +20,7 @@
 	"fernlanding/internal/membership"
 	"fernlanding/internal/membership/reconcile"
 	"fernlanding/internal/membership/staleness"
+	"fernlanding/internal/sleep"
 )
 
 const (
@@ -76,7 +77,7 @@
 			s.cfg.Log.Warn("health reads: the index fell, reading anew", "from", index, "to", next)
 			s.teller.Failed()
 			index = 0
-			if !pause(ctx, rand.N(idle)) {
+			if !sleep.For(ctx, rand.N(idle)) {
 				return
 			}
 			continue
@@ -91,31 +92,19 @@
 				missed = true
 				sink.Missed()
 			}
-			if !pause(ctx, rand.N(wait)) {
+			if !sleep.For(ctx, rand.N(wait)) {
 				return
 			}
 			wait = min(2*wait, retryMost)
 			continue
 		}
 		index, wait, missed = next, retryFirst, false
-		if !fresh && !pause(ctx, idle) {
+		if !fresh && !sleep.For(ctx, idle) {
 			return
 		}
 	}
 }
 
-// pause waits; it is false when the context ends before.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // read makes one read. Index 0 does not wait.
 func (s *Source) read(ctx context.Context, index uint64) (next uint64, entries []reconcile.Entry, err error) {
 	u := "http://" + s.cfg.Address + "/v1/health/service/" + url.PathEscape(s.cfg.Service)
--- a/internal/pcap/replay/run.go
+++ b/internal/pcap/replay/run.go
@@ -15,6 +15,7 @@
 
 	"fernlanding/internal/pcap/http"
 	"fernlanding/internal/pcap/write"
+	"fernlanding/internal/sleep"
 )
 
 // Target is where a replay goes, and how.
@@ -74,7 +75,7 @@
 	var all sync.WaitGroup
 	for _, n := range order { // by the times of their first steps
 		left := lanes[n]
-		if !until(ctx, start.Add(left[0].At)) {
+		if !sleep.Until(ctx, start.Add(left[0].At)) {
 			break
 		}
 		select {
@@ -105,25 +106,9 @@
 	errBefore  = errors.New("the connection ended before the answer")
 )
 
-// until waits for a time; it is false if the context ends first.
-func until(ctx context.Context, t time.Time) bool {
-	d := time.Until(t)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // carry sends steps over one connection, at least one, and returns those that were not begun on it.
 func (to *Target) carry(ctx context.Context, start time.Time, steps []*Step, results map[*Step]*Result) (left []*Step) {
-	if !until(ctx, start.Add(steps[0].At)) {
+	if !sleep.Until(ctx, start.Add(steps[0].At)) {
 		return nil
 	}
 	d := net.Dialer{Timeout: to.Wait}
@@ -164,7 +149,7 @@
 	n := 0
 	for n < len(steps) {
 		s := steps[n]
-		if n > 0 && (!until(ctx, start.Add(s.At)) || c.ended()) {
+		if n > 0 && (!sleep.Until(ctx, start.Add(s.At)) || c.ended()) {
 			break
 		}
 		n++
@@ -181,7 +166,7 @@
 // oneByOne sends each step when the one before has its answer.
 func (to *Target) oneByOne(ctx context.Context, c *wire, r *bufio.Reader, start time.Time, steps []*Step, results map[*Step]*Result) (left []*Step) {
 	for n, s := range steps {
-		if n > 0 && !until(ctx, start.Add(s.At)) {
+		if n > 0 && !sleep.Until(ctx, start.Add(s.At)) {
 			return steps[n:]
 		}
 		if !to.send(c, start, s, results[s]) || !to.answer(ctx, c, r, asking{s, time.Now()}, results[s]) {
--- a/internal/rig/play.go
+++ b/internal/rig/play.go
@@ -12,6 +12,7 @@
 	"fernlanding/internal/rig/actor"
 	"fernlanding/internal/rig/history"
 	"fernlanding/internal/rig/scenario"
+	"fernlanding/internal/sleep"
 	"fernlanding/internal/standin"
 )
 
@@ -33,7 +34,7 @@
 	began := time.Now()
 	ends := make([]func() error, len(faults))
 	for _, s := range steps {
-		if !sleep(ctx, time.Until(began.Add(s.at))) {
+		if !sleep.Until(ctx, began.Add(s.at)) {
 			return ctx.Err()
 		}
 		f := faults[s.fault]
@@ -52,7 +53,7 @@
 			return fmt.Errorf("rig: %s: %w", f, err)
 		}
 	}
-	if !sleep(ctx, time.Until(began.Add(r.sc.For))) {
+	if !sleep.Until(ctx, began.Add(r.sc.For)) {
 		return ctx.Err()
 	}
 	return nil
@@ -166,7 +167,7 @@
 	down := make(chan struct{})
 	r.faults.Go(func() {
 		defer close(down)
-		if sleep(ctx, min(drainFor, f.For)) {
+		if sleep.For(ctx, min(drainFor, f.For)) {
 			_ = r.backends(actor.Command{Do: actor.DoEnd, Names: f.Names})
 			r.state("DELETED", f.Names...)
 		}
@@ -183,7 +184,7 @@
 
 func (r *run) later(ctx context.Context, after time.Duration, f func()) {
 	r.faults.Go(func() {
-		if sleep(ctx, after) {
+		if sleep.For(ctx, after) {
 			f()
 		}
 	})
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -24,6 +24,7 @@
 	"fernlanding/internal/rig/link"
 	"fernlanding/internal/rig/process"
 	"fernlanding/internal/rig/scenario"
+	"fernlanding/internal/sleep"
 	"fernlanding/internal/standin"
 )
 
@@ -384,7 +385,7 @@
 		if err := r.startSidecar(i); err != nil {
 			return err
 		}
-		if each > 0 && !sleep(ctx, each) {
+		if each > 0 && !sleep.For(ctx, each) {
 			return ctx.Err()
 		}
 	}
@@ -396,7 +397,7 @@
 	if err := r.startSidecar(0); err != nil {
 		return err
 	}
-	if !sleep(ctx, measureAfter) {
+	if !sleep.For(ctx, measureAfter) {
 		return ctx.Err()
 	}
 	each := process.Resident(r.procs.PID(r.sidecars[0]))
@@ -485,17 +486,6 @@
 	return strings.Join(out, ", ")
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // finish has the load end and its last answers come, and ends the sidecars in order.
 func (r *run) finish() error {
 	for _, c := range r.clients {
