Refuse a carried configuration that would rename the follower that brings it

Cause, found by reading the change once more: without distribution.name the follower goes by the application's name and host. A carried file that changed either made relays.use replace the follower from the follower's own goroutine, which waited for itself for ever and held the sidecar's lock, so that neither SIGHUP nor SIGTERM was heeded. Change: fixedByRelays refuses it with a reason; Reload by a file may change the name as before, and no longer copies the configuration to leave distribution out of the comparison. The whole suite was not run again after this.

--- a/internal/sidecar/remote_configuration.go
+++ b/internal/sidecar/remote_configuration.go
@@ -187,14 +187,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := fixed(file, app); err != nil {
+	if err := fixedByRelays(file, app); err != nil {
 		return nil, err
 	}
 	c.name, c.inForce, c.fragments = kept.Name, kept.InForce, fragments
 	return app, nil
 }
 
-// fixed refuses a configuration that differs from another in what can't change while the program runs or by way of relays.
+// fixed refuses a configuration that differs from another in what can't change while the program runs.
 func fixed(from, to *config.App) error {
 	switch {
 	case to.Wording != from.Wording:
@@ -203,12 +203,19 @@
 		return fmt.Errorf("listeners: %w", errFixed)
 	case to.Process != from.Process || to.StateDir != from.StateDir || to.ListAge != from.ListAge:
 		return fmt.Errorf("process: %w", errFixed)
-	case !reflect.DeepEqual(to.Distribution, from.Distribution):
-		return fmt.Errorf("distribution: %w", errFixed)
 	}
 	return nil
 }
 
+// fixedByRelays refuses, beyond that, what can't change by way of relays: the follower that brings a configuration can't be
+// replaced by it, and has a name that follows from the application's where it is given none.
+func fixedByRelays(from, to *config.App) error {
+	if !reflect.DeepEqual(to.Distribution, from.Distribution) || followerName(to) != followerName(from) {
+		return fmt.Errorf("distribution: %w", errFixed)
+	}
+	return fixed(from, to)
+}
+
 // reloadRemote has a configuration that relays have brought take hold, unless the follower that has brought it is to end
 // before its turn comes.
 func (s *Sidecar) reloadRemote(app *config.App, halted <-chan struct{}) error {
@@ -220,7 +227,7 @@
 	defer func() { <-s.reloading }()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := fixed(s.app, app); err != nil {
+	if err := fixedByRelays(s.app, app); err != nil {
 		return err
 	}
 	return s.take(app)
--- a/internal/sidecar/remote_configuration_test.go
+++ b/internal/sidecar/remote_configuration_test.go
@@ -211,3 +211,26 @@
 	<-p.reloading
 	asks(t, p, "/s1", 200)
 }
+
+// A follower goes by the application's name where it is given none. A configuration that changes it can't take the place of
+// the follower that brings it, and is refused; it would wait for itself.
+func TestConfigurationByRelaysKeepsItsFollower(t *testing.T) {
+	t.Parallel()
+	source := nodetest.Source(t)
+	relay := nodetest.Relay(t, "relay", "127.0.0.1:0", source.Address)
+	a, b := backend(t, standin.Echo), backend(t, standin.Echo)
+	unnamed := func(text string) string { return strings.Replace(text, "name = \"sidecar\"\n", "", 1) }
+	p := start(t, decodeFile(t, unnamed(remoteFile(relay.Address, "", a))))
+	first := publish(t, source, unnamed(remoteFile(relay.Address, "", a)))
+	awaitConfiguration(t, relay, first, distribution.Version{})
+
+	renamed := strings.Replace(unnamed(remoteFile(relay.Address, "", a, b)), "name = \"test\"", "name = \"other\"", 1)
+	refused := publish(t, source, renamed)
+	if reason := awaitConfiguration(t, relay, first, refused); !strings.Contains(reason, "distribution") {
+		t.Errorf("refused because of %q", reason)
+	}
+	asks(t, p, "/s1", 404)
+	next := publish(t, source, unnamed(remoteFile(relay.Address, "", a, b)))
+	awaitConfiguration(t, relay, next, distribution.Version{})
+	asks(t, p, "/s1", 200)
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -273,9 +273,7 @@
 	if reflect.DeepEqual(app.Distribution, s.app.Distribution) && !s.remote.version().IsZero() {
 		return errRemote
 	}
-	as := *app
-	as.Distribution = s.app.Distribution // may change by a file
-	if err := fixed(s.app, &as); err != nil {
+	if err := fixed(s.app, app); err != nil {
 		return err
 	}
 	return s.take(app)
