Space the calls after refusals of a list service that all proxies ask

Cause: where lists are asked for, a watch that was turned away was repeated after 60 to 140 ms, 40 times (ask.go, quickTries). The service works on calls that it has turned away for their wait, and turns away at once beyond 2.5 time-outs of work. Ruled out: copies that were just answered taking the others' room, as was suspected (their watches go on and cost the service no new call).

--- a/internal/membership/catalog/ask.go
+++ b/internal/membership/catalog/ask.go
@@ -27,11 +27,6 @@
 	mostWholeOverdue = 6 * time.Second
 	mostAsks         = 8                      // calls that are open at a time
 	firstAgain       = 500 * time.Millisecond // after a first call that broke off, where the module knows of no list and so asks for none
-	// A watch goes on if the next call comes within 200 ms of the last answer, also of one that turns it away (PROTOCOL). The module waits
-	// longer, so such a call is repeated sooner for some times. What is turned away costs the service little.
-	leastQuick = 60 * time.Millisecond
-	mostQuick  = 140 * time.Millisecond
-	quickTries = 40 // some 4 s: such a service takes a call once its queue is short enough
 )
 
 // asking is a Client's work where all proxies ask one service, at the module's word. One goroutine owns it.
@@ -49,7 +44,6 @@
 	taken   int           // the one that brought the version that stands
 	watch   int           // the one that watches; 0: none does
 	late    time.Duration // after which the next call for the whole list is overdue
-	quick   int           // watches in a row that were turned away and repeated without the module's word
 	retry   *retry        // decides when to call again where the service says when, or the module does not
 	waiting bool          // for the module's word
 }
@@ -136,7 +130,6 @@
 		return
 	}
 	a.resetRetry()
-	a.quick = 0
 	// Changes up to a version that stands already are no news, nor is a whole list from before the one that stands was asked for. Any
 	// other whole list is: a service that starts anew counts anew.
 	if e.list.Index >= a.index || e.list.Full && e.number > a.taken {
@@ -148,8 +141,8 @@
 	}
 }
 
-// failed takes the failure of the newest call. The module is told, and says when to ask again; a watch is repeated before that, unless
-// the service has said when to come back.
+// failed takes the failure of the newest call. The module is told. It says when to ask again, except after a refusal: the service works
+// on calls that it has turned away for their wait, so those who come back soon after keep it from those whose turn could still come.
 func (a *asking) failed(err error) {
 	a.log.Warn("discovery", "error", err)
 	a.stale.Failed()
@@ -160,22 +153,18 @@
 		a.index = -1
 	}
 	a.overdue.Stop()
-	a.waiting = retryAfter == 0
+	a.waiting = outcome != start.Busy
 	a.sink.Missed()
-	noList := a.taken == 0 && !a.cfg.First
 	switch {
-	case retryAfter > 0, outcome == start.Busy && noList:
+	case outcome == start.Busy:
 		a.overdue.Reset(time.Until(a.retry.due(false)))
-	case noList:
+	case a.taken == 0 && !a.cfg.First:
 		a.overdue.Reset(firstAgain)
-	case a.index >= 0 && a.quick < quickTries:
-		a.quick++
-		a.overdue.Reset(leastQuick + time.Duration(a.random.Int64N(int64(mostQuick-leastQuick))))
 	}
 }
 
 // resetRetry has the waits after refusals begin anew.
-func (a *asking) resetRetry() { a.retry = newRetry(time.Now(), 0, a.random) }
+func (a *asking) resetRetry() { a.retry = newRetry(time.Now(), 0, askBackoff, a.random) }
 
 // take hands an answer on.
 func (a *asking) take(e asked) {
--- a/internal/membership/catalog/ask_test.go
+++ b/internal/membership/catalog/ask_test.go
@@ -7,8 +7,7 @@
 	"time"
 )
 
-// A shared service that says when to come back is left alone until then, though a watch that is turned away is repeated sooner
-// otherwise, and though the module asks at once; but not for so long that what it has at its return is told too late.
+// A shared service that says when to come back is left alone until then, though the module asks at once; but not for so long that what it has at its return is told too late.
 func TestAWatchIsNotRepeatedBeforeItsRetryAfter(t *testing.T) {
 	t.Parallel()
 	var r refusals
@@ -58,5 +57,5 @@
 	lists := make(listed, 10)
 	follow(t, asks(addr), lists)
 	next(t, lists, "the first list")
-	r.atLeast(t, 125*time.Millisecond, 375*time.Millisecond, 1125*time.Millisecond)
+	r.atLeast(t, askBackoff.first/2, refusedGrowth*askBackoff.first/2, askBackoff.most/2)
 }
--- a/internal/membership/catalog/push.go
+++ b/internal/membership/catalog/push.go
@@ -39,7 +39,7 @@
 // nextPushed is the next answer: a watch's from a version on, or that of the calls which follow one that failed; with no version,
 // that of calls for the whole list. nil: the context has ended.
 func (d *Client) nextPushed(ctx context.Context, index int64) *membership.List {
-	r := &retrying{Client: d, index: index, retry: newRetry(time.Now(), d.interval, d.random), ends: make(chan pushEnd)}
+	r := &retrying{Client: d, index: index, retry: newRetry(time.Now(), d.interval, pushBackoff, d.random), ends: make(chan pushEnd)}
 	if index >= 0 { // otherwise what the agent has counts as told from the first moment on
 		list, err := d.fetch(ctx, index, d.hold(), d.patience)
 		if err == nil {
--- a/internal/membership/catalog/retry_test.go
+++ b/internal/membership/catalog/retry_test.go
@@ -8,7 +8,9 @@
 
 var zero = time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
 
-func drawn(seed uint64) *retry { return newRetry(zero, silentInterval, rand.New(rand.NewPCG(seed, 1))) }
+func drawn(seed uint64) *retry {
+	return newRetry(zero, silentInterval, pushBackoff, rand.New(rand.NewPCG(seed, 1)))
+}
 
 // in is how long after a time a call is due.
 func in(r *retry, from time.Time, pending bool) time.Duration { return r.due(pending).Sub(from) }
@@ -65,7 +67,7 @@
 	for range 9 {
 		r.refuse(zero.Add(time.Millisecond), 0)
 	}
-	if !r.due(false).Equal(next) || r.bound != firstRefusedBound {
+	if !r.due(false).Equal(next) || r.bound != pushBackoff.first {
 		t.Errorf("due after %v instead of %v, bound %v", in(r, zero, false), next.Sub(zero), r.bound)
 	}
 }
@@ -107,7 +109,7 @@
 	}
 	r.call(zero)
 	r.refuse(zero, 0)
-	if wait := in(r, zero, false); wait > firstRefusedBound {
+	if wait := in(r, zero, false); wait > pushBackoff.first {
 		t.Errorf("the first refusal after that: %v", wait)
 	}
 }
