Have a repeated attempt wait for the end of the one that its sender gave up

Cause: of sidecars in a row, one that gives an attempt up closes its connection and sends the request again under the same Request-Id.

Change: in applications' sidecars a request waits up to 0.3 s (within which a client is seen to have left) for the end of an earlier one under its id, and is then taken like any other. Whose first client stays is rejected as before, and so is all such under run, where ids are new with each try and an id of another client's open request is bad input.

--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -33,6 +33,7 @@
 	upstream Upstream
 	zones    zones
 	log      *slog.Logger
+	sameID   time.Duration // of Config
 	lag      int64         // of Settings
 	classes  []logic.Class // the same
 	asked    chan struct{} // the module's word to subscribe
@@ -60,6 +61,9 @@
 	Upstream Upstream
 	Clock    Clock
 	Log      *slog.Logger
+	// SameID is how long a request waits for the end of an earlier one under its id. A caller that has given up an attempt may send the
+	// request again before this pool has seen it leave. 0: it is rejected at once.
+	SameID time.Duration
 }
 
 // New returns a pool with no list. Its time stands still until Run.
@@ -68,7 +72,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	return &Pool{clock: cfg.Clock, upstream: cfg.Upstream, zones: newZones(cfg.Zones), log: cfg.Log, lag: cfg.Settings.Lag, classes: cfg.Settings.Classes,
+	return &Pool{clock: cfg.Clock, upstream: cfg.Upstream, zones: newZones(cfg.Zones), log: cfg.Log, sameID: cfg.SameID, lag: cfg.Settings.Lag, classes: cfg.Settings.Classes,
 		asked: make(chan struct{}, 1), listed: make(chan struct{}), traced: make(chan struct{}, 1), bal: bal, reqs: map[string]*Request{},
 		alarm: time.NewTimer(farAway)}, nil
 }
@@ -199,6 +203,7 @@
 // carried out on the caller's goroutine, one at a time.
 func (p *Pool) Do(r *Request) Answer {
 	p.mu.Lock()
+	p.awaitEarlier(r)
 	if r.over { // withdrawn already
 		p.mu.Unlock()
 		return r.answer
@@ -236,6 +241,26 @@
 	return r.answer
 }
 
+// awaitEarlier waits a while for the end of an earlier request under the same id. The pool is locked before and after it.
+func (p *Pool) awaitEarlier(r *Request) {
+	earlier := p.reqs[r.ID]
+	if earlier == nil || p.sameID == 0 {
+		return
+	}
+	if earlier.gone == nil {
+		earlier.gone = make(chan struct{})
+	}
+	gone := earlier.gone
+	p.mu.Unlock()
+	defer p.mu.Lock()
+	timeout := time.NewTimer(p.sameID)
+	defer timeout.Stop()
+	select {
+	case <-gone:
+	case <-timeout.C:
+	}
+}
+
 // tell wakes the goroutine that waits for news of a request.
 func (r *Request) tell() {
 	if r.news != nil {
@@ -297,6 +322,10 @@
 func (p *Pool) forget(r *Request) {
 	if r.over && r.out == nil {
 		delete(p.reqs, r.ID)
+		if r.gone != nil {
+			close(r.gone)
+			r.gone = nil
+		}
 		if r.time.place >= 0 {
 			heap.Remove(&p.timers, r.time.place)
 		}
--- a/internal/core/pool_test.go
+++ b/internal/core/pool_test.go
@@ -42,12 +42,18 @@
 }
 
 func startPool(t *testing.T, up Upstream) *Pool {
+	t.Helper()
+	return startPoolWaiting(t, up, 0)
+}
+
+// startPoolWaiting starts a pool whose requests wait for the end of one under the same id.
+func startPoolWaiting(t *testing.T, up Upstream, sameID time.Duration) *Pool {
 	t.Helper()
 	class := logic.Class{Aim: 4e6, Deadline: 8e6, Worth: 1}
 	unsafe := class
 	unsafe.Repeat = logic.Unsafe
 	p, err := New(Config{Settings: logic.Settings{Siblings: 1, Zones: 1, MaxAttempts: 3, StartCapacity: 1,
-		Classes: []logic.Class{class, unsafe}}, Seed: 1, Upstream: up, Clock: NewClock(), Log: slog.New(slog.DiscardHandler)})
+		Classes: []logic.Class{class, unsafe}}, Seed: 1, Upstream: up, Clock: NewClock(), Log: slog.New(slog.DiscardHandler), SameID: sameID})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -24,6 +24,7 @@
 	next   *Attempt      // the one to be carried out, by the front's goroutine
 	time   timer         // its end, whatever the module says
 	news   chan struct{} // of answer or next, while the front's goroutine waits
+	gone   chan struct{} // closed when nothing is left of it; nil: nobody waits for that
 }
 
 // Verdict is the kind of a final answer.
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -75,6 +75,7 @@
 	memory   *shares // nil on the platform
 	memoryMB float64
 	starts   int           // of this sidecar lately, this one not included, as far as is known
+	sameID   time.Duration // that a request waits for the end of one under its id
 	paced    bool          // lists come from a service that all copies share, and not from an agent on this machine
 	stateDir string        // where lists are kept; empty: nowhere
 	listAge  time.Duration // from which on one that was kept is not begun with; 0: none is kept
@@ -108,7 +109,7 @@
 	settings.ColdEvenly = with.paced
 	var err error
 	s.pool, err = core.New(core.Config{Settings: settings, Seed: seed, Zones: cfg.Zones, Upstream: with.hollow.upstream(s.up), Clock: with.clock,
-		Log: with.log.With("service", cfg.Name)})
+		Log: with.log.With("service", cfg.Name), SameID: with.sameID})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -29,6 +29,8 @@
 	notReadyEvery = 5 * time.Second        // says a sidecar that is not ready why
 	readyPoll     = 50 * time.Millisecond  // looks it whether it is
 
+	sameIDWait = 300 * time.Millisecond // within which a client that has left is seen to, also after a stall
+
 	answerTime = time.Second // beyond the cutoff, for answers to be written by a process that is stalled or slow
 
 	servePart = 0.7 // of the time between: requests are taken; the rest is for their answers
@@ -77,6 +79,7 @@
 		return nil, err
 	}
 	if app.Wording == config.Application {
+		s.with.sameID = sameIDWait
 		parts, err := app.Memory()
 		if err != nil {
 			return nil, err
