Read all TOML files of the tools by one function, and wait by one

Cause: the same fourteen lines that parse a file, read its root table and list its faults stood in the scenarios of the rig, of rollouts and of scale tests, in the latency plan and in the target; four copies of a wait that a context ends stood beside internal/sleep; and the draw of a share of names stood in both rigs' schedules.

Change: doc.Decode, sleep.For and scenario.DrawShare in their places. No behaviour changes.

--- a/internal/distribution/follow/reader.go
+++ b/internal/distribution/follow/reader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fernlanding/internal/distribution"
+	"fernlanding/internal/sleep"
 )
 
 // mostStatuses is how many statuses go in a report.
@@ -57,7 +58,7 @@
 // readLoop reads again and again.
 func (r *reader) readLoop() {
 	defer r.beside.Wait()
-	for r.sleep(r.choose()) {
+	for sleep.For(r.ctx, r.choose()) {
 		err := r.read()
 		switch {
 		case r.ctx.Err() != nil:
@@ -211,21 +212,6 @@
 	})
 }
 
-// sleep waits; false: the context has ended.
-func (r *reader) sleep(d time.Duration) bool {
-	if d <= 0 {
-		return r.ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.ctx.Done():
-		return false
-	}
-}
-
 // reportLoop says what can't wait for the next read: what is followed anew, and statuses.
 func (r *reader) reportLoop() {
 	for {
@@ -236,7 +222,7 @@
 		}
 		for {
 			more, err := r.report()
-			if err != nil && !r.sleep(reportAgain) {
+			if err != nil && !sleep.For(r.ctx, reportAgain) {
 				return
 			}
 			if !more {
@@ -338,14 +324,14 @@
 		if cut {
 			wait = time.Duration(random.Int64N(int64(probeEvery / 2)))
 		}
-		if !r.sleep(wait) {
+		if !sleep.For(r.ctx, wait) {
 			return
 		}
 		to := r.firstReady(choice, candidates)
 		if to < 0 {
 			continue
 		}
-		if !cut && !r.sleep(time.Duration(random.Int64N(int64(returnSpread)))) {
+		if !cut && !sleep.For(r.ctx, time.Duration(random.Int64N(int64(returnSpread)))) {
 			return
 		}
 		r.choosing.Lock()
--- a/internal/doc/read.go
+++ b/internal/doc/read.go
@@ -28,6 +28,20 @@
 // NewScope is the scope of a whole document.
 func NewScope(r *Reader, root *Value) Scope { return Scope{r, root, ""} }
 
+// Decode reads a file with a function that reads its root table. The error lists all faults, one a line, with file, line, column and field.
+func Decode[T any](file string, data []byte, read func(Scope) *T) (*T, error) {
+	root, faults := Parse(file, data)
+	if root == nil {
+		return nil, faults.Err()
+	}
+	r := &Reader{Faults: faults}
+	decoded := read(NewScope(r, root))
+	if err := r.Faults.Err(); err != nil {
+		return nil, err
+	}
+	return decoded, nil
+}
+
 // Fault notes a fault at a value.
 func (r *Reader) Fault(at *Value, rule rules.ID, field, found, expect string) {
 	r.Faults = append(r.Faults, Fault{Place: at.Place, Rule: rule, Field: field, Found: found, Expect: expect})
--- a/internal/rig/actor/publisher.go
+++ b/internal/rig/actor/publisher.go
@@ -14,6 +14,7 @@
 	"fernlanding/internal/distribution"
 	"fernlanding/internal/rig/history"
 	"fernlanding/internal/rig/rollout/plan"
+	"fernlanding/internal/sleep"
 )
 
 const (
@@ -74,7 +75,7 @@
 			if due < from && !put.Insist {
 				continue
 			}
-			if !p.sleep(time.Duration(due-p.clock.Now()) * time.Microsecond) {
+			if !sleep.For(p.ctx, time.Duration(due-p.clock.Now())*time.Microsecond) {
 				return
 			}
 			p.ended.Go(func() { p.publish(put) })
@@ -86,7 +87,7 @@
 func (p *publisher) publish(put plan.Put) {
 	for {
 		answered := p.try(put)
-		if answered || !put.Insist || !p.sleep(putAgain) {
+		if answered || !put.Insist || !sleep.For(p.ctx, putAgain) {
 			return
 		}
 	}
@@ -139,14 +140,3 @@
 	}
 	return response.StatusCode, answer.Version, nil
 }
-
-func (p *publisher) sleep(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-p.ctx.Done():
-		return false
-	}
-}
--- a/internal/rig/rollout/plan/schedule.go
+++ b/internal/rig/rollout/plan/schedule.go
@@ -72,12 +72,7 @@
 			names = append(names, name)
 		}
 	}
-	if f.Share > 0 && f.Share < 1 {
-		rnd.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-		names = names[:max(1, int(f.Share*float64(len(names))+0.5))]
-		slices.SortFunc(names, func(a, b string) int { return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b)) })
-	}
-	return names
+	return scenario.DrawShare(names, f.Share, rnd)
 }
 
 // draw draws one fault.
--- a/internal/rig/rollout/play.go
+++ b/internal/rig/rollout/play.go
@@ -17,6 +17,7 @@
 	"fernlanding/internal/rig/process"
 	"fernlanding/internal/rig/rollout/plan"
 	"fernlanding/internal/rig/scenario"
+	"fernlanding/internal/sleep"
 )
 
 const (
@@ -51,7 +52,7 @@
 	if err := r.carryOut(ctx, began); err != nil {
 		return err
 	}
-	if !sleep(ctx, time.Until(began.Add(r.sc.For+r.sc.Settle))) {
+	if !sleep.Until(ctx, began.Add(r.sc.For+r.sc.Settle)) {
 		return ctx.Err()
 	}
 	for _, resource := range r.sc.Resources() {
@@ -71,7 +72,7 @@
 	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	ends := make([]func() error, len(faults))
 	for _, s := range steps {
-		if !sleep(ctx, time.Until(began.Add(s.at))) {
+		if !sleep.Until(ctx, began.Add(s.at)) {
 			return ctx.Err()
 		}
 		f := faults[s.fault]
@@ -272,14 +273,3 @@
 	}
 	return json.NewDecoder(io.LimitReader(response.Body, answerBytes)).Decode(into)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/rig/scenario/scenario.go
+++ b/internal/rig/scenario/scenario.go
@@ -215,17 +215,7 @@
 
 // Read reads a scenario. The error lists all faults, one a line.
 func Read(file string, data []byte) (*Scenario, error) {
-	root, faults := doc.Parse(file, data)
-	if root == nil {
-		return nil, doc.Faults(faults).Err()
-	}
-	r := &doc.Reader{Faults: faults}
-	s := doc.NewScope(r, root)
-	x := read(s)
-	if err := r.Faults.Err(); err != nil {
-		return nil, err
-	}
-	return x, nil
+	return doc.Decode(file, data, read)
 }
 
 func read(s doc.Scope) *Scenario {
--- a/internal/rig/scenario/schedule.go
+++ b/internal/rig/scenario/schedule.go
@@ -47,12 +47,19 @@
 			out = append(out, n)
 		}
 	}
-	if f.Share > 0 && f.Share < 1 {
-		rnd.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-		out = out[:max(1, int(f.Share*float64(len(out))+0.5))]
-		slices.SortFunc(out, func(a, b string) int { return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b)) })
+	return DrawShare(out, f.Share, rnd)
+}
+
+// DrawShare draws a part of the names, one at least, and sorts them by their numbers; a share that is not between 0 and 1 is all of them.
+// The names given are put into another order.
+func DrawShare(names []string, share float64, rnd *rand.Rand) []string {
+	if share <= 0 || share >= 1 {
+		return names
 	}
-	return out
+	rnd.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	names = names[:max(1, int(share*float64(len(names))+0.5))]
+	slices.SortFunc(names, func(a, b string) int { return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b)) })
+	return names
 }
 
 // draw draws one fault.
--- a/internal/scale/latency/plan.go
+++ b/internal/scale/latency/plan.go
@@ -77,16 +77,7 @@
 
 // ReadPlan reads a plan from a TOML file's bytes. Its faults name file, line, column and field.
 func ReadPlan(file string, data []byte) (*Plan, error) {
-	root, faults := doc.Parse(file, data)
-	if root == nil {
-		return nil, doc.Faults(faults).Err()
-	}
-	r := &doc.Reader{Faults: faults}
-	p := readPlan(doc.NewScope(r, root))
-	if err := r.Faults.Err(); err != nil {
-		return nil, err
-	}
-	return p, nil
+	return doc.Decode(file, data, readPlan)
 }
 
 func readPlan(s doc.Scope) *Plan {
--- a/internal/scale/predict/target.go
+++ b/internal/scale/predict/target.go
@@ -113,12 +113,10 @@
 
 // ReadTarget reads a target's file. The error lists all faults, one a line, each with file, line and field.
 func ReadTarget(file string, data []byte) (*Target, error) {
-	root, faults := doc.Parse(file, data)
-	if root == nil {
-		return nil, doc.Faults(faults).Err()
-	}
-	r := &doc.Reader{Faults: faults}
-	s := doc.NewScope(r, root)
+	return doc.Decode(file, data, readTarget)
+}
+
+func readTarget(s doc.Scope) *Target {
 	if !s.Has("format") {
 		s.Bad(rules.Version, "format", "the file's format, %d, expected", Format)
 	}
@@ -126,10 +124,7 @@
 	t := &Target{Today: readFleet(s.Sub("today")), Target: readFleet(s.Sub("target")), Limits: readLimits(s.Sub("limits")),
 		Curve: readCurve(s.Sub("curve")), Assumptions: readAssumptions(s)}
 	s.Done()
-	if err := r.Faults.Err(); err != nil {
-		return nil, err
-	}
-	return t, nil
+	return t
 }
 
 // required reads a number that must be there.
--- a/internal/scale/scenario/scenario.go
+++ b/internal/scale/scenario/scenario.go
@@ -91,16 +91,7 @@
 
 // Read reads a scenario. The error lists all faults, one a line.
 func Read(file string, data []byte) (*Scenario, error) {
-	root, faults := doc.Parse(file, data)
-	if root == nil {
-		return nil, doc.Faults(faults).Err()
-	}
-	r := &doc.Reader{Faults: faults}
-	x := read(doc.NewScope(r, root))
-	if err := r.Faults.Err(); err != nil {
-		return nil, err
-	}
-	return x, nil
+	return doc.Decode(file, data, read)
 }
 
 func read(s doc.Scope) *Scenario {
--- a/internal/scale/sweep/cast.go
+++ b/internal/scale/sweep/cast.go
@@ -11,6 +11,7 @@
 	"fernlanding/internal/scale/layout"
 	"fernlanding/internal/scale/result"
 	"fernlanding/internal/scale/worker"
+	"fernlanding/internal/sleep"
 )
 
 const (
@@ -111,7 +112,7 @@
 			return err
 		}
 		c.real = append(c.real, name)
-		if !sleep(ctx, realGap) {
+		if !sleep.For(ctx, realGap) {
 			return ctx.Err()
 		}
 	}
@@ -127,7 +128,7 @@
 			if fallen := c.team.failure(); fallen != nil {
 				return fallen
 			}
-			if !sleep(ctx, listenPoll) {
+			if !sleep.For(ctx, listenPoll) {
 				return fmt.Errorf("%s does not listen: %w", layout.Proxy(n), err)
 			}
 		}
@@ -203,7 +204,7 @@
 	if err != nil {
 		return r, err
 	}
-	if !sleep(ctx, span) {
+	if !sleep.For(ctx, span) {
 		return r, ctx.Err()
 	}
 	after, err := c.used(ctx)
@@ -228,7 +229,7 @@
 		}
 		r.Proxies.Processes, r.Proxies.CPUSeconds, r.Proxies.RSSBytes = len(c.real), after.real-before.real, held.proxies
 	}
-	if len(changes) > 0 && !sleep(ctx, c.player.sc.Settle) {
+	if len(changes) > 0 && !sleep.For(ctx, c.player.sc.Settle) {
 		return r, ctx.Err()
 	}
 	return r, c.collect(ctx, changes, &r)
--- a/internal/scale/sweep/run.go
+++ b/internal/scale/sweep/run.go
@@ -15,6 +15,7 @@
 
 	"fernlanding/internal/scale/result"
 	"fernlanding/internal/scale/scenario"
+	"fernlanding/internal/sleep"
 )
 
 // Options say how a sweep is played.
@@ -168,7 +169,7 @@
 	if err := c.start(ctx); err != nil {
 		return m, err
 	}
-	if !sleep(ctx, s.sc.WarmUp) {
+	if !sleep.For(ctx, s.sc.WarmUp) {
 		return m, ctx.Err()
 	}
 	return c.resident()
@@ -184,7 +185,7 @@
 	if err := c.start(ctx); err != nil {
 		return nil, err
 	}
-	if !sleep(ctx, s.sc.WarmUp) {
+	if !sleep.For(ctx, s.sc.WarmUp) {
 		return nil, ctx.Err()
 	}
 	for i := range s.sc.Rounds {
@@ -214,15 +215,3 @@
 	path := filepath.Join(s.dir, name+".toml")
 	return path, os.WriteFile(path, data, 0o600)
 }
-
-// sleep waits; it is false when the context ends before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
