Have followers say goodbye to their relay when they are told to end

Change: at its end a follower unfollows everything at its relay, as it does already when it changes relays, within 250 ms. The tests' relays that are killed have their connections cut first, so that they still end as a crash does.

Result: the relay's count is 1 of 2 at the moment in which the follower has ended; without the change it is still 2 (the test fails).

--- a/internal/distribution/follow/follower.go
+++ b/internal/distribution/follow/follower.go
@@ -24,6 +24,8 @@
 	answerWithin = time.Second
 	// reportTimeout is of a request that does not wait.
 	reportTimeout = time.Second
+	// goodbyeTimeout is of what a follower says at its end, which nobody is to wait for.
+	goodbyeTimeout = 250 * time.Millisecond
 	// reportAgain is when a report that failed is repeated.
 	reportAgain = 200 * time.Millisecond
 	// probeTimeout is of a health check.
--- a/internal/distribution/follow/reader.go
+++ b/internal/distribution/follow/reader.go
@@ -55,9 +55,10 @@
 	return &reader{Follower: f, ctx: ctx, picker: newPicker(f.cfg.Name, f.cfg.Relays), began: f.now()}
 }
 
-// readLoop reads again and again.
+// readLoop reads again and again. At its end the relay is told.
 func (r *reader) readLoop() {
 	defer r.beside.Wait()
+	defer r.goodbye()
 	for sleep.For(r.ctx, r.choose()) {
 		err := r.read()
 		switch {
@@ -109,7 +110,7 @@
 		r.open, r.opened = true, r.now()
 	}
 	if r.left != nil {
-		r.farewell(r.left)
+		r.farewell(r.ctx, r.left, reportTimeout)
 		r.left = nil
 	}
 	r.startProbe()
@@ -195,9 +196,16 @@
 	return left
 }
 
+// goodbye tells the relay that this follower has ended.
+func (r *reader) goodbye() {
+	if left := r.leave(); left.id != "" {
+		r.farewell(context.WithoutCancel(r.ctx), left, goodbyeTimeout)
+	}
+}
+
 // farewell tells a relay that is left that nothing is followed there any more, lest its count have this follower for some
 // holds more.
-func (r *reader) farewell(to *session) {
+func (r *reader) farewell(ctx context.Context, to *session, timeout time.Duration) {
 	r.mu.Lock()
 	req := &distribution.FollowRequest{Follower: r.cfg.Name, Kind: r.cfg.Kind, Session: to.id}
 	for name := range r.subscribed {
@@ -206,7 +214,7 @@
 	r.stats.MessagesOut++
 	r.mu.Unlock()
 	r.beside.Go(func() {
-		ctx, cancel := context.WithTimeout(r.ctx, reportTimeout)
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		_, _ = r.transport.Follow(ctx, to.address, req) // the session ends by itself too
 	})
--- a/internal/distribution/node/socket_test.go
+++ b/internal/distribution/node/socket_test.go
@@ -27,6 +27,38 @@
 	cancel  context.CancelFunc
 	parts   sync.WaitGroup
 	state   *statedir.Dir // of a source
+	dialer  *dialer       // of a relay
+}
+
+// dialer opens a relay's connections to its upstream until it is cut, as a crash does: nothing more is said on any.
+type dialer struct {
+	mu    sync.Mutex
+	cut   bool
+	conns []net.Conn
+}
+
+func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := new(net.Dialer).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cut {
+		conn.Close()
+		return nil, net.ErrClosed
+	}
+	d.conns = append(d.conns, conn)
+	return conn, nil
+}
+
+func (d *dialer) crash() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cut = true
+	for _, conn := range d.conns {
+		conn.Close()
+	}
 }
 
 type runner interface {
@@ -54,6 +86,9 @@
 
 // kill ends a node as a crash would: its connections break.
 func (s *served) kill() {
+	if s.dialer != nil {
+		s.dialer.crash()
+	}
 	s.cancel()
 	_ = s.server.Close()
 	s.Node.Close()
@@ -80,8 +115,11 @@
 
 func startRelay(t *testing.T, name, address string, upstream ...string) *served {
 	t.Helper()
-	r := NewRelay(Config{Name: name}, follow.Config{Relays: upstream, Hold: testHold})
-	return serve(t, r, r.Node, address)
+	d := &dialer{}
+	r := NewRelay(Config{Name: name}, follow.Config{Relays: upstream, Hold: testHold, Dial: d.dial})
+	s := serve(t, r, r.Node, address)
+	s.dialer = d
+	return s
 }
 
 // testHold is of the tests' reads.
@@ -91,6 +129,7 @@
 type proxy struct {
 	t *testing.T
 	*follow.Follower
+	end func() // ends it
 
 	mu     sync.Mutex
 	change chan struct{} // closed when anything changes, and made anew
@@ -107,19 +146,21 @@
 	p := &proxy{t: t, change: make(chan struct{}), items: make(map[string]string)}
 	p.Follower = follow.New(follow.Config{Name: name, Kind: distribution.KindProxy, Relays: relays, Hold: testHold})
 	p.Subscribe(resource, distribution.Version{}, p)
-	run(t, p.Follower)
+	p.end = run(t, p.Follower)
 	return p
 }
 
-// run runs a follower until the test ends.
-func run(t *testing.T, f *follow.Follower) {
+// run runs a follower until the test ends, or until end is called.
+func run(t *testing.T, f *follow.Follower) (end func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { f.Run(ctx) })
-	t.Cleanup(func() {
+	end = func() {
 		cancel()
 		running.Wait()
-	})
+	}
+	t.Cleanup(end)
+	return end
 }
 
 func (p *proxy) Updated(u distribution.Update) error {
@@ -247,6 +288,23 @@
 	})
 }
 
+// A proxy that ends tells its relay, and does not count any more from then on, as one does that has died.
+func TestAProxyThatEndsIsNotCounted(t *testing.T) {
+	source := startSource(t, t.TempDir(), "", 1)
+	zone := startRelay(t, "zone", "", source.address)
+	stays := startProxy(t, "stays", "service-a", zone.address)
+	ends := startProxy(t, "ends", "service-a", zone.address)
+	version := put(t, source.address, "service-a", item("b1", "up"))
+	stays.awaitVersion(version)
+	ends.awaitVersion(version)
+	eventually(t, "both in force", func() bool { return statusOf(zone, "service-a", version).Proxies == 2 })
+	ends.end()
+	if progress := statusOf(zone, "service-a", version); progress.Proxies != 1 {
+		t.Errorf("%d proxies are counted at the relay", progress.Proxies)
+	}
+	eventually(t, "one at the source", func() bool { return statusOf(source, "service-a", version).Proxies == 1 })
+}
+
 func statusOf(s *served, resource string, v distribution.Version) distribution.Progress {
 	status := s.Status(resource)
 	return status.Progress(v)
