Spare servers that may be draining while the list that would say so is overdue

Cause: before a list service that can't write all that it owes, some proxies have no answer for over 6 s, and a change counts as told then.

Change: logic.go, mayDrain: while a list is overdue, a server that has taken no call for a second since it turned one away comes last. Where lists are asked for and the last is over 5 s old, so does one that has taken none for 3.5 s. Only calls sent since tell that it takes some.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -50,12 +50,20 @@
 	chanceRoom = 2.0  // standard deviations of a Poisson count above the mean that are taken for chance
 	windowHold = 24.0 // a QPS window stretches until its count times its length is this much
 
-	slowGain    = 0.1  // how far one finish moves a server's slowness
-	firstWorth  = 4.0  // finishes that a fresh copy's first guess at a mean is worth
-	slowMost    = 5.0  // times the mean: a single finish says no more than this
-	healthFloor = 0.05 // health left to a failing server, for trials
-	failing     = 0.25 // a server with less health than this gets trials only, while there are others
-	trialEvery  = 16   // calls from one trial to the next
+	slowGain    = 0.1        // how far one finish moves a server's slowness
+	firstWorth  = 4.0        // finishes that a fresh copy's first guess at a mean is worth
+	slowMost    = 5.0        // times the mean: a single finish says no more than this
+	healthFloor = 0.05       // health left to a failing server, for trials
+	failing     = 0.25       // a server with less health than this gets trials only, while there are others
+	trialEvery  = 16         // calls from one trial to the next
+	refusesFor  = second     // for so long a server has taken no call since it turned one away, before it may be draining
+	refusesMost = 5 * second // after it has turned the last one away it may have a call again
+
+	// Where lists are asked for, a change counts as told 6 s after the service had it, heard or not. From so long after the last list
+	// on, while the next is overdue, servers that have taken a call lately come first; not for ever, lest an outage wear them out.
+	listLasts   = 5 * second
+	tookLast    = 7 * second / 2
+	overdueMost = 30 * second
 	healthCut   = 0.3  // health kept after a failure that peers do not show
 	healthRise  = 0.25 // part of the lost health that a success restores
 	blameRatio  = 2.0  // a server is to blame when it fails this many times as often as all
@@ -247,6 +255,7 @@
 // List takes a list of servers or its changes.
 func (b *Balancer) List(now int64, h Host, kind ListKind, entries []Server) {
 	if kind == Failed {
+		b.overdue = cmp.Or(b.overdue, now)
 		if b.asked { // many copies keep the list busy: back off, one ask at a time
 			h.SetTimer(b.backoff+b.rnd.Int64N(b.backoff), watchToken)
 			b.backoff = max(watchFirst, min(2*b.backoff, b.s.AskEvery/watchPart))
@@ -254,6 +263,7 @@
 		b.asked = false
 		return
 	}
+	b.listed, b.overdue = now, 0
 	for _, s := range b.byID {
 		if s.doubtful = false; kind != Delta { // any list comes from a source that knows better
 			s.State = Gone // unless listed below
@@ -506,7 +516,7 @@
 		}
 		part := b.warmth(now, s)
 		room -= s.healthFor(q.Class) * part
-		w, rank := 0.0, b.rank(q, s)
+		w, rank := 0.0, b.rank(now, q, s)
 		if rank >= best && b.mayGo(now, q, s) {
 			w = b.weigh(now, s, q.Class)
 		}
@@ -543,9 +553,9 @@
 }
 
 // rank is the order in which servers come into question for a request; the highest goes first.
-func (b *Balancer) rank(q *request, s *server) int {
+func (b *Balancer) rank(now int64, q *request, s *server) int {
 	switch {
-	case q.tried(s):
+	case q.tried(s), b.mayDrain(now, s):
 		return 0
 	case s.healthFor(q.Class) < failing && !b.tryOut(q, s):
 		return 1
@@ -553,6 +563,22 @@
 	return 2
 }
 
+// mayDrain tells whether a server that is listed as ready may be draining or about to end (rule 3), while the list that would say so is
+// overdue: it turns away what it is sent, where one that is merely full takes some calls meanwhile; or the list is so old that a
+// change would count as told, and nothing shows that the server still takes calls.
+func (b *Balancer) mayDrain(now int64, s *server) bool {
+	if b.overdue == 0 {
+		return false
+	}
+	refuses := s.refusing && now-s.refusedSince >= refusesFor && now-s.refusedLast < refusesMost
+	return refuses || b.listIsOld(now) && now-s.took >= tookLast
+}
+
+// listIsOld tells whether what has changed since the last list may count as told.
+func (b *Balancer) listIsOld(now int64) bool {
+	return b.s.Subscribe && now-b.listed >= listLasts && now-b.overdue < overdueMost
+}
+
 // tryOut tells whether a failing server may have this call, to show whether it still fails. One that fails
 // at once is always empty, and would draw most calls by that; so one call in so many goes out for a trial,
 // and none that may not be repeated.
@@ -689,7 +715,9 @@
 	a.mayRun = o.Status != ConnectFailed && o.Status != Moot && (o.Status != FullUp || b.s.FullMayRun)
 	q.out--
 	a.srv.inflight--
-	a.srv.doubtful = a.srv.doubtful && o.Status != OK
+	if o.Status == OK {
+		a.srv.doubtful, a.srv.took = false, max(a.srv.took, a.sent)
+	}
 	b.tier.threads--
 	b.classes[q.Class].rule.threads--
 	b.learn(now, q, a, o)
@@ -736,6 +764,7 @@
 	if o.Status == Cancelled || o.Status == Moot {
 		return
 	}
+	a.srv.refused(now, a.sent, o.Status == FullUp)
 	c, failed := &b.classes[q.Class], o.Status != OK
 	blame := b.judge(a.srv, q.Class, o.Status)
 	if !failed {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -760,6 +760,92 @@
 	}
 }
 
+// A server that turns away all that it is sent may be draining. While a list is overdue it gets nothing new, and once one has come
+// it counts as what that says.
+func TestAServerThatTurnsAllAwayMayDrainWhileAListIsOverdue(t *testing.T) {
+	type end struct {
+		sent, after int64
+		status      Status
+	}
+	turnedAway := []end{{0, 0, FullUp}, {second, second, FullUp}}
+	for name, c := range map[string]struct {
+		ends     []end
+		overdue  bool
+		at       int64
+		mayDrain bool
+	}{
+		"a list is overdue":                 {turnedAway, true, second, true},
+		"no list is overdue":                {turnedAway, false, second, false},
+		"one call was turned away":          {turnedAway[:1], true, second, true},
+		"in less than the time":             {[]end{{0, 0, FullUp}, {second - 1, second - 1, FullUp}}, true, second - 1, false},
+		"one was served in between":         {[]end{{0, 0, FullUp}, {1, second / 2, OK}, {second, second, FullUp}}, true, second, false},
+		"long ago":                          {turnedAway, true, second + refusesMost, false},
+		"a request's own end tells nothing": {[]end{{0, 0, FullUp}, {1, second / 2, Cancelled}, {second, second, FullUp}}, true, second, true},
+		"an earlier call was served since":  {[]end{{0, 0, FullUp}, {-second, second / 2, OK}, {second, second, FullUp}}, true, second, true},
+	} {
+		b, h := with(t, testSettings(), 2)
+		suspect := b.byID["s0"]
+		for i, e := range c.ends {
+			id, now := fmt.Sprint("probe", i), start+e.after
+			b.reqs[id] = &request{Request: Request{ID: id, GiveUp: now}, attempts: []*attempt{{srv: suspect, sent: start + e.sent, out: true}}, out: 1}
+			b.Outcome(now, h, Outcome{ID: id, Status: e.status, Closed: true})
+		}
+		if c.overdue {
+			b.List(start, h, Failed, nil)
+		}
+		now := start + c.at
+		if b.mayDrain(now, suspect) != c.mayDrain {
+			t.Errorf("%s: it may drain: %t", name, !c.mayDrain)
+		}
+		if q := (&request{Request: Request{GiveUp: now + second}, came: now}); c.mayDrain && b.rank(now, q, suspect) >= b.rank(now, q, b.byID["s1"]) {
+			t.Errorf("%s: it does not come after the others", name)
+		}
+		b.List(now, h, Delta, nil)
+		if b.mayDrain(now, suspect) {
+			t.Errorf("%s: it may drain though a list has come", name)
+		}
+	}
+}
+
+// Where lists are asked for and the last is so old that a change would count as told, servers that have taken calls lately come first.
+func TestServersThatTakeCallsComeFirstWhileAListIsOld(t *testing.T) {
+	const failedAt = start + second
+	for name, c := range map[string]struct {
+		subscribe bool
+		kind      ListKind
+		failed    bool
+		at        int64
+		mayDrain  bool
+	}{
+		"old":                             {true, Full, true, start + listLasts, true},
+		"not yet old":                     {true, Full, true, start + listLasts - 1, false},
+		"old, and no call failed":         {true, Full, false, start + listLasts, false},
+		"one that an earlier copy had":    {true, Cached, true, start + listLasts, true},
+		"long overdue":                    {true, Full, true, failedAt + overdueMost, false},
+		"where lists are not asked for":   {false, Full, true, start + listLasts, false},
+		"changes are as good as a list":   {true, Delta, true, start + listLasts, true},
+		"changes that have come just now": {true, Delta, true, start + listLasts - 1, false},
+	} {
+		s := testSettings()
+		if s.Subscribe = c.subscribe; c.subscribe {
+			s.AskEvery = 10 * second
+		}
+		b, h := with(t, s, 2)
+		b.List(start, h, c.kind, []Server{{ID: "s0", State: Ready}, {ID: "s1", State: Ready}})
+		if c.failed {
+			b.List(failedAt, h, Failed, nil)
+		}
+		busy, idle := b.byID["s0"], b.byID["s1"]
+		busy.took = c.at - tookLast + 1
+		if b.mayDrain(c.at, busy) {
+			t.Errorf("%s: one that takes calls may drain", name)
+		}
+		if b.mayDrain(c.at, idle) != c.mayDrain {
+			t.Errorf("%s: one that has taken none may drain: %t", name, !c.mayDrain)
+		}
+	}
+}
+
 func TestHomeFirstAndSpillUnderPressure(t *testing.T) {
 	b, _ := with(t, testSettings(), 8)
 	home := b.weigh(start, b.byID["s0"], 0)
--- a/logic/state.go
+++ b/logic/state.go
@@ -109,6 +109,10 @@
 	inflight int
 	hash     uint64
 	doubtful bool // Recalled, and neither listed nor heard to serve since
+
+	took                      int64 // when it was sent the last call that it has served
+	refusing                  bool  // it has turned away a call, and has taken none that was sent since
+	refusedSince, refusedLast int64 // when the first and the last of those that it has turned away since then ended
 }
 
 // health is what is left of a server's weight, and its running part of failed calls.
@@ -119,12 +123,26 @@
 
 // forget drops what was learned of a server.
 func (s *server) forget(classes int) {
-	s.slowness, s.whole, s.classes = 1, health{left: 1}, make([]health, classes)
+	s.slowness, s.whole, s.classes, s.refusing = 1, health{left: 1}, make([]health, classes), false
+	s.took = 0
 	for i := range s.classes {
 		s.classes[i].left = 1
 	}
 }
 
+// refused takes the end of a call, and whether the server turned it away. One that was sent before a refusal does not show that the server
+// takes calls since.
+func (s *server) refused(now, sent int64, turnedAway bool) {
+	switch {
+	case turnedAway && !s.refusing:
+		s.refusing, s.refusedSince, s.refusedLast = true, now, now
+	case turnedAway:
+		s.refusedLast = now
+	case sent >= s.refusedLast:
+		s.refusing = false
+	}
+}
+
 // partOf is one observation of a running part: 1 if it is so, else 0.
 func partOf(so bool) float64 {
 	if so {
@@ -253,6 +271,8 @@
 	born      int64    // when the first request came
 	backoff   int64    // before the next try at a subscription
 	asked     bool     // a subscription was asked for
+	listed    int64    // when a list or its changes came last
+	overdue   int64    // since when a list is: the first call or subscription that has failed since the last one; 0: none has
 	weights   []float64
 	reported  int64 // when the last log line was written
 	untried   int   // calls since the last one that went to a failing server
