Start the rig's actors and find its ports by one package for both kinds of run

Cause: internal/rig and internal/rig/rollout each had the loop that finds loopback addresses and ports that nobody uses, and the start of an actor up to its first line.

--- a/internal/rig/rollout/run.go
+++ b/internal/rig/rollout/run.go
@@ -3,9 +3,7 @@
 package rollout
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -21,6 +19,7 @@
 
 	"fernlanding/internal/rig/actor"
 	"fernlanding/internal/rig/history"
+	"fernlanding/internal/rig/launch"
 	"fernlanding/internal/rig/link"
 	"fernlanding/internal/rig/process"
 	"fernlanding/internal/rig/rollout/plan"
@@ -38,11 +37,8 @@
 
 const (
 	startWithin = 30 * time.Second // all processes, until every follower has every resource that it follows
-	firstPort   = 20_000           // below those that the kernel deals out
-	portSpan    = 10_000
-	networks    = 200
+	serverLinks = 3                // ports of links beyond one for each server
 	lookEvery   = 20 * time.Millisecond
-	maxLine     = 4 << 20
 )
 
 // run is one run.
@@ -119,30 +115,20 @@
 // lay finds places and ports that nobody uses, and opens the links.
 func (r *run) lay() error {
 	servers := r.servers()
-	for try := range networks {
-		network := (os.Getpid()*11 + try) % networks
-		base := firstPort + (os.Getpid()*137+try*991)%(portSpan-len(servers)-3)
-		guard, err := net.Listen("tcp4", net.JoinHostPort(link.PlaceOf(network, 0).String(), strconv.Itoa(base)))
-		if err != nil {
-			continue
-		}
-		guard.Close()
-		r.port = base
+	return launch.Network(len(servers)+serverLinks, func(network, port int) error {
+		r.port = port
 		r.places = map[string]link.Place{}
 		for i, name := range slices.Concat(servers, []string{plan.PublisherName}, r.sc.FollowerNames()) {
 			r.places[name] = link.PlaceOf(network, i)
 		}
 		r.net = link.New(unwatched{})
-		if err = r.links(); err == nil {
-			return nil
-		}
-		r.net.Close()
-		r.net = nil
-		if try == networks-1 {
-			return err
+		err := r.links()
+		if err != nil {
+			r.net.Close()
+			r.net = nil
 		}
-	}
-	return errors.New("no free ports between 20000 and 30000")
+		return err
+	})
 }
 
 // links opens the links to the source and to each relay.
@@ -301,44 +287,11 @@
 	return r.actor(ctx, spec)
 }
 
-// actor starts an actor, whose events go into the history, and waits for its first line.
+// actor starts an actor, whose events go into the history.
 func (r *run) actor(ctx context.Context, spec actor.Spec) error {
-	spec.Zero = r.clock.Zero()
-	first, err := json.Marshal(spec)
-	if err != nil {
-		return err
-	}
-	hello := make(chan bool, 1)
-	err = r.procs.Start(process.Spec{Name: spec.Name, Args: r.opts.Actor, Env: r.opts.Env, Talks: true, Read: func(out io.Reader) {
-		lines := bufio.NewScanner(out)
-		lines.Buffer(make([]byte, 1<<16), maxLine)
-		if lines.Scan() {
-			hello <- true
-		}
-		close(hello)
-		for lines.Scan() {
-			var e history.Event
-			if json.Unmarshal(lines.Bytes(), &e) == nil && e.Kind != "" {
-				r.heard(e)
-			}
-		}
-		_, _ = io.Copy(io.Discard, out)
-	}})
-	if err != nil {
-		return err
-	}
-	if err := r.procs.Write(spec.Name, first); err != nil {
-		return err
-	}
-	select {
-	case begun := <-hello:
-		if !begun {
-			return fmt.Errorf("%s has ended at its start", spec.Name)
-		}
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("%s does not start: %w", spec.Name, ctx.Err())
-	}
+	actors := launch.Actors{Processes: r.procs, Program: r.opts.Actor, Env: r.opts.Env, Clock: r.clock, Heard: r.heard}
+	_, err := actors.Start(ctx, spec)
+	return err
 }
 
 // heard takes an event of an actor.
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -21,6 +20,7 @@
 
 	"fernlanding/internal/rig/actor"
 	"fernlanding/internal/rig/history"
+	"fernlanding/internal/rig/launch"
 	"fernlanding/internal/rig/link"
 	"fernlanding/internal/rig/process"
 	"fernlanding/internal/rig/scenario"
@@ -41,13 +41,10 @@
 const (
 	startWithin = 60 * time.Second // all actors
 	endWithin   = 10 * time.Second // all sidecars, after SIGTERM
-	firstPort   = 20_000           // below those that the kernel deals out
-	portSpan    = 10_000
 	pods        = 4
 	noticeAfter = 500 * time.Millisecond // a dead process's backends leave the list
 	drainFor    = time.Second            // from a backend's drain to its end
-	networks    = 200
-	freePart    = 0.8 // of the machine's free memory that a run may take
+	freePart    = 0.8                    // of the machine's free memory that a run may take
 
 	measureAfter = 100 * time.Millisecond // a process's start, when its runtime stands
 	skewStream   = 9                      // of the seed
@@ -129,15 +126,7 @@
 
 // lay finds a network of places and ports that nobody uses, and opens the relays.
 func (r *run) lay() error {
-	n := 1 + r.sc.Lists.Count + r.sc.Backends.Count
-	for try := range networks {
-		network := (os.Getpid()*7 + try) % networks
-		base := firstPort + (os.Getpid()*131+try*997)%(portSpan-n-1)
-		guard, err := net.Listen("tcp4", net.JoinHostPort(link.PlaceOf(network, 0).String(), strconv.Itoa(base)))
-		if err != nil {
-			continue
-		}
-		guard.Close()
+	return launch.Network(1+len(r.lists)+len(r.workers), func(network, port int) error {
 		names := map[link.Place]string{}
 		r.places = nil
 		for i, name := range r.sidecars {
@@ -145,17 +134,14 @@
 			names[r.places[i]] = name
 		}
 		r.net = link.New((*watcher)(r))
-		r.port = base
-		if err = r.relays(names, base+1); err == nil {
-			return nil
-		}
-		r.net.Close()
-		r.net = nil
-		if try == networks-1 {
-			return err
+		r.port = port
+		err := r.relays(names, port+1)
+		if err != nil {
+			r.net.Close()
+			r.net = nil
 		}
-	}
-	return errors.New("no free ports between 20000 and 30000")
+		return err
+	})
 }
 
 // relays opens the relays from a port on.
@@ -317,48 +303,15 @@
 }
 
 // actor starts an actor and returns its first line.
-func (r *run) actor(ctx context.Context, spec actor.Spec) (h actor.Hello, err error) {
-	spec.Zero = r.clock.Zero()
-	first, err := json.Marshal(spec)
-	if err != nil {
-		return h, err
-	}
-	hello := make(chan string, 1)
-	err = r.procs.Start(process.Spec{Name: spec.Name, Args: r.opts.Actor, Env: r.opts.Env, Talks: true, Read: func(out io.Reader) {
-		lines := bufio.NewScanner(out)
-		lines.Buffer(make([]byte, 1<<16), 4<<20)
-		if lines.Scan() {
-			hello <- lines.Text()
-		}
-		close(hello)
-		for lines.Scan() {
-			var e history.Event
-			if json.Unmarshal(lines.Bytes(), &e) != nil || e.Kind == "" {
-				continue
-			}
-			if r.events.Write(e); e.Kind == history.Quiet {
-				r.quiet <- struct{}{}
-			}
-		}
-		_, _ = io.Copy(io.Discard, out)
-	}})
-	if err != nil {
-		return h, err
-	}
-	if err := r.procs.Write(spec.Name, first); err != nil {
-		return h, err
-	}
-	select {
-	case line, ok := <-hello:
-		if !ok {
-			return h, fmt.Errorf("%s has ended at its start", spec.Name)
-		}
-		if err := json.Unmarshal([]byte(line), &h); err != nil {
-			return h, fmt.Errorf("%s: its first line: %w", spec.Name, err)
-		}
-		return h, nil
-	case <-ctx.Done():
-		return h, fmt.Errorf("%s does not start: %w", spec.Name, ctx.Err())
+func (r *run) actor(ctx context.Context, spec actor.Spec) (actor.Hello, error) {
+	actors := launch.Actors{Processes: r.procs, Program: r.opts.Actor, Env: r.opts.Env, Clock: r.clock, Heard: r.heard}
+	return actors.Start(ctx, spec)
+}
+
+// heard takes an event of an actor.
+func (r *run) heard(e history.Event) {
+	if r.events.Write(e); e.Kind == history.Quiet {
+		r.quiet <- struct{}{}
 	}
 }
 
--- a/internal/rig/scenarios_test.go
+++ b/internal/rig/scenarios_test.go
@@ -38,6 +38,7 @@
 			for _, v := range verdicts {
 				t.Errorf("%s: %s", sc.Name, v)
 			}
+			t.Logf("%s: %d asked, %.0f served, losses %+v", sc.Name, f.Asked, f.Served, f.Losses)
 			if f.Asked < 200 {
 				t.Errorf("%s: %d requests: the run shows nothing\n%s", sc.Name, f.Asked, scenario.Text(sc.Schedule()))
 			}
