Hold a list for overdue for half a minute at most where servers may drain

Cause: sources that confirm an unchanged list tell the pool nothing (blocking reads, relays, a file), so after one failed call a list counted as overdue until its next change, and servers that turn calls away were spared for as long.

Change: mayDrain looks at overdueMost (30 s) for both of its signs.

Result: the new case of its test; the module's tests pass.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,17 +60,17 @@
 	refusesMost = 5 * second // after it has turned the last one away it may have a call again
 
 	// Where lists are asked for, a change counts as told 6 s after the service had it, heard or not. From so long after the last list
-	// on, while the next is overdue, servers that have taken a call lately come first; not for ever, lest an outage wear them out.
+	// on, while the next is overdue, servers that have taken a call lately come first.
 	listLasts   = 5 * second
 	tookLast    = 7 * second / 2
-	overdueMost = 30 * second
-	healthCut   = 0.3  // health kept after a failure that peers do not show
-	healthRise  = 0.25 // part of the lost health that a success restores
-	blameRatio  = 2.0  // a server is to blame when it fails this many times as often as all
-	peersLeast  = 2    // peers that measure a server, at least; otherwise all calls do
-	peersMost   = 32   // and at most
-	coldMargin  = 0.6  // part of its least capacity that a cold server is given
-	coldPrior   = 0.25 // seconds of being asked for its part that a copy's own rate begins with
+	overdueMost = 30 * second // a list that is overdue for longer is out of reach: what it would say is not waited for
+	healthCut   = 0.3         // health kept after a failure that peers do not show
+	healthRise  = 0.25        // part of the lost health that a success restores
+	blameRatio  = 2.0         // a server is to blame when it fails this many times as often as all
+	peersLeast  = 2           // peers that measure a server, at least; otherwise all calls do
+	peersMost   = 32          // and at most
+	coldMargin  = 0.6         // part of its least capacity that a cold server is given
+	coldPrior   = 0.25        // seconds of being asked for its part that a copy's own rate begins with
 
 	hintPart = 0.5 // of the aim: the longest hint
 
@@ -567,7 +567,7 @@
 // overdue: it turns away what it is sent, where one that is merely full takes some calls meanwhile; or the list is so old that a
 // change would count as told, and nothing shows that the server still takes calls.
 func (b *Balancer) mayDrain(now int64, s *server) bool {
-	if b.overdue == 0 {
+	if b.overdue == 0 || now-b.overdue >= overdueMost {
 		return false
 	}
 	refuses := s.refusing && now-s.refusedSince >= refusesFor && now-s.refusedLast < refusesMost
@@ -576,7 +576,7 @@
 
 // listIsOld tells whether what has changed since the last list may count as told.
 func (b *Balancer) listIsOld(now int64) bool {
-	return b.s.Subscribe && now-b.listed >= listLasts && now-b.overdue < overdueMost
+	return b.s.Subscribe && now-b.listed >= listLasts
 }
 
 // tryOut tells whether a failing server may have this call, to show whether it still fails. One that fails
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -780,6 +780,7 @@
 		"in less than the time":             {[]end{{0, 0, FullUp}, {second - 1, second - 1, FullUp}}, true, second - 1, false},
 		"one was served in between":         {[]end{{0, 0, FullUp}, {1, second / 2, OK}, {second, second, FullUp}}, true, second, false},
 		"long ago":                          {turnedAway, true, second + refusesMost, false},
+		"a list is overdue for too long":    {[]end{{overdueMost - 2*second, overdueMost - 2*second, FullUp}}, true, overdueMost, false},
 		"a request's own end tells nothing": {[]end{{0, 0, FullUp}, {1, second / 2, Cancelled}, {second, second, FullUp}}, true, second, true},
 		"an earlier call was served since":  {[]end{{0, 0, FullUp}, {-second, second / 2, OK}, {second, second, FullUp}}, true, second, true},
 	} {
