Keep the module's lines within 110 columns

Change: comments and the order of constants alone. Result: the module's tests pass; no line is over.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -50,27 +50,33 @@
 	chanceRoom = 2.0  // standard deviations of a Poisson count above the mean that are taken for chance
 	windowHold = 24.0 // a QPS window stretches until its count times its length is this much
 
-	slowGain    = 0.1        // how far one finish moves a server's slowness
-	firstWorth  = 4.0        // finishes that a fresh copy's first guess at a mean is worth
-	slowMost    = 5.0        // times the mean: a single finish says no more than this
-	healthFloor = 0.05       // health left to a failing server, for trials
-	failing     = 0.25       // a server with less health than this gets trials only, while there are others
-	trialEvery  = 16         // calls from one trial to the next
-	refusesFor  = second     // for so long a server has taken no call since it turned one away, before it may be draining
-	refusesMost = 5 * second // after it has turned the last one away it may have a call again
-
-	// Where lists are asked for, a change counts as told 6 s after the service had it, heard or not. From so long after the last list
-	// on, while the next is overdue, servers that have taken a call lately come first.
-	listLasts   = 5 * second
-	tookLast    = 7 * second / 2
-	overdueMost = 30 * second // a list that is overdue for longer is out of reach: what it would say is not waited for
-	healthCut   = 0.3         // health kept after a failure that peers do not show
-	healthRise  = 0.25        // part of the lost health that a success restores
-	blameRatio  = 2.0         // a server is to blame when it fails this many times as often as all
-	peersLeast  = 2           // peers that measure a server, at least; otherwise all calls do
-	peersMost   = 32          // and at most
-	coldMargin  = 0.6         // part of its least capacity that a cold server is given
-	coldPrior   = 0.25        // seconds of being asked for its part that a copy's own rate begins with
+	slowGain    = 0.1  // how far one finish moves a server's slowness
+	firstWorth  = 4.0  // finishes that a fresh copy's first guess at a mean is worth
+	slowMost    = 5.0  // times the mean: a single finish says no more than this
+	healthFloor = 0.05 // health left to a failing server, for trials
+	failing     = 0.25 // a server with less health than this gets trials only, while there are others
+	trialEvery  = 16   // calls from one trial to the next
+
+	// A server that has taken no call for so long since it turned one away may be draining, where the list
+	// that would say so is overdue. So long after the last that it turned away it may have a call again.
+	refusesFor  = second
+	refusesMost = 5 * second
+
+	// Where lists are asked for, a change counts as told 6 s after the service had it, heard or not. From so
+	// long after the last list on, while the next is overdue, servers that have taken a call lately come
+	// first.
+	listLasts = 5 * second
+	tookLast  = 7 * second / 2
+	// What a list would say that is overdue for longer than this is not waited for.
+	overdueMost = 30 * second
+
+	healthCut  = 0.3  // health kept after a failure that peers do not show
+	healthRise = 0.25 // part of the lost health that a success restores
+	blameRatio = 2.0  // a server is to blame when it fails this many times as often as all
+	peersLeast = 2    // peers that measure a server, at least; otherwise all calls do
+	peersMost  = 32   // and at most
+	coldMargin = 0.6  // part of its least capacity that a cold server is given
+	coldPrior  = 0.25 // seconds of being asked for its part that a copy's own rate begins with
 
 	hintPart = 0.5 // of the aim: the longest hint
 
@@ -563,9 +569,10 @@
 	return 2
 }
 
-// mayDrain tells whether a server that is listed as ready may be draining or about to end (rule 3), while the list that would say so is
-// overdue: it turns away what it is sent, where one that is merely full takes some calls meanwhile; or the list is so old that a
-// change would count as told, and nothing shows that the server still takes calls.
+// mayDrain tells whether a server that is listed as ready may be draining or about to end (rule 3), while the
+// list that would say so is overdue: it turns away what it is sent, where one that is merely full takes some
+// calls meanwhile; or the list is so old that a change would count as told, and nothing shows that the server
+// still takes calls.
 func (b *Balancer) mayDrain(now int64, s *server) bool {
 	if b.overdue == 0 || now-b.overdue >= overdueMost {
 		return false
