--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -241,7 +241,8 @@
 	return r.answer
 }
 
-// awaitEarlier waits a while for the end of an earlier request under the same id. The pool is locked before and after it.
+// awaitEarlier waits a while for the end of an earlier request under the same id, and no longer than the request's client does. The pool is
+// locked before and after it.
 func (p *Pool) awaitEarlier(r *Request) {
 	earlier := p.reqs[r.ID]
 	if earlier == nil || p.sameID == 0 {
@@ -253,7 +254,7 @@
 	gone := earlier.gone
 	p.mu.Unlock()
 	defer p.mu.Lock()
-	timeout := time.NewTimer(p.sameID)
+	timeout := time.NewTimer(min(p.sameID, time.Until(p.clock.Time(r.GiveUp))))
 	defer timeout.Stop()
 	select {
 	case <-gone:
--- a/internal/core/sameid_test.go
+++ b/internal/core/sameid_test.go
@@ -71,6 +71,20 @@
 	}
 }
 
+// A request does not wait for another longer than its client waits for it.
+func TestARequestWaitsForAnotherWithinItsTime(t *testing.T) {
+	up := newScripted(hang)
+	p := startPoolWaiting(t, up, 10*patience)
+	first := newRequest(p, "1", 0, 2*patience)
+	firstAnswer := do(p, first)
+	wait(t, "first attempt", up.begun)
+	if ans := wait(t, "second answer", do(p, newRequest(p, "1", 0, 50*time.Millisecond))); ans.Verdict != Rejected {
+		t.Errorf("got %+v", ans)
+	}
+	p.Withdraw(first)
+	wait(t, "first answer", firstAnswer)
+}
+
 // A request whose own client leaves while it waits is not begun.
 func TestARequestThatWaitsForAnotherCanBeWithdrawn(t *testing.T) {
 	up := newScripted(hang)
