logic: trials of failing servers leave time for another attempt

Cause: one call in sixteen goes out as a trial of a failing server. Change: a trial is given up at half of the request's time, or at the mean time of calls where that is longer. Requests whose repeat may go to few others go out as trials a quarter as often.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -56,6 +56,7 @@
 	healthFloor = 0.05 // health left to a failing server, for trials
 	failing     = 0.25 // a server with less health than this gets trials only, while there are others
 	trialEvery  = 16   // calls from one trial to the next
+	trialBound  = 4    // times as many before a request has one whose repeat may go to few others
 
 	// A server that has taken no call for so long since it turned one away may be draining, where the list
 	// that would say so is overdue. So long after the last that it turned away it may have a call again.
@@ -113,6 +114,13 @@
 	turnToken  = "turn " // and a key
 )
 
+// The ranks of servers, in the order in which they come into question.
+const (
+	rankLast = iota
+	rankFailing
+	rankFirst
+)
+
 // add takes one finish. It returns 0 until the round can be judged, then 1 if it was good, or else the factor
 // to cut by, lower the more of it was bad: a false alarm costs little and a jam is answered at once.
 func (r *round) add(now, sent int64, bad bool) (factor float64) {
@@ -497,11 +505,15 @@
 }
 
 // timeout gives an attempt up when its answer would be worth nothing, and before that where another may
-// follow, so that a hung server frees its slot.
+// follow, so that a hung server frees its slot. A trial leaves half of the time for that, unless calls take
+// longer than half.
 func (b *Balancer) timeout(now int64, q *request) int64 {
-	left := b.deadline(q) - now
+	left, mean := b.deadline(q)-now, b.classes[q.Class].mean
 	if b.s.Classes[q.Class].Repeat != Unsafe && len(q.attempts) < b.s.MaxAttempts {
-		hang := max(hangMeans*b.classes[q.Class].mean, hangLeast*float64(b.s.Classes[q.Class].Aim))
+		hang := max(hangMeans*mean, hangLeast*float64(b.s.Classes[q.Class].Aim))
+		if b.trial {
+			hang = min(hang, max(float64(left)/2, mean))
+		}
 		left = min(left, int64(hang))
 	}
 	return max(left, 1)
@@ -539,7 +551,9 @@
 	if s != nil && allCold && b.rnd.Float64() > b.bears(now, warm/float64(len(b.weights))) {
 		s, b.cause = nil, ByCold
 	}
-	if b.untried++; s != nil && s.healthFor(q.Class) < failing {
+	failed := s != nil && s.healthFor(q.Class) < failing
+	b.trial = failed && best == rankFirst
+	if b.untried++; failed {
 		b.untried = 0
 	}
 	return s
@@ -562,11 +576,11 @@
 func (b *Balancer) rank(now int64, q *request, s *server) int {
 	switch {
 	case q.tried(s), b.mayDrain(now, s):
-		return 0
+		return rankLast
 	case s.healthFor(q.Class) < failing && !b.tryOut(q, s):
-		return 1
+		return rankFailing
 	}
-	return 2
+	return rankFirst
 }
 
 // mayDrain tells whether a server that is listed as ready may be draining or about to end (rule 3), while the
@@ -589,9 +603,13 @@
 // tryOut tells whether a failing server may have this call, to show whether it still fails. One that fails
 // at once is always empty, and would draw most calls by that; so one call in so many goes out for a trial,
 // and none that may not be repeated.
+// One whose repeat may go to few others goes only where those that may go anywhere are rare.
 func (b *Balancer) tryOut(q *request, s *server) bool {
-	first := len(q.attempts) == 0 && b.s.Classes[q.Class].Repeat != Unsafe
-	return first && b.untried >= trialEvery && s.inflight == 0
+	k, due := b.s.Classes[q.Class], trialEvery
+	if k.Repeat == Keyed && k.Group != GroupAll {
+		due *= trialBound
+	}
+	return len(q.attempts) == 0 && k.Repeat != Unsafe && b.untried >= due && s.inflight == 0
 }
 
 // pick returns the ready server at which the sum of weights passes x, or nil if none has weight.
--- a/logic/recover_test.go
+++ b/logic/recover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -190,3 +191,52 @@
 		}
 	}
 }
+
+// tryOuts plays n calls of these classes in turn, of which those to s0 time out and all others are served at once, and returns the
+// classes of those that went to s0, and for how many of these another attempt followed.
+func tryOuts(t *testing.T, n int, classes ...int) (tried []int, followed int) {
+	t.Helper()
+	b, h := with(t, testSettings(), 4)
+	b.byID["s0"].whole = health{left: healthFloor, errs: 1, judged: 10}
+	now := start
+	for i := range n {
+		now += 10_000
+		id, class := fmt.Sprint("r", i), classes[i%len(classes)]
+		ask(b, h, now, id, class)
+		first := h.sends[len(h.sends)-1]
+		if first.server != "s0" {
+			b.Outcome(now, h, Outcome{ID: id, Status: OK, Took: 300_000, Closed: true})
+			continue
+		}
+		tried = append(tried, class)
+		if now += first.timeout; first.timeout > 500_000 {
+			t.Errorf("a trial is given up after %d us, half of a second at most expected", first.timeout)
+		}
+		before := len(h.sends)
+		b.Outcome(now, h, Outcome{ID: id, Status: TimedOut, Took: first.timeout})
+		if len(h.sends) > before {
+			followed++
+			b.Outcome(now, h, Outcome{ID: id, Attempt: 1, Status: OK, Took: 300_000, Closed: true})
+		}
+	}
+	return tried, followed
+}
+
+// Where calls take nearly all of their time, a trial of a server that hangs took it all, and each sixteenth request was lost by it.
+func TestATrialLeavesTimeForAnotherAttempt(t *testing.T) {
+	if tried, followed := tryOuts(t, 2_000, 0); len(tried) < 20 || followed < len(tried) {
+		t.Errorf("another attempt followed %d of %d trials", followed, len(tried))
+	}
+}
+
+// A trial by a request whose repeat may go to few others risks that request.
+func TestTrialsGoOutWithRequestsThatMayBeRepeatedAnywhere(t *testing.T) {
+	tried, _ := tryOuts(t, 6_000, 0, 1, 2)
+	byFirst := len(slices.DeleteFunc(slices.Clone(tried), func(class int) bool { return class != 0 }))
+	if len(tried) < 20 || 3*byFirst < 2*len(tried) {
+		t.Errorf("trials with requests of the classes %v, two in three of the first at least expected", tried)
+	}
+	if tried, _ := tryOuts(t, 2_000, 1, 2); len(tried) < 5 {
+		t.Errorf("%d trials where no request may be repeated anywhere", len(tried))
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -276,6 +276,7 @@
 	weights   []float64
 	reported  int64 // when the last log line was written
 	untried   int   // calls since the last one that went to a failing server
+	trial     bool  // the server that was drawn last is a failing one, tried out while there are others
 	cause     Cause // of the refusal that is being made
 }
 
