distribution: end the session at a follower's goodbye

Cause: a goodbye said that nothing is followed any more; a read or report that was cancelled as the follower ended and reached the relay later named its positions again, and had the follower counted for three holds. Change: a goodbye ends the session (leave), also when relays are changed; what comes under it later is answered 410.

--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -121,6 +121,7 @@
 	Positions  []Position       `json:"positions,omitempty"`
 	Unfollowed []string         `json:"unfollowed,omitempty"` // resources that are followed no more
 	Statuses   []ResourceStatus `json:"statuses,omitempty"`   // of the followers behind a relay, those that have changed
+	Leave      bool             `json:"leave,omitempty"`      // the session ends: the follower has ended, or reads from another relay
 }
 
 // FollowResponse is the answer to a FollowRequest. A session that the relay does not know is answered with status 410
--- a/internal/distribution/follow/follower.go
+++ b/internal/distribution/follow/follower.go
@@ -93,9 +93,11 @@
 type Follower struct {
 	cfg       Config
 	transport Transport
-	wire      *wireCounter
-	now       func() time.Time
-	reports   chan struct{} // something is to be reported at once
+	// goodbyeWithin is how long the last request may take.
+	goodbyeWithin time.Duration
+	wire          *wireCounter
+	now           func() time.Time
+	reports       chan struct{} // something is to be reported at once
 
 	mu         sync.Mutex
 	subscribed map[string]*subscription
@@ -132,7 +134,7 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
-	return &Follower{cfg: cfg, transport: transport, wire: wire, now: time.Now, reports: make(chan struct{}, 1),
+	return &Follower{cfg: cfg, transport: transport, goodbyeWithin: goodbyeTimeout, wire: wire, now: time.Now, reports: make(chan struct{}, 1),
 		subscribed: make(map[string]*subscription), dirty: make(map[string]bool), unfollowed: make(map[string]bool),
 		statuses: make(map[string]*distribution.ResourceStatus), unreported: make(map[string]bool)}
 }
--- a/internal/distribution/follow/follower_test.go
+++ b/internal/distribution/follow/follower_test.go
@@ -59,9 +59,18 @@
 	missed    chan bool
 	told      map[string]distribution.Position // by reads and reports
 	passed    atomic.Int64                     // time, beside what passes
+	cancel    func()                           // has it end
 }
 
 func start(t *testing.T, has distribution.Version, relays ...string) *fixture {
+	t.Helper()
+	f := prepare(t, has, relays...)
+	f.run()
+	return f
+}
+
+// prepare is start without Run.
+func prepare(t *testing.T, has distribution.Version, relays ...string) *fixture {
 	t.Helper()
 	f := &fixture{t: t, transport: &scripted{make(chan call)}, updates: make(chan distribution.Update, 10), missed: make(chan bool, 100),
 		told: make(map[string]distribution.Position)}
@@ -69,14 +78,18 @@
 	f.Follower = newFollower(cfg, f.transport, new(wireCounter))
 	f.now = func() time.Time { return time.Now().Add(time.Duration(f.passed.Load())) }
 	f.Subscribe("r", has, f)
+	return f
+}
+
+func (f *fixture) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { f.Run(ctx) })
-	t.Cleanup(func() {
+	f.cancel = cancel
+	f.t.Cleanup(func() {
 		cancel()
 		running.Wait()
 	})
-	return f
 }
 
 func (f *fixture) Updated(u distribution.Update) error {
@@ -123,6 +136,21 @@
 	return distribution.Version{Epoch: 1, Revision: revision}
 }
 
+// A follower that ends while a session begins hears of it, and ends the session.
+func TestEndWhileASessionBegins(t *testing.T) {
+	f := prepare(t, version(1), "a")
+	f.goodbyeWithin = within
+	f.run()
+	first := f.read()
+	f.cancel()
+	first.ok()
+	goodbye := f.next()
+	goodbye.ok()
+	if !goodbye.req.Leave || goodbye.req.Session != "s" || len(goodbye.req.Positions) > 0 {
+		t.Errorf("%+v", goodbye.req)
+	}
+}
+
 // A session begins with all positions, and goes on with those that have changed.
 func TestPositions(t *testing.T) {
 	f := start(t, version(3), "a")
--- a/internal/distribution/follow/reader.go
+++ b/internal/distribution/follow/reader.go
@@ -93,15 +93,32 @@
 		patience += r.cfg.Hold
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, patience)
+	if req.Session == "" {
+		ctx, cancel = r.opening(patience)
+	}
 	defer cancel()
 	response, err := r.transport.Follow(ctx, req.address, &req.FollowRequest)
 	if err != nil {
 		return err
 	}
 	r.heard(r.current, req, response)
+	if err := r.ctx.Err(); err != nil {
+		return err
+	}
 	return r.take(response.Updates)
 }
 
+// opening is the context of a read that begins a session. Where the follower ends meanwhile, the answer is waited for a little
+// longer: without it nobody knows which session to end.
+func (r *reader) opening(patience time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), patience)
+	stop := context.AfterFunc(r.ctx, func() { time.AfterFunc(r.goodbyeWithin, cancel) })
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // succeeded takes that a read has been answered.
 func (r *reader) succeeded() {
 	if r.open {
@@ -199,18 +216,14 @@
 // goodbye tells the relay that this follower has ended.
 func (r *reader) goodbye() {
 	if left := r.leave(); left.id != "" {
-		r.farewell(context.WithoutCancel(r.ctx), left, goodbyeTimeout)
+		r.farewell(context.WithoutCancel(r.ctx), left, r.goodbyeWithin)
 	}
 }
 
-// farewell tells a relay that is left that nothing is followed there any more, lest its count have this follower for some
-// holds more.
+// farewell ends a session at a relay that is left, lest its count have this follower for some holds more.
 func (r *reader) farewell(ctx context.Context, to *session, timeout time.Duration) {
+	req := &distribution.FollowRequest{Follower: r.cfg.Name, Kind: r.cfg.Kind, Session: to.id, Leave: true}
 	r.mu.Lock()
-	req := &distribution.FollowRequest{Follower: r.cfg.Name, Kind: r.cfg.Kind, Session: to.id}
-	for name := range r.subscribed {
-		req.Unfollowed = append(req.Unfollowed, name)
-	}
 	r.stats.MessagesOut++
 	r.mu.Unlock()
 	r.beside.Go(func() {
--- a/internal/distribution/node/read.go
+++ b/internal/distribution/node/read.go
@@ -66,7 +66,7 @@
 	switch {
 	case req.Session == "": // answered at once, so that the follower knows its session
 		return n.wait(ctx, session, began)
-	case req.HoldMs == 0: // a report beside a read
+	case req.HoldMs == 0 || session.Gone(): // a report beside a read, or a session that was left
 		return n.answer(session, nil), nil
 	}
 	return n.wait(ctx, session, n.holdUntil(session, began, time.Duration(req.HoldMs)*time.Millisecond))
@@ -96,6 +96,9 @@
 		if errors.Is(err, distribution.ErrUnknownSession) {
 			n.stats.UnknownSessions++
 		}
+		if err == nil && session.Gone() {
+			n.ended(session)
+		}
 		return session, err
 	}
 	n.opened++
--- a/internal/distribution/node/socket_test.go
+++ b/internal/distribution/node/socket_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -305,6 +306,61 @@
 	eventually(t, "one at the source", func() bool { return statusOf(source, "service-a", version).Proxies == 1 })
 }
 
+// A report that the network has delayed until after its follower's goodbye does not have it counted again.
+func TestAReportAfterTheGoodbye(t *testing.T) {
+	source := startSource(t, t.TempDir(), "", 1)
+	version := put(t, source.address, "service-a", item("b1", "up"))
+	c := httpapi.NewClient(nil)
+	defer c.Close()
+	ctx := context.Background()
+	has := []distribution.Position{{Resource: "service-a", InForce: version}}
+	opened, err := c.Follow(ctx, source.address, &distribution.FollowRequest{Follower: "ends", Kind: distribution.KindProxy, Positions: has})
+	if err != nil {
+		t.Fatal(err)
+	}
+	said := distribution.FollowRequest{Follower: "ends", Kind: distribution.KindProxy, Session: opened.Session}
+	goodbye, late := said, said
+	goodbye.Leave, late.Positions = true, has
+	if _, err := c.Follow(ctx, source.address, &goodbye); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Follow(ctx, source.address, &late); !errors.Is(err, distribution.ErrUnknownSession) {
+		t.Errorf("the late report: %v", err)
+	}
+	if progress := statusOf(source, "service-a", version); progress.Proxies != 0 {
+		t.Errorf("%d proxies are counted", progress.Proxies)
+	}
+}
+
+// A read that waits when its session is left is answered at once.
+func TestGoodbyeEndsTheRead(t *testing.T) {
+	source := startSource(t, t.TempDir(), "", 1)
+	c := httpapi.NewClient(nil)
+	defer c.Close()
+	ctx := context.Background()
+	follower := distribution.FollowRequest{Follower: "ends", Kind: distribution.KindProxy}
+	opened, err := c.Follow(ctx, source.address, &follower)
+	if err != nil {
+		t.Fatal(err)
+	}
+	read := make(chan error, 1)
+	follower.Session = opened.Session
+	waits := follower
+	waits.HoldMs = distribution.MaxHoldMs
+	go func() {
+		_, err := c.Follow(ctx, source.address, &waits)
+		read <- err
+	}()
+	eventually(t, "a read waits", func() bool { return source.Stats().WaitingReads == 1 })
+	follower.Leave = true
+	if _, err := c.Follow(ctx, source.address, &follower); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-read; !errors.Is(err, distribution.ErrUnknownSession) {
+		t.Errorf("%v", err)
+	}
+}
+
 func statusOf(s *served, resource string, v distribution.Version) distribution.Progress {
 	status := s.Status(resource)
 	return status.Progress(v)
--- a/internal/distribution/sessions.go
+++ b/internal/distribution/sessions.go
@@ -108,12 +108,17 @@
 	return opened, replaced, nil
 }
 
-// Take takes what a follower with a session says.
+// Take takes what a follower with a session says. A session that is left ends, so that whatever its follower said before and
+// comes later is not counted.
 func (s *Sessions) Take(req *FollowRequest, now time.Time) (*Session, error) {
 	session := s.byID[req.Session]
 	if session == nil || session.Follower != req.Follower || session.Kind != req.Kind {
 		return nil, ErrUnknownSession
 	}
+	if req.Leave {
+		s.Close(session)
+		return session, nil
+	}
 	return session, s.take(session, req, now)
 }
 
--- a/internal/distribution/validate.go
+++ b/internal/distribution/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"unicode/utf8"
 )
@@ -29,6 +30,9 @@
 	if r.HoldMs < 0 || r.HoldMs > MaxHoldMs {
 		return fmt.Errorf("hold_ms: %d found, 0 to %d expected", r.HoldMs, MaxHoldMs)
 	}
+	if r.Leave && r.Session == "" {
+		return errors.New("leave: found without a session, with one expected")
+	}
 	if err := validCount("positions", len(r.Positions), MaxResources); err != nil {
 		return err
 	}
--- a/internal/distribution/validate_test.go
+++ b/internal/distribution/validate_test.go
@@ -68,6 +68,7 @@
 		"positions[0]: resource: name of 129 bytes found":                         &FollowRequest{Follower: "p", Kind: KindProxy, Positions: []Position{{Resource: long}}},
 		"positions[0]: reason: 257 bytes found":                                   &FollowRequest{Follower: "p", Kind: KindProxy, Positions: []Position{{Resource: "r", Reason: long + long[:128]}}},
 		"positions[0]: refused: version 1.1 found, one after that in force (1.1)": &FollowRequest{Follower: "p", Kind: KindProxy, Positions: []Position{{Resource: "r", InForce: at(1, 1), Refused: at(1, 1)}}},
+		"leave: found without a session":                                          &FollowRequest{Follower: "p", Kind: KindProxy, Leave: true},
 		"unfollowed[0]: resource: control character":                              &FollowRequest{Follower: "p", Kind: KindProxy, Unfollowed: []string{"a\nb"}},
 		"statuses: 1 found of a proxy, none expected":                             &FollowRequest{Follower: "p", Kind: KindProxy, Statuses: []ResourceStatus{{Resource: "r"}}},
 		"statuses[0]: counts[1]: version 1.2 found, one before 1.1 expected":      &FollowRequest{Follower: "p", Kind: KindRelay, Statuses: []ResourceStatus{{Resource: "r", Counts: []VersionCount{{at(1, 1), 1}, {at(1, 2), 1}}}}},
