rig: begin, carry out and end a run in one place

Both kinds of run had the clock, the history, the processes, the links, the folder and the schedule's steps each for themselves. launch.Run has them once, scenario.DrawSchedule draws both schedules.

--- a/internal/rig/play.go
+++ b/internal/rig/play.go
@@ -1,7 +1,6 @@
 package rig
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -11,47 +10,17 @@
 
 	"fernlanding/internal/rig/actor"
 	"fernlanding/internal/rig/history"
+	"fernlanding/internal/rig/launch"
 	"fernlanding/internal/rig/scenario"
 	"fernlanding/internal/sleep"
 	"fernlanding/internal/standin"
 )
 
-// step is the beginning or the end of a fault.
-type step struct {
-	at    time.Duration
-	fault int
-	end   bool
-}
-
 // play carries out the schedule.
 func (r *run) play(ctx context.Context) error {
-	faults := r.sc.Schedule()
-	var steps []step
-	for i, f := range faults {
-		steps = append(steps, step{f.At, i, false}, step{f.At + f.For, i, true})
-	}
-	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	began := time.Now()
-	ends := make([]func() error, len(faults))
-	for _, s := range steps {
-		if !sleep.Until(ctx, began.Add(s.at)) {
-			return ctx.Err()
-		}
-		f := faults[s.fault]
-		e := history.Event{Kind: history.Fault, ID: f.Name(s.fault), Names: f.Names, Why: f.String(), To: f.Link}
-		if s.end {
-			r.tell(e)
-			if err := ends[s.fault](); err != nil {
-				return fmt.Errorf("rig: the end of %s: %w", f, err)
-			}
-			continue
-		}
-		e.N = 1
-		r.tell(e)
-		var err error
-		if ends[s.fault], err = r.begin(ctx, f); err != nil {
-			return fmt.Errorf("rig: %s: %w", f, err)
-		}
+	if err := r.CarryOut(ctx, began, launch.Schedule{Faults: r.sc.Schedule(), Begin: r.begin}); err != nil {
+		return fmt.Errorf("rig: %w", err)
 	}
 	if !sleep.Until(ctx, began.Add(r.sc.For)) {
 		return ctx.Err()
@@ -64,16 +33,16 @@
 	none := func() error { return nil }
 	switch f.Kind {
 	case scenario.Cut, scenario.OneWay, scenario.Delay, scenario.Hold, scenario.Reset, scenario.Half, scenario.Slow:
-		stop := r.net.Begin(f)
+		stop := r.Links.Begin(f)
 		return func() error { stop(); return nil }, nil
 	case scenario.Stop:
 		names := r.processes(f)
 		for _, n := range names {
-			r.procs.Stop(n)
+			r.Processes.Stop(n)
 		}
 		return func() error {
 			for _, n := range names {
-				r.procs.Continue(n)
+				r.Processes.Continue(n)
 			}
 			return nil
 		}, nil
@@ -83,7 +52,7 @@
 		mode := func(word string) error {
 			var all []error
 			for _, n := range f.Names {
-				all = append(all, r.procs.Say(n, actor.Command{Do: actor.DoMode, Mode: word}))
+				all = append(all, r.Processes.Say(n, actor.Command{Do: actor.DoMode, Mode: word}))
 			}
 			return errors.Join(all...)
 		}
@@ -123,14 +92,14 @@
 	}
 	if f.Kind == scenario.Kill {
 		for _, n := range names {
-			r.procs.Kill(n)
+			r.Processes.Kill(n)
 		}
-	} else if err := r.procs.Terminate(names, 0); err != nil {
+	} else if err := r.Processes.Terminate(names, 0); err != nil {
 		return nil, err
 	}
 	return func() error {
 		for _, n := range names {
-			r.procs.Kill(n) // those that have not ended yet
+			r.Processes.Kill(n) // those that have not ended yet
 			var err error
 			switch i := scenario.Number(n); {
 			case strings.HasPrefix(n, "sidecar-"):
@@ -165,7 +134,7 @@
 func (r *run) replace(ctx context.Context, f scenario.Fault) (func() error, error) {
 	r.state("DRAINING", f.Names...)
 	down := make(chan struct{})
-	r.faults.Go(func() {
+	r.Faults.Go(func() {
 		defer close(down)
 		if sleep.For(ctx, min(drainFor, f.For)) {
 			_ = r.backends(actor.Command{Do: actor.DoEnd, Names: f.Names})
@@ -183,7 +152,7 @@
 }
 
 func (r *run) later(ctx context.Context, after time.Duration, f func()) {
-	r.faults.Go(func() {
+	r.Faults.Go(func() {
 		if sleep.For(ctx, after) {
 			f()
 		}
@@ -194,7 +163,7 @@
 func (r *run) backends(c actor.Command) error {
 	var all []error
 	for _, p := range r.backs {
-		all = append(all, r.procs.Say(p, c))
+		all = append(all, r.Processes.Say(p, c))
 	}
 	return errors.Join(all...)
 }
@@ -231,9 +200,9 @@
 	}
 	r.mu.Unlock()
 	for _, m := range all {
-		r.tell(history.Event{Kind: history.Member, Who: m.Name, Why: m.Status})
+		r.Tell(history.Event{Kind: history.Member, Who: m.Name, Why: m.Status})
 	}
 	for _, l := range r.lists {
-		_ = r.procs.Say(l, actor.Command{Do: actor.DoMembers, Members: all}) // one that is down is told all at its start
+		_ = r.Processes.Say(l, actor.Command{Do: actor.DoMembers, Members: all}) // one that is down is told all at its start
 	}
 }
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -71,7 +71,7 @@
 	return path
 }
 
-// roles starts a program that goes to the rig: the rig adds the configuration as arguments.
+// options are those of a run with this program under test, the naive stand-in where it is the test itself.
 func options(sidecar string, env ...string) rig.Options {
 	o := rig.Options{Sidecar: []string{sidecar}, Actor: []string{"/usr/bin/env", roleVar + "=actor", self()}, Env: env}
 	if sidecar == self() {
--- a/internal/rig/rollout/plan/schedule.go
+++ b/internal/rig/rollout/plan/schedule.go
@@ -1,7 +1,6 @@
 package plan
 
 import (
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -13,11 +12,8 @@
 	"fernlanding/internal/rig/scenario"
 )
 
-// Streams of the seed.
-const (
-	faultStream = 1
-	putStream   = 2
-)
+// putStream is of the seed; the first one is that of the schedule.
+const putStream = 2
 
 const (
 	leastFault = 300 * time.Millisecond
@@ -28,18 +24,7 @@
 // Schedule is every fault with the names of all that it acts on: those that stand in the scenario and those that it has
 // drawn, by their times. The same seed gives the same schedule.
 func (x *Scenario) Schedule() (out []Fault) {
-	rnd := rand.New(rand.NewPCG(x.Seed, faultStream))
-	for _, f := range x.Faults {
-		f.Names = x.chosen(f, rnd)
-		out = append(out, f)
-	}
-	for range x.Random.Count {
-		f := x.draw(rnd)
-		f.Names = x.chosen(f, rnd)
-		out = append(out, f)
-	}
-	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
-	return x.apart(out)
+	return x.apart(scenario.DrawSchedule(x.Seed, x.Faults, x.Random.Count, x.draw, x.chosen))
 }
 
 // apart leaves out faults that would act on a process which another one has killed or stopped at the time.
--- a/internal/rig/rollout/play.go
+++ b/internal/rig/rollout/play.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -14,6 +13,7 @@
 	"fernlanding/internal/distribution"
 	"fernlanding/internal/rig/actor"
 	"fernlanding/internal/rig/history"
+	"fernlanding/internal/rig/launch"
 	"fernlanding/internal/rig/process"
 	"fernlanding/internal/rig/rollout/plan"
 	"fernlanding/internal/rig/scenario"
@@ -29,28 +29,22 @@
 	rigName     = "rig"
 )
 
-// step is the beginning or the end of a fault.
-type step struct {
-	at    time.Duration
-	fault int
-	end   bool
-}
-
 // play has the publisher write, carries out the schedule, waits until all has settled, and asks the source what there is.
 func (r *run) play(ctx context.Context) error {
 	waits := r.lookAtWaits(nil) // so that nothing waits unseen
 	began := time.Now()
-	r.zero = r.clock.Now()
-	if err := r.procs.Say(plan.PublisherName, actor.Command{Do: actor.DoBegin, At: r.zero}); err != nil {
+	r.zero = r.Clock.Now()
+	if err := r.Processes.Say(plan.PublisherName, actor.Command{Do: actor.DoBegin, At: r.zero}); err != nil {
 		return fmt.Errorf("rollout: %w", err)
 	}
 	asking, stop := context.WithCancel(ctx)
-	r.faults.Go(func() { r.ask(asking) })
-	r.faults.Go(func() { r.watchWaits(asking, waits) })
-	r.faults.Go(func() { history.WatchLag(asking, rigName, r.clock, r.tell) })
+	r.Faults.Go(func() { r.ask(asking) })
+	r.Faults.Go(func() { r.watchWaits(asking, waits) })
+	r.Faults.Go(func() { history.WatchLag(asking, rigName, r.Clock, r.Tell) })
 	defer stop()
-	if err := r.carryOut(ctx, began); err != nil {
-		return err
+	faults := launch.Schedule{Faults: r.sc.Schedule(), Begin: r.begin, ToldMended: true}
+	if err := r.CarryOut(ctx, began, faults); err != nil {
+		return fmt.Errorf("rollout: %w", err)
 	}
 	if !sleep.Until(ctx, began.Add(r.sc.For+r.sc.Settle)) {
 		return ctx.Err()
@@ -62,37 +56,6 @@
 	return nil
 }
 
-// carryOut begins and ends all faults of the schedule.
-func (r *run) carryOut(ctx context.Context, began time.Time) error {
-	faults := r.sc.Schedule()
-	var steps []step
-	for i, f := range faults {
-		steps = append(steps, step{f.At, i, false}, step{f.At + f.For, i, true})
-	}
-	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
-	ends := make([]func() error, len(faults))
-	for _, s := range steps {
-		if !sleep.Until(ctx, began.Add(s.at)) {
-			return ctx.Err()
-		}
-		f := faults[s.fault]
-		e := history.Event{Kind: history.Fault, ID: f.Name(s.fault), Names: f.Names, Why: f.String(), To: f.Link}
-		var err error
-		if s.end {
-			err = ends[s.fault]() // what it disturbed is not well before that
-			r.tell(e)
-		} else {
-			e.N = 1
-			r.tell(e)
-			ends[s.fault], err = r.begin(ctx, f)
-		}
-		if err != nil {
-			return fmt.Errorf("rollout: %s: %w", f, err)
-		}
-	}
-	return nil
-}
-
 // begin begins a fault, and returns what ends it.
 func (r *run) begin(ctx context.Context, f plan.Fault) (end func() error, err error) {
 	each := func(do func(name string) error) error {
@@ -105,18 +68,18 @@
 	}
 	switch f.Kind {
 	case scenario.Stop:
-		_ = each(func(name string) error { r.procs.Stop(name); return nil })
-		return func() error { return each(func(name string) error { r.procs.Continue(name); return nil }) }, nil
+		_ = each(func(name string) error { r.Processes.Stop(name); return nil })
+		return func() error { return each(func(name string) error { r.Processes.Continue(name); return nil }) }, nil
 	case scenario.Kill:
-		_ = each(func(name string) error { r.procs.Kill(name); return nil })
+		_ = each(func(name string) error { r.Processes.Kill(name); return nil })
 		return func() error { return each(func(name string) error { return r.startAgain(ctx, name) }) }, nil
 	case plan.Between:
 		return r.betweenWrites(ctx, f), nil
 	case plan.Restart:
-		restart := func(name string) error { return r.procs.Say(name, actor.Command{Do: actor.DoRestart}) }
+		restart := func(name string) error { return r.Processes.Say(name, actor.Command{Do: actor.DoRestart}) }
 		return func() error { return nil }, each(restart)
 	}
-	stop := r.net.Begin(f)
+	stop := r.Links.Begin(f)
 	return func() error { stop(); return nil }, nil
 }
 
@@ -128,18 +91,18 @@
 	case <-r.wrote: // one before the fault
 	default:
 	}
-	r.faults.Go(func() {
+	r.Faults.Go(func() {
 		defer close(killed)
 		select {
 		case <-r.wrote:
-			r.procs.Kill(plan.PublisherName)
+			r.Processes.Kill(plan.PublisherName)
 		case <-ctx.Done():
 		}
 	})
 	return func() error {
 		cancel()
 		<-killed
-		if r.procs.PID(plan.PublisherName) != 0 {
+		if r.Processes.PID(plan.PublisherName) != 0 {
 			return nil // nothing was written in that time
 		}
 		return r.startAgain(ctx, plan.PublisherName)
@@ -211,11 +174,11 @@
 func (r *run) lookAtWaits(before map[int]look) map[int]look {
 	now := map[int]look{}
 	for _, name := range slices.Concat(r.servers(), r.sc.Names(plan.OnFollowers)) {
-		pid := r.procs.PID(name)
-		now[pid] = look{r.clock.Now(), process.Waited(pid)}
+		pid := r.Processes.PID(name)
+		now[pid] = look{r.Clock.Now(), process.Waited(pid)}
 		last, known := before[pid]
 		if took := now[pid].waited - last.waited; known && took >= waitLeast {
-			r.tell(history.Event{Kind: history.Waited, Who: name, N: last.at, Took: took.Microseconds()})
+			r.Tell(history.Event{Kind: history.Waited, Who: name, N: last.at, Took: took.Microseconds()})
 		}
 	}
 	return now
@@ -227,13 +190,13 @@
 	if r.get(ctx, name, "/v1/stats", &stats) != nil {
 		return // it is down, or stopped
 	}
-	figures := map[string]float64{history.UsedResident: float64(process.Resident(r.procs.PID(name)))}
+	figures := map[string]float64{history.UsedResident: float64(process.Resident(r.Processes.PID(name)))}
 	for field, value := range stats {
 		if number, ok := value.(float64); ok {
 			figures[field] = number
 		}
 	}
-	r.tell(history.Event{Kind: history.Used, Who: name, Figures: figures})
+	r.Tell(history.Event{Kind: history.Used, Who: name, Figures: figures})
 }
 
 // askStatus tells what the source knows of a resource's being in force.
@@ -242,19 +205,19 @@
 	if r.get(ctx, plan.Source, "/v1/status?resource="+url.QueryEscape(resource), &status) != nil {
 		return
 	}
-	r.tell(history.Event{Kind: history.Reported, Who: plan.Source, Resource: resource, Report: &status})
+	r.Tell(history.Event{Kind: history.Reported, Who: plan.Source, Resource: resource, Report: &status})
 }
 
 // askResource tells what the source has.
 func (r *run) askResource(ctx context.Context, resource string) {
-	began := r.clock.Now()
+	began := r.Clock.Now()
 	var u distribution.Update
 	if err := r.get(ctx, plan.Source, "/v1/resource?name="+url.QueryEscape(resource), &u); err != nil {
-		r.tell(history.Event{Kind: history.Log, Who: plan.Source, Resource: resource, Why: err.Error()})
+		r.Tell(history.Event{Kind: history.Log, Who: plan.Source, Resource: resource, Why: err.Error()})
 		return
 	}
-	now := r.clock.Now()
-	r.tell(history.Event{At: now, Kind: history.Source, Who: plan.Source, Resource: resource, Version: u.Version, Digest: actor.DigestOf(u.Items), Took: now - began})
+	now := r.Clock.Now()
+	r.Tell(history.Event{At: now, Kind: history.Source, Who: plan.Source, Resource: resource, Version: u.Version, Digest: actor.DigestOf(u.Items), Took: now - began})
 }
 
 // get asks a server directly, over no link.
--- a/internal/rig/rollout/run.go
+++ b/internal/rig/rollout/run.go
@@ -4,12 +4,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -43,53 +41,37 @@
 
 // run is one run.
 type run struct {
+	*launch.Run
 	sc     *plan.Scenario
 	opts   Options
-	clock  history.Clock
-	events *history.Writer
-	procs  *process.Set
-	net    *link.Net
 	client *http.Client
-	dir    string
 	places map[string]link.Place // of all that open connections or listen, by name
 	port   int                   // where the source and relays listen
 	relay  map[entrance]int      // ports of the links to them
 	zero   int64                 // when the faults began
 	has    *firstUpdates
 	wrote  chan struct{} // the publisher has written something
-	faults sync.WaitGroup
 }
 
 // Run plays a scenario and writes its history. It returns when none of its processes is left; at the context's end it
 // breaks off.
 func Run(ctx context.Context, sc *plan.Scenario, opts Options) (err error) {
+	begun, err := launch.Begin(opts.Out, opts.Dir, sc.Name, sc.Seed)
+	if err != nil {
+		return fmt.Errorf("rollout: %w", err)
+	}
 	r := &run{
+		Run:    begun,
 		sc:     sc,
 		opts:   opts,
-		clock:  history.NewClock(),
-		events: history.NewWriter(opts.Out),
 		client: &http.Client{Timeout: askWithin, Transport: &http.Transport{}},
 		relay:  map[entrance]int{},
 		has:    newFirstUpdates(sc),
 		wrote:  make(chan struct{}, 1),
 	}
-	if r.dir = opts.Dir; r.dir == "" {
-		if r.dir, err = os.MkdirTemp("", "rollout"); err != nil {
-			return fmt.Errorf("rollout: %w", err)
-		}
-		defer os.RemoveAll(r.dir)
-	}
-	r.tell(history.Event{Kind: history.Began, ID: sc.Name, N: int64(sc.Seed)})
-	r.procs = process.New(r.tell)
 	defer func() {
-		left := r.procs.End()
-		if r.net != nil {
-			r.net.Close()
-		}
+		err = begun.End(err)
 		r.client.CloseIdleConnections()
-		r.faults.Wait()
-		r.tell(history.Event{Kind: history.Ended, N: int64(left)})
-		err = errors.Join(err, r.events.Flush())
 	}()
 	if err := r.lay(); err != nil {
 		return fmt.Errorf("rollout: %w", err)
@@ -100,13 +82,6 @@
 	return r.play(ctx)
 }
 
-func (r *run) tell(e history.Event) {
-	if e.At == 0 {
-		e.At = r.clock.Now()
-	}
-	r.events.Write(e)
-}
-
 // servers are the source and all relays.
 func (r *run) servers() []string {
 	return slices.Concat(r.sc.Names(plan.OnSource), r.sc.Names(plan.OnRegions), r.sc.Names(plan.OnZones))
@@ -115,19 +90,13 @@
 // lay finds places and ports that nobody uses, and opens the links.
 func (r *run) lay() error {
 	servers := r.servers()
-	return launch.Network(len(servers)+serverLinks, func(network, port int) error {
+	return r.OpenLinks(len(servers)+serverLinks, unwatched{}, func(network, port int) error {
 		r.port = port
 		r.places = map[string]link.Place{}
 		for i, name := range slices.Concat(servers, []string{plan.PublisherName}, r.sc.FollowerNames()) {
 			r.places[name] = link.PlaceOf(network, i)
 		}
-		r.net = link.New(unwatched{})
-		err := r.links()
-		if err != nil {
-			r.net.Close()
-			r.net = nil
-		}
-		return err
+		return r.links()
 	})
 }
 
@@ -146,7 +115,7 @@
 		for _, group := range r.sc.LinksTo(server) {
 			port++
 			r.relay[entrance{group, server}] = port
-			if err := r.net.Listen(link.Relay{Group: group, Port: port, To: to}); err != nil {
+			if err := r.Links.Listen(link.Relay{Group: group, Port: port, To: to}); err != nil {
 				return err
 			}
 		}
@@ -199,7 +168,7 @@
 			return err
 		}
 	}
-	if err := r.procs.Say(plan.PublisherName, actor.Command{Do: actor.DoFirst}); err != nil {
+	if err := r.Processes.Say(plan.PublisherName, actor.Command{Do: actor.DoFirst}); err != nil {
 		return err
 	}
 	select {
@@ -216,7 +185,7 @@
 	var upstream []string
 	switch {
 	case name == plan.Source:
-		args = []string{"source", "-listen", r.address(name), "-state", filepath.Join(r.dir, "state")}
+		args = []string{"source", "-listen", r.address(name), "-state", filepath.Join(r.Dir, "state")}
 	case slices.Contains(r.sc.Names(plan.OnRegions), name):
 		upstream = r.sc.Names(plan.OnSource)
 	default:
@@ -229,7 +198,7 @@
 		}
 		args = append(args, "-upstream", strings.Join(addresses, ","))
 	}
-	return r.procs.Start(process.Spec{Name: name, Args: append(slices.Clone(r.opts.Relay), args...), Env: r.opts.Env, ReadErr: r.log})
+	return r.Processes.Start(process.Spec{Name: name, Args: append(slices.Clone(r.opts.Relay), args...), Env: r.opts.Env, ReadErr: r.log})
 }
 
 // log hands on what a program under test logs.
@@ -289,14 +258,14 @@
 
 // actor starts an actor, whose events go into the history.
 func (r *run) actor(ctx context.Context, spec actor.Spec) error {
-	actors := launch.Actors{Processes: r.procs, Program: r.opts.Actor, Env: r.opts.Env, Clock: r.clock, Heard: r.heard}
+	actors := launch.Actors{Processes: r.Processes, Program: r.opts.Actor, Env: r.opts.Env, Clock: r.Clock, Heard: r.heard}
 	_, err := actors.Start(ctx, spec)
 	return err
 }
 
 // heard takes an event of an actor.
 func (r *run) heard(e history.Event) {
-	r.events.Write(e)
+	r.Tell(e)
 	switch {
 	case e.Kind == history.InForce:
 		r.has.note(e.Who, e.Resource)
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -52,13 +51,9 @@
 
 // run is one run.
 type run struct {
+	*launch.Run
 	sc       *scenario.Scenario
 	opts     Options
-	clock    history.Clock
-	events   *history.Writer
-	procs    *process.Set
-	net      *link.Net
-	dir      string
 	places   []link.Place // of the sidecars
 	port     int          // where they listen
 	relay    int          // where clients reach them
@@ -75,33 +70,20 @@
 	backs    []string // processes of backends
 	clients  []string
 	workers  []string
-	faults   sync.WaitGroup
 	quiet    chan struct{} // one for each client process whose load has ended
 }
 
 // Run plays a scenario, and writes its history. It returns when none of its processes is left; at the context's end it
 // breaks off.
 func Run(ctx context.Context, sc *scenario.Scenario, opts Options) (err error) {
-	r := &run{sc: sc, opts: opts, clock: history.NewClock(), events: history.NewWriter(opts.Out), backAt: map[string]string{}, members: map[string]standin.Member{},
+	begun, err := launch.Begin(opts.Out, opts.Dir, sc.Name, sc.Seed)
+	if err != nil {
+		return fmt.Errorf("rig: %w", err)
+	}
+	defer func() { err = begun.End(err) }()
+	r := &run{Run: begun, sc: sc, opts: opts, backAt: map[string]string{}, members: map[string]standin.Member{},
 		names: map[string]int{}, sidecars: sc.Names(scenario.OnSidecars), lists: sc.Names(scenario.OnLists), clients: sc.Names(scenario.OnClients),
 		workers: sc.Names(scenario.OnBackends), quiet: make(chan struct{}, len(sc.Names(scenario.OnClients)))}
-	if r.dir = opts.Dir; r.dir == "" {
-		if r.dir, err = os.MkdirTemp("", "rig"); err != nil {
-			return fmt.Errorf("rig: %w", err)
-		}
-		defer os.RemoveAll(r.dir)
-	}
-	r.tell(history.Event{Kind: history.Began, ID: sc.Name, N: int64(sc.Seed)})
-	r.procs = process.New(r.tell)
-	defer func() {
-		left := r.procs.End()
-		if r.net != nil {
-			r.net.Close()
-		}
-		r.faults.Wait()
-		r.tell(history.Event{Kind: history.Ended, N: int64(left)})
-		err = errors.Join(err, r.events.Flush())
-	}()
 	if err := r.lay(); err != nil {
 		return fmt.Errorf("rig: %w", err)
 	}
@@ -117,30 +99,17 @@
 	return r.finish()
 }
 
-func (r *run) tell(e history.Event) {
-	if e.At == 0 {
-		e.At = r.clock.Now()
-	}
-	r.events.Write(e)
-}
-
 // lay finds a network of places and ports that nobody uses, and opens the relays.
 func (r *run) lay() error {
-	return launch.Network(1+len(r.lists)+len(r.workers), func(network, port int) error {
+	return r.OpenLinks(1+len(r.lists)+len(r.workers), (*watcher)(r), func(network, port int) error {
 		names := map[link.Place]string{}
 		r.places = nil
 		for i, name := range r.sidecars {
 			r.places = append(r.places, link.PlaceOf(network, i))
 			names[r.places[i]] = name
 		}
-		r.net = link.New((*watcher)(r))
 		r.port = port
-		err := r.relays(names, port+1)
-		if err != nil {
-			r.net.Close()
-			r.net = nil
-		}
-		return err
+		return r.relays(names, port+1)
 	})
 }
 
@@ -170,7 +139,7 @@
 	r.listAt = make([]string, len(r.lists))
 	for i := range relays {
 		relays[i].Port = port + i
-		if err := r.net.Listen(relays[i]); err != nil {
+		if err := r.Links.Listen(relays[i]); err != nil {
 			return err
 		}
 	}
@@ -187,17 +156,17 @@
 type watcher run
 
 func (w *watcher) Opened(e link.Ends) {
-	(*run)(w).tell(history.Event{Kind: history.Opened, Who: e.From, To: e.To})
+	(*run)(w).Tell(history.Event{Kind: history.Opened, Who: e.From, To: e.To})
 }
 
 func (w *watcher) Sent(e link.Ends, conn string, n int64, at time.Time) {
 	if e.From != scenario.OnClients && !strings.HasPrefix(e.To, "list-") {
-		(*run)(w).tell(history.Event{Kind: history.Sent, At: (*run)(w).clock.At(at), Who: e.From, To: e.To, Conn: conn, N: n})
+		(*run)(w).Tell(history.Event{Kind: history.Sent, At: (*run)(w).Clock.At(at), Who: e.From, To: e.To, Conn: conn, N: n})
 	}
 }
 
 func (w *watcher) Delivered(e link.Ends, conn string, n int64) {
-	(*run)(w).tell(history.Event{Kind: history.Delivered, Who: e.To, To: e.From, Conn: conn, Bytes: n})
+	(*run)(w).Tell(history.Event{Kind: history.Delivered, Who: e.To, To: e.From, Conn: conn, Bytes: n})
 }
 
 // startActors starts list services, backends and clients.
@@ -278,7 +247,7 @@
 		}
 	}
 	r.mu.Unlock()
-	return r.procs.Say(r.lists[i], actor.Command{Do: actor.DoMembers, Members: all})
+	return r.Processes.Say(r.lists[i], actor.Command{Do: actor.DoMembers, Members: all})
 }
 
 func (r *run) startClients(ctx context.Context) error {
@@ -304,13 +273,13 @@
 
 // actor starts an actor and returns its first line.
 func (r *run) actor(ctx context.Context, spec actor.Spec) (actor.Hello, error) {
-	actors := launch.Actors{Processes: r.procs, Program: r.opts.Actor, Env: r.opts.Env, Clock: r.clock, Heard: r.heard}
+	actors := launch.Actors{Processes: r.Processes, Program: r.opts.Actor, Env: r.opts.Env, Clock: r.Clock, Heard: r.heard}
 	return actors.Start(ctx, spec)
 }
 
 // heard takes an event of an actor.
 func (r *run) heard(e history.Event) {
-	if r.events.Write(e); e.Kind == history.Quiet {
+	if r.Tell(e); e.Kind == history.Quiet {
 		r.quiet <- struct{}{}
 	}
 }
@@ -329,7 +298,7 @@
 		return err
 	}
 	for _, c := range r.clients {
-		if err := r.procs.Say(c, actor.Command{Do: actor.DoLoad, On: r.sc.Clients.Rate > 0}); err != nil {
+		if err := r.Processes.Say(c, actor.Command{Do: actor.DoLoad, On: r.sc.Clients.Rate > 0}); err != nil {
 			return err
 		}
 	}
@@ -353,8 +322,8 @@
 	if !sleep.For(ctx, measureAfter) {
 		return ctx.Err()
 	}
-	each := process.Resident(r.procs.PID(r.sidecars[0]))
-	r.procs.Kill(r.sidecars[0])
+	each := process.Resident(r.Processes.PID(r.sidecars[0]))
+	r.Processes.Kill(r.sidecars[0])
 	if err := os.RemoveAll(r.folder(0)); err != nil { // that life does not count
 		return err
 	}
@@ -371,18 +340,18 @@
 		lines := bufio.NewScanner(out)
 		for lines.Scan() {
 			if r.opts.Logs {
-				r.tell(history.Event{Kind: history.Log, Who: p.Name, Why: lines.Text()})
+				r.Tell(history.Event{Kind: history.Log, Who: p.Name, Why: lines.Text()})
 			}
 		}
 		_, _ = io.Copy(io.Discard, out)
 	}
-	return r.procs.Start(p)
+	return r.Processes.Start(p)
 }
 
 // folder is the one that outlives a sidecar, where it has one.
-func (r *run) folder(i int) string { return filepath.Join(r.dir, r.sidecars[i]) }
+func (r *run) folder(i int) string { return filepath.Join(r.Dir, r.sidecars[i]) }
 
-func (r *run) config(i int) string { return filepath.Join(r.dir, r.sidecars[i]+".toml") }
+func (r *run) config(i int) string { return filepath.Join(r.Dir, r.sidecars[i]+".toml") }
 
 // file is a sidecar's configuration.
 func (r *run) file(i int) string {
@@ -442,7 +411,7 @@
 // finish has the load end and its last answers come, and ends the sidecars in order.
 func (r *run) finish() error {
 	for _, c := range r.clients {
-		_ = r.procs.Say(c, actor.Command{Do: actor.DoLoad})
+		_ = r.Processes.Say(c, actor.Command{Do: actor.DoLoad})
 	}
 	longest := time.Duration(0)
 	for _, c := range actor.Classes() {
@@ -456,7 +425,7 @@
 		case <-late.C:
 		}
 	}
-	if err := r.procs.Terminate(r.sidecars, endWithin); err != nil {
+	if err := r.Processes.Terminate(r.sidecars, endWithin); err != nil {
 		return fmt.Errorf("rig: %w", err)
 	}
 	return nil
--- a/internal/rig/scenario/schedule.go
+++ b/internal/rig/scenario/schedule.go
@@ -19,14 +19,20 @@
 // Schedule is every fault of the run with the names of what it acts on: those that stand in the scenario, and those that it
 // has drawn, by their times. The same seed gives the same schedule.
 func (x *Scenario) Schedule() (out []Fault) {
-	rnd := rand.New(rand.NewPCG(x.Seed, scheduleStream))
-	for _, f := range x.Faults {
-		f.Names = x.chosen(f, rnd)
+	return DrawSchedule(x.Seed, x.Faults, x.Random.Count, x.draw, x.chosen)
+}
+
+// DrawSchedule is the faults that are stated and as many drawn ones, each with the names of all that it acts on, by their times. The same
+// seed gives the same schedule.
+func DrawSchedule(seed uint64, stated []Fault, drawn int, draw func(*rand.Rand) Fault, chosen func(Fault, *rand.Rand) []string) (out []Fault) {
+	rnd := rand.New(rand.NewPCG(seed, scheduleStream))
+	for _, f := range stated {
+		f.Names = chosen(f, rnd)
 		out = append(out, f)
 	}
-	for range x.Random.Count {
-		f := x.draw(rnd)
-		f.Names = x.chosen(f, rnd)
+	for range drawn {
+		f := draw(rnd)
+		f.Names = chosen(f, rnd)
 		out = append(out, f)
 	}
 	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
