scale: added latency on a machine to itself, and one rule for its verdict

Cause: the kept result was of a machine that had just been busy, and predict called it undecided by the worst round, where scale latency goes by half of the rounds.

--- a/internal/scale/latency/print.go
+++ b/internal/scale/latency/print.go
@@ -54,13 +54,9 @@
 // Verdict holds a case against a goal in milliseconds. It is undecided where the median lies no further from the goal than direct calls
 // from direct calls in half of the rounds, and where the client was itself held up.
 func (x *CaseResult) Verdict(target float64) Verdict {
-	noise := make([]float64, len(x.Rounds))
-	for i := range x.Rounds {
-		noise[i] = math.Abs(x.Rounds[i].SameP99)
-	}
 	distance := x.AddedP99.Median - target
 	switch {
-	case math.Abs(distance) <= spreadOf(noise).Median, x.All.SendLatenessP99 > lateForGoal*target:
+	case math.Abs(distance) <= x.Noise(), x.All.SendLatenessP99 > lateForGoal*target:
 		return Undecided
 	case distance > 0:
 		return Missed
@@ -68,6 +64,15 @@
 	return Reached
 }
 
+// Noise is how far direct calls lay from direct calls in half of the rounds, in milliseconds.
+func (x *CaseResult) Noise() float64 {
+	noise := make([]float64, len(x.Rounds))
+	for i := range x.Rounds {
+		noise[i] = math.Abs(x.Rounds[i].SameP99)
+	}
+	return spreadOf(noise).Median
+}
+
 // String is the median with the lowest and the highest.
 func (s Spread) String() string {
 	return fmt.Sprintf("%.3f (%.3f to %.3f)", s.Median, s.Lowest, s.Highest)
--- a/internal/scale/predict/evidence.go
+++ b/internal/scale/predict/evidence.go
@@ -20,7 +20,8 @@
 	RatePerSecond      float64
 	Hops               int
 	AddedP99           Spread
-	SameP99            Spread // the same way against itself: what the method and the machine differ by
+	SameP99            Spread  // the same way against itself: what the method and the machine differ by
+	Noise              float64 // half of the rounds differ from themselves by no more
 	CPUPerCallMicros   float64
 	DirectP99, Through float64
 }
--- a/internal/scale/predict/order.go
+++ b/internal/scale/predict/order.go
@@ -100,17 +100,17 @@
 		if l.Hops != hops || math.Abs(l.RatePerSecond/c.ratePerProxy()-1) >= sameRate {
 			continue
 		}
-		x.figures += fmt.Sprintf("; %s ms measured, the method against itself up to %s ms", short(l.AddedP99.Median), short(l.noise()))
-		if l.noise() <= c.t.Limits.AddedP99Ms {
+		x.figures += fmt.Sprintf("; %s ms measured, the method against itself %s ms in half of the rounds", short(l.AddedP99.Median), short(l.Noise))
+		if l.decides(c.t.Limits.AddedP99Ms) {
 			x.without = known(l.AddedP99.Median / c.t.Limits.AddedP99Ms)
 		}
 	}
 	return x
 }
 
-// noise is the most by which a way differs from itself.
-func (l *Latency) noise() float64 {
-	return max(math.Abs(l.SameP99.Lowest), math.Abs(l.SameP99.Highest))
+// decides tells whether the run says on which side of what is allowed the added latency lies.
+func (l *Latency) decides(allowed float64) bool {
+	return math.Abs(l.AddedP99.Median-allowed) > l.Noise
 }
 
 // sameRate is the part by which two rates may differ and count as the same.
