--- a/internal/membership/catalog/ask_test.go
+++ b/internal/membership/catalog/ask_test.go
@@ -1,8 +1,6 @@
 package catalog
 
 import (
-	"fmt"
-	"net/http"
 	"testing"
 	"time"
 )
@@ -11,24 +9,7 @@
 func TestAWatchIsNotRepeatedBeforeItsRetryAfter(t *testing.T) {
 	t.Parallel()
 	var r refusals
-	addr := script(t, func(n int, w http.ResponseWriter, req *http.Request) {
-		r.came()
-		if from := req.URL.Query().Get("from"); n > 1 && from != "1" {
-			t.Errorf("call %d is %s", n, req.URL)
-		}
-		switch n {
-		case 1:
-			fmt.Fprint(w, oneServes)
-		case 2:
-			r.refuse(w, "1")
-		case 3:
-			r.refuse(w, "3600")
-		case 4:
-			fmt.Fprint(w, `{"index":1,"snapshot":false,"endpoints":[]}`)
-		default:
-			<-req.Context().Done()
-		}
-	})
+	addr := r.script(t, theList, reply{retryAfter: "1"}, reply{retryAfter: "3600"}, noNews)
 	word := make(chan struct{}, 10)
 	d := asks(addr)
 	d.cfg.Asked = word
@@ -43,17 +24,7 @@
 func TestFirstCallsThatAreTurnedAwayAreSpacedMoreAndMore(t *testing.T) {
 	t.Parallel()
 	var r refusals
-	addr := script(t, func(n int, w http.ResponseWriter, req *http.Request) {
-		r.came()
-		switch {
-		case n <= 3:
-			r.refuse(w, "")
-		case n == 4:
-			fmt.Fprint(w, oneServes)
-		default:
-			<-req.Context().Done()
-		}
-	})
+	addr := r.script(t, turnsAway, turnsAway, turnsAway, theList)
 	lists := make(listed, 10)
 	follow(t, asks(addr), lists)
 	next(t, lists, "the first list")
--- a/internal/membership/catalog/push_test.go
+++ b/internal/membership/catalog/push_test.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 )
@@ -21,64 +20,11 @@
 	return d
 }
 
-// refusals notes when calls were turned away, and how long after that the next call came.
-type refusals struct {
-	mu   sync.Mutex
-	last time.Time
-	gaps []time.Duration
-}
-
-// came notes a call.
-func (r *refusals) came() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.last.IsZero() {
-		r.gaps = append(r.gaps, time.Since(r.last))
-		r.last = time.Time{}
-	}
-}
-
-// refuse turns a call away.
-func (r *refusals) refuse(w http.ResponseWriter, retryAfter string) {
-	r.mu.Lock()
-	r.last = time.Now()
-	r.mu.Unlock()
-	if retryAfter != "" {
-		w.Header().Set("Retry-After", retryAfter)
-	}
-	w.WriteHeader(http.StatusServiceUnavailable)
-}
-
-// atLeast fails the test where a call came sooner after a refusal than it should have.
-func (r *refusals) atLeast(t *testing.T, least ...time.Duration) {
-	t.Helper()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.gaps) != len(least) {
-		t.Fatalf("calls came %v after refusals, want %d", r.gaps, len(least))
-	}
-	for i, gap := range r.gaps {
-		if gap < least[i] {
-			t.Errorf("the call after refusal %d came after %v, sooner than %v", i+1, gap, least[i])
-		}
-	}
-}
-
 // An agent that turns calls away speaks: the waits between calls grow.
 func TestCallsThatAreTurnedAwayAreSpacedMoreAndMore(t *testing.T) {
 	t.Parallel()
 	var r refusals
-	addr := script(t, func(n int, w http.ResponseWriter, req *http.Request) {
-		r.came()
-		switch {
-		case n <= 4:
-			r.refuse(w, "")
-		case n == 5:
-			fmt.Fprint(w, oneServes)
-		default:
-			<-req.Context().Done()
-		}
-	})
+	addr := r.script(t, turnsAway, turnsAway, turnsAway, turnsAway, theList)
 	lists := make(listed, 10)
 	follow(t, pushed(addr), lists)
 	next(t, lists, "the list")
@@ -89,19 +35,7 @@
 func TestARetryAfterIsKeptUpToABound(t *testing.T) {
 	t.Parallel()
 	var r refusals
-	addr := script(t, func(n int, w http.ResponseWriter, req *http.Request) {
-		r.came()
-		switch n {
-		case 1:
-			r.refuse(w, "1")
-		case 2:
-			r.refuse(w, "3600")
-		case 3:
-			fmt.Fprint(w, oneServes)
-		default:
-			<-req.Context().Done()
-		}
-	})
+	addr := r.script(t, reply{retryAfter: "1"}, reply{retryAfter: "3600"}, theList)
 	lists := make(listed, 10)
 	follow(t, pushed(addr), lists)
 	next(t, lists, "the list")
@@ -112,22 +46,7 @@
 func TestARefusedWatchOfAPushedListWaits(t *testing.T) {
 	t.Parallel()
 	var r refusals
-	addr := script(t, func(n int, w http.ResponseWriter, req *http.Request) {
-		r.came()
-		if from := req.URL.Query().Get("from"); n > 1 && from != "1" {
-			t.Errorf("call %d is %s", n, req.URL)
-		}
-		switch n {
-		case 1:
-			fmt.Fprint(w, oneServes)
-		case 2:
-			r.refuse(w, "")
-		case 3:
-			fmt.Fprint(w, `{"index":1,"snapshot":false,"endpoints":[]}`)
-		default:
-			<-req.Context().Done()
-		}
-	})
+	addr := r.script(t, theList, turnsAway, noNews)
 	lists := make(listed, 10)
 	follow(t, pushed(addr), lists)
 	next(t, lists, "the first list")
--- a/internal/membership/catalog/silence_test.go
+++ b/internal/membership/catalog/silence_test.go
@@ -203,22 +203,8 @@
 // the service works on calls that it has turned away, and clients that come back soon keep its queue too long for all.
 func TestAWatchThatIsTurnedAwayIsOpenedAnewLaterAndLater(t *testing.T) {
 	t.Parallel()
-	var refused refusals
-	addr := script(t, func(n int, w http.ResponseWriter, r *http.Request) {
-		refused.came()
-		switch {
-		case n == 1:
-			fmt.Fprint(w, oneServes)
-		case r.URL.Query().Get("from") != "1":
-			t.Errorf("call %d is %s", n, r.URL)
-		case n < 4:
-			refused.refuse(w, "")
-		case n == 4:
-			fmt.Fprint(w, `{"index":1,"snapshot":false,"endpoints":[]}`)
-		default:
-			<-r.Context().Done()
-		}
-	})
+	var r refusals
+	addr := r.script(t, theList, turnsAway, turnsAway, noNews)
 	word := make(chan struct{}, 10)
 	d := asks(addr)
 	d.cfg.Asked = word
@@ -226,7 +212,7 @@
 	follow(t, d, words{lists, word})
 	next(t, lists, "the first list")
 	next(t, lists, "the answer of the watch that was opened anew")
-	refused.atLeast(t, askBackoff.first/2, refusedGrowth*askBackoff.first/2)
+	r.atLeast(t, askBackoff.first/2, refusedGrowth*askBackoff.first/2)
 }
 
 // A copy that begins with a list begins with a watch from its version: copies that start together then make one call each, which a service
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -19,6 +19,7 @@
 	"fernlanding/internal/rig/actor"
 	"fernlanding/internal/rig/check"
 	"fernlanding/internal/rig/history"
+	"fernlanding/internal/rig/rigtest"
 	"fernlanding/internal/rig/scenario"
 )
 
@@ -34,48 +35,20 @@
 func TestMain(m *testing.M) {
 	switch os.Getenv(roleVar) {
 	case "actor":
-		exit(actor.Main(os.Stdin, os.Stdout))
+		rigtest.Exit(actor.Main(os.Stdin, os.Stdout))
 	case "naive":
-		exit(naive(os.Args[2], os.Getenv(bugVar)))
+		rigtest.Exit(naive(os.Args[2], os.Getenv(bugVar)))
 	case "rig":
-		exit(playFor(os.Getenv(programVar), os.Args[1]))
+		rigtest.Exit(playFor(os.Getenv(programVar), os.Args[1]))
 	}
-	dir, err := os.MkdirTemp("", "rigtest")
-	if err == nil {
-		program = filepath.Join(dir, "fernlanding")
-		build := exec.Command("go", "build", "-o", program, "fernlanding/cmd/fernlanding")
-		build.Stderr = os.Stderr
-		err = build.Run()
-	}
-	if err != nil {
-		exit(err)
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
-}
-
-func exit(err error) {
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	os.Exit(0)
-}
-
-func self() string {
-	path, err := os.Executable()
-	if err != nil {
-		panic(err)
-	}
-	return path
+	rigtest.Main(m, "fernlanding", func(path string) { program = path })
 }
 
 // options are those of a run with this program under test, the naive stand-in where it is the test itself.
 func options(sidecar string, env ...string) rig.Options {
-	o := rig.Options{Sidecar: []string{sidecar}, Actor: []string{"/usr/bin/env", roleVar + "=actor", self()}, Env: env}
-	if sidecar == self() {
-		o.Sidecar = []string{"/usr/bin/env", roleVar + "=naive", self()}
+	o := rig.Options{Sidecar: []string{sidecar}, Actor: rigtest.InRole(roleVar, "actor"), Env: env}
+	if sidecar == rigtest.Self() {
+		o.Sidecar = rigtest.InRole(roleVar, "naive")
 	}
 	return o
 }
@@ -206,7 +179,7 @@
 		{"reads", "[bounds]\nreads_per_s = 50\n", check.Bounds},
 	} {
 		t.Run(c.bug+"/"+c.check, func(t *testing.T) {
-			verdicts, _ := play(t, decode(t, fmt.Sprintf(base, c.more)), options(self(), bugVar+"="+c.bug))
+			verdicts, _ := play(t, decode(t, fmt.Sprintf(base, c.more)), options(rigtest.Self(), bugVar+"="+c.bug))
 			found := false
 			for _, v := range verdicts {
 				found = found || v.Check == c.check
@@ -244,7 +217,7 @@
 		if err := os.WriteFile(file, []byte(strings.Replace(small, `for = "1500ms"`, `for = "30s"`, 1)), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		cmd := exec.Command(self(), file)
+		cmd := exec.Command(rigtest.Self(), file)
 		cmd.Env = append(os.Environ(), roleVar+"=rig", programVar+"="+program)
 		out, err := cmd.StdoutPipe()
 		if err != nil {
--- a/internal/rig/rollout/rollout_test.go
+++ b/internal/rig/rollout/rollout_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -16,6 +15,7 @@
 	"fernlanding/internal/distribution/follow"
 	"fernlanding/internal/rig/actor"
 	"fernlanding/internal/rig/history"
+	"fernlanding/internal/rig/rigtest"
 	"fernlanding/internal/rig/rollout"
 	"fernlanding/internal/rig/rollout/check"
 	"fernlanding/internal/rig/rollout/plan"
@@ -37,42 +37,13 @@
 func TestMain(m *testing.M) {
 	switch os.Getenv(roleVar) {
 	case roleActor:
-		exit(actor.Main(os.Stdin, os.Stdout))
+		rigtest.Exit(actor.Main(os.Stdin, os.Stdout))
 	case roleNaiveActor:
-		exit(actor.MainWith(os.Stdin, os.Stdout, func(c follow.Config) actor.Follower { return newNaiveFollower(c) }))
+		rigtest.Exit(actor.MainWith(os.Stdin, os.Stdout, func(c follow.Config) actor.Follower { return newNaiveFollower(c) }))
 	case roleNaiveNode:
-		exit(naive(os.Args[1:], bug(os.Getenv(bugVar))))
+		rigtest.Exit(naive(os.Args[1:], bug(os.Getenv(bugVar))))
 	}
-	dir, err := os.MkdirTemp("", "rollouttest")
-	if err == nil {
-		program = filepath.Join(dir, "fernrelay")
-		build := exec.Command("go", "build", "-race="+strconv.FormatBool(raceEnabled), "-o", program, "fernlanding/cmd/fernrelay")
-		build.Stderr = os.Stderr
-		err = build.Run()
-	}
-	if err != nil {
-		exit(err)
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
-}
-
-func exit(err error) {
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	os.Exit(0)
-}
-
-// self is the test's own program in a role.
-func self(role string) []string {
-	path, err := os.Executable()
-	if err != nil {
-		panic(err)
-	}
-	return []string{"/usr/bin/env", roleVar + "=" + role, path}
+	rigtest.Main(m, "fernrelay", func(path string) { program = path }, "-race="+strconv.FormatBool(raceEnabled))
 }
 
 func decode(t testing.TB, text string) *plan.Scenario {
@@ -188,7 +159,7 @@
 			t.Parallel()
 			together <- struct{}{}
 			defer func() { <-together }()
-			o := rollout.Options{Relay: self(roleNaiveNode), Actor: self(roleNaiveActor), Env: []string{bugVar + "=" + string(c.bug)}, Logs: os.Stderr}
+			o := rollout.Options{Relay: rigtest.InRole(roleVar, roleNaiveNode), Actor: rigtest.InRole(roleVar, roleNaiveActor), Env: []string{bugVar + "=" + string(c.bug)}, Logs: os.Stderr}
 			verdicts, f := play(t, decode(t, naiveScenario+c.faults), o)
 			if c.faults == "" && f.Judged < 20 {
 				t.Errorf("%d urgent updates judged: the run shows nothing", f.Judged)
@@ -262,7 +233,7 @@
 func hold(t *testing.T, sc *plan.Scenario) check.Figures {
 	sc.Bounds.RelayMB *= raceMemory
 	// A data race ends its process, which the checkers see.
-	o := rollout.Options{Relay: []string{program}, Actor: self(roleActor), Env: []string{"GORACE=halt_on_error=1"}, Logs: os.Stderr}
+	o := rollout.Options{Relay: []string{program}, Actor: rigtest.InRole(roleVar, roleActor), Env: []string{"GORACE=halt_on_error=1"}, Logs: os.Stderr}
 	verdicts, f := play(t, sc, o)
 	for _, v := range verdicts {
 		t.Errorf("%s, seed %d: %s", sc.Name, sc.Seed, v)
