distribution: followers don't return to a relay that has not heard its upstream

Traced in the history: follower-79 went back to zone-1, its first choice, which had been killed and come back while one region was stopped and the other one's answers were late. Cause: a fresh relay counted as cut off only half a second after its first failed read, so that it was ready before it had heard anything; and a follower returned up to 5 s after it had found the relay ready, without another look. Change: a relay is cut off until its upstream has answered; readiness is asked again after the wait. Result: both tests fail without their mend; 20 times with -race.

--- a/internal/distribution/follow/follower_test.go
+++ b/internal/distribution/follow/follower_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"fernlanding/internal/distribution"
@@ -29,7 +30,10 @@
 }
 
 // scripted is a Transport whose calls the test answers.
-type scripted struct{ calls chan call }
+type scripted struct {
+	calls chan call
+	ready func(address string) error // nil: no relay is
+}
 
 func (s *scripted) Follow(ctx context.Context, address string, req *distribution.FollowRequest) (*distribution.FollowResponse, error) {
 	c := call{address, *req, make(chan answer, 1)}
@@ -46,8 +50,14 @@
 	}
 }
 
-func (s *scripted) Ready(context.Context, string) error { return errors.New("not ready") }
-func (s *scripted) Close()                              {}
+func (s *scripted) Ready(_ context.Context, address string) error {
+	if s.ready == nil {
+		return errors.New("not ready")
+	}
+	return s.ready(address)
+}
+
+func (s *scripted) Close() {}
 
 // fixture is a running Follower on a scripted Transport.
 type fixture struct {
@@ -72,7 +82,7 @@
 // prepare is start without Run.
 func prepare(t *testing.T, has distribution.Version, relays ...string) *fixture {
 	t.Helper()
-	f := &fixture{t: t, transport: &scripted{make(chan call)}, updates: make(chan distribution.Update, 10), missed: make(chan bool, 100),
+	f := &fixture{t: t, transport: &scripted{calls: make(chan call)}, updates: make(chan distribution.Update, 10), missed: make(chan bool, 100),
 		told: make(map[string]distribution.Position)}
 	cfg := Config{Name: "p", Kind: distribution.KindProxy, Relays: relays, Rand: testRand(), Hold: time.Minute}
 	f.Follower = newFollower(cfg, f.transport, new(wireCounter))
@@ -151,6 +161,31 @@
 	}
 }
 
+// A first choice that was ready and is cut off before its followers return to it, spread over some seconds, is not returned to.
+func TestNoReturnToARelayThatIsCutOffMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := prepare(t, version(1), "a", "b")
+		var asked atomic.Int64
+		f.transport.ready = func(string) error {
+			if asked.Add(1) == 1 {
+				return nil
+			}
+			return errors.New("cut off")
+		}
+		f.run()
+		first := f.read()
+		first.fail(errors.New("down"))
+		for reads := 0; reads < 3 || asked.Load() < 2; reads++ {
+			c := f.read()
+			if c.address == first.address {
+				t.Fatalf("read %d goes to the relay that is cut off, which was asked %d times whether it is ready", reads, asked.Load())
+			}
+			time.Sleep(answerWithin / 2)
+			c.ok()
+		}
+	})
+}
+
 // A session begins with all positions, and goes on with those that have changed.
 func TestPositions(t *testing.T) {
 	f := start(t, version(3), "a")
--- a/internal/distribution/follow/reader.go
+++ b/internal/distribution/follow/reader.go
@@ -355,6 +355,9 @@
 		if !cut && !sleep.For(r.ctx, time.Duration(random.Int64N(int64(returnSpread)))) {
 			return
 		}
+		if !cut && !r.ready(to) { // it has been cut off meanwhile
+			continue
+		}
 		r.choosing.Lock()
 		r.preferred, r.moving = to, r.choice == choice
 		r.choosing.Unlock()
--- a/internal/distribution/node/failure_test.go
+++ b/internal/distribution/node/failure_test.go
@@ -394,6 +394,21 @@
 	}
 }
 
+// A relay that has not heard from its upstream yet has nothing to tell, and says so.
+func TestAFreshRelayIsCutOffUntilItsUpstreamAnswers(t *testing.T) {
+	source := startSource(t, t.TempDir(), "", 1)
+	silent := startLink(t, source.address)
+	silent.silence()
+	c := httpapi.NewClient(nil)
+	defer c.Close()
+	var busy *httpapi.BusyError
+	if err := c.Ready(context.Background(), startRelay(t, "cut-off", "", silent.address).address); !errors.As(err, &busy) {
+		t.Errorf("cut off from the start: %v", err)
+	}
+	relay := startRelay(t, "relay", "", startLink(t, source.address).address)
+	eventually(t, "the relay is ready", func() bool { return c.Ready(context.Background(), relay.address) == nil })
+}
+
 // link passes bytes on until it is silenced; then it takes them and goes no further.
 type link struct {
 	address string
--- a/internal/distribution/node/relay.go
+++ b/internal/distribution/node/relay.go
@@ -81,10 +81,10 @@
 	}
 }
 
-// cutOff tells whether no upstream has answered for some time, or the one that does is cut off. The node's lock is held.
+// cutOff tells whether no upstream has answered yet, or for some time, or the one that does is cut off. The node's lock is held.
 func (r *Relay) cutOff() bool {
 	h := r.follower.Health()
-	return h.Cut || !h.Silent.IsZero() && r.now().Sub(h.Silent) >= cutAfter
+	return h.Heard.IsZero() || h.Cut || !h.Silent.IsZero() && r.now().Sub(h.Silent) >= cutAfter
 }
 
 // sourceAge is since when the source was last heard. The node's lock is held.
