--- a/internal/distribution/follow/reader.go
+++ b/internal/distribution/follow/reader.go
@@ -88,14 +88,7 @@
 // read reads once: where there is no session, one begins, and the answer does not wait.
 func (r *reader) read() error {
 	req := r.compose(r.current)
-	patience := answerWithin
-	if req.Session != "" {
-		patience += r.cfg.Hold
-	}
-	ctx, cancel := context.WithTimeout(r.ctx, patience)
-	if req.Session == "" {
-		ctx, cancel = r.opening(patience)
-	}
+	ctx, cancel := r.patience(req)
 	defer cancel()
 	response, err := r.transport.Follow(ctx, req.address, &req.FollowRequest)
 	if err != nil {
@@ -108,10 +101,13 @@
 	return r.take(response.Updates)
 }
 
-// opening is the context of a read that begins a session. Where the follower ends meanwhile, the answer is waited for a little
-// longer: without it nobody knows which session to end.
-func (r *reader) opening(patience time.Duration) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), patience)
+// patience is the context of a read. Where the follower ends while a session begins, the answer is waited for a little longer:
+// without it nobody knows which session to end.
+func (r *reader) patience(req *request) (context.Context, context.CancelFunc) {
+	if req.Session != "" {
+		return context.WithTimeout(r.ctx, answerWithin+r.cfg.Hold)
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), answerWithin)
 	stop := context.AfterFunc(r.ctx, func() { time.AfterFunc(r.goodbyeWithin, cancel) })
 	return ctx, func() {
 		stop()
@@ -352,11 +348,13 @@
 		if to < 0 {
 			continue
 		}
-		if !cut && !sleep.For(r.ctx, time.Duration(random.Int64N(int64(returnSpread)))) {
-			return
-		}
-		if !cut && !r.ready(to) { // it has been cut off meanwhile
-			continue
+		if !cut {
+			if !sleep.For(r.ctx, time.Duration(random.Int64N(int64(returnSpread)))) {
+				return
+			}
+			if !r.ready(to) { // it has been cut off meanwhile
+				continue
+			}
 		}
 		r.choosing.Lock()
 		r.preferred, r.moving = to, r.choice == choice
--- a/internal/membership/catalog/ask_test.go
+++ b/internal/membership/catalog/ask_test.go
@@ -10,13 +10,7 @@
 	t.Parallel()
 	var r refusals
 	addr := r.script(t, theList, reply{retryAfter: "1"}, reply{retryAfter: "3600"}, noNews)
-	word := make(chan struct{}, 10)
-	d := asks(addr)
-	d.cfg.Asked = word
-	lists := make(listed, 10)
-	follow(t, d, words{lists, word})
-	next(t, lists, "the first list")
-	next(t, lists, "the answer of the watch that was opened anew")
+	hearsAfterRefusals(t, addr)
 	r.atLeast(t, time.Second, mostHonoured)
 }
 
--- a/internal/membership/catalog/refusals_test.go
+++ b/internal/membership/catalog/refusals_test.go
@@ -89,3 +89,15 @@
 		}
 	})
 }
+
+// hearsAfterRefusals follows a service that sends the list, turns watches away and answers one. The module asks for a watch at once each time.
+func hearsAfterRefusals(t *testing.T, addr string) {
+	t.Helper()
+	word := make(chan struct{}, 10)
+	d := asks(addr)
+	d.cfg.Asked = word
+	lists := make(listed, 10)
+	follow(t, d, words{lists, word})
+	next(t, lists, "the first list")
+	next(t, lists, "the answer of the watch that was opened anew")
+}
--- a/internal/membership/catalog/silence_test.go
+++ b/internal/membership/catalog/silence_test.go
@@ -205,13 +205,7 @@
 	t.Parallel()
 	var r refusals
 	addr := r.script(t, theList, turnsAway, turnsAway, noNews)
-	word := make(chan struct{}, 10)
-	d := asks(addr)
-	d.cfg.Asked = word
-	lists := make(listed, 10)
-	follow(t, d, words{lists, word})
-	next(t, lists, "the first list")
-	next(t, lists, "the answer of the watch that was opened anew")
+	hearsAfterRefusals(t, addr)
 	r.atLeast(t, askBackoff.first/2, refusedGrowth*askBackoff.first/2)
 }
 
