review case 1: a request given up behind a cut arrives later and runs twice

Case: no effect may happen twice. A request by key that is written to a backend that has just been cut off is given up and tried again within its window; the connection of the first attempt is closed in order, so its request still arrives when the cut ends, after the pod has forgotten the key.

Nothing is fixed.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/bin/bash
 here=$(cd "$(dirname "$0")" && pwd)
-exec bash "$here/../play.sh" shortlength "$here"
+exec bash "$here/../play.sh" nolength "$here"
--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/bash
+here=$(cd "$(dirname "$0")" && pwd)
+exec bash "$here/../play.sh" shortlength "$here"
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -12,7 +12,7 @@
 		fmt.Fprintln(os.Stderr, "usage: stage CASE DIR")
 		os.Exit(2)
 	}
-	cases := map[string]func(w *World, trouble bool) []string{"nolength": noLength, "shortlength": shortLength}
+	cases := map[string]func(w *World, trouble bool) []string{"nolength": noLength, "cutoff": cutOff, "shortlength": shortLength}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
--- a/review/stage/world.go
+++ b/review/stage/world.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -33,7 +32,7 @@
 }
 
 // Agent stands in for the discovery agent on a proxy's machine. It answers at once with what it
-// has, and is silent while Silent is set.
+// has.
 type Agent struct {
 	Addr string
 
@@ -42,24 +41,9 @@
 	entries map[string]Member
 	changed map[string]int64 // index of the last change, by name
 	change  chan struct{}
-	silent  bool
-	down    string // "503" or "reset": what every call gets; empty if discovery is up
 	server  *http.Server
 }
 
-// moved returns an agent at another address with the same list and versions.
-func (a *Agent) moved() *Agent {
-	b := newAgent(nil)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.index, b.silent, b.down = a.index, a.silent, a.down
-	maps.Copy(b.entries, a.entries)
-	maps.Copy(b.changed, a.changed)
-	return b
-}
-
 func newAgent(members []Member) *Agent {
 	a := &Agent{index: 41, entries: map[string]Member{}, changed: map[string]int64{}, change: make(chan struct{})}
 	for _, m := range members {
@@ -73,20 +57,6 @@
 	return a
 }
 
-// Set changes entries and returns the time from which the agent has the change.
-func (a *Agent) Set(members ...Member) time.Time {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.index++
-	for _, m := range members {
-		a.entries[m.Name] = m
-		a.changed[m.Name] = a.index
-	}
-	close(a.change)
-	a.change = make(chan struct{})
-	return time.Now()
-}
-
 // List returns the whole list without deleted entries.
 func (a *Agent) List() []byte {
 	a.mu.Lock()
@@ -119,24 +89,10 @@
 		a.mu.Lock()
 		change := a.change
 		var answer []byte
-		switch {
-		case a.silent:
-		case from < 0 || a.index > from || held:
+		if from < 0 || a.index > from || held {
 			answer = a.listLocked(from)
 		}
-		silent, down := a.silent, a.down
 		a.mu.Unlock()
-		switch down {
-		case "503":
-			w.WriteHeader(503)
-			return
-		case "reset":
-			panic(http.ErrAbortHandler)
-		}
-		if silent {
-			<-r.Context().Done() // a call that came during the silence is never answered
-			return
-		}
 		if answer != nil {
 			w.Header().Set("Content-Type", "application/json")
 			_, _ = w.Write(answer)
@@ -227,27 +183,10 @@
 	}(b.listener)
 }
 
-func (b *Backend) setReply(r Reply) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.reply = r
-}
-
 func (b *Backend) member(status string) Member {
 	return Member{Name: b.Name, Address: b.Addr, Zone: "diliman-room1", Type: "gw-mid", Group: b.Cell, Status: status, Weight: 1}
 }
 
-// kill ends the backend as the end of its process would.
-func (b *Backend) kill() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	_ = b.listener.Close()
-	for c := range b.conns {
-		_ = c.(*net.TCPConn).SetLinger(0)
-		_ = c.Close()
-	}
-}
-
 func (b *Backend) serve(c net.Conn) {
 	w := b.world
 	w.mu.Lock()
@@ -385,11 +324,6 @@
 	}
 }
 
-func (p *Proxy) signal(s syscall.Signal) {
-	p.world.log("proxy    %s gets %v", p.name, s)
-	_ = p.cmd.Process.Signal(s)
-}
-
 func (p *Proxy) ended() bool {
 	select {
 	case <-p.done:
@@ -435,19 +369,3 @@
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
 }
-
-func (a *Agent) setSilent(silent bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.silent = silent
-	close(a.change)
-	a.change = make(chan struct{})
-}
-
-func (a *Agent) setDown(down string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.down = down
-	close(a.change)
-	a.change = make(chan struct{})
-}
