Reset a connection to a backend that ends with an open request

Cause: an attempt that is given up closed its connection in order (closeLocked). The kernel goes on delivering what it has accepted; behind a cut the request arrives when the network is back, and runs after its retry has been forgotten. All ends of an attempt were alike: deadline, client's leaving, stalled, malformed or too large response, death of the process. Change: a connection is set to end by a reset from its dial on (SO_LINGER 0); closeLocked excepts connections without an open request. An end that nobody thought of resets as well.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -1,4 +1,5 @@
-// Package socket asks the kernel for the state of sockets that package net does not report.
+// Package socket asks the kernel for the state of sockets that package net does not report, and sets
+// how their connections end.
 package socket
 
 import (
--- a/internal/upstream/http1/connpool.go
+++ b/internal/upstream/http1/connpool.go
@@ -21,6 +21,10 @@
 	epoch      int // epoch of the endpoint when the connection was opened
 	idleSince  time.Time
 	responded  bool // a byte has been read since the current request was sent
+
+	// requestOpen is set from before the first byte of a request is written until its response has
+	// been read completely.
+	requestOpen bool
 }
 
 // Cancel implements core.Canceler. It ends reads and writes on the connection, which is then closed
@@ -97,7 +101,14 @@
 }
 
 // closeLocked closes a connection and releases its descriptor. The caller holds mu.
+//
+// A connection with an open request is reset, as dialRaw has arranged, so that a request that has
+// been given up is not delivered later: a retry may have run by then, and the backend may no longer
+// recognize the duplicate.
 func (u *Upstream) closeLocked(c *conn) {
+	if !c.requestOpen {
+		socket.SetResetOnClose(c.Conn, false)
+	}
 	_ = c.Close() // the error does not matter: the connection is no longer used
 	u.openConns--
 	u.cfg.Quota.Release()
--- a/internal/upstream/http1/dial.go
+++ b/internal/upstream/http1/dial.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fernlanding/internal/core"
+	"fernlanding/internal/socket"
 )
 
 // maxAcquireTries is the maximum number of tries to acquire a descriptor. Each failed try closes an
@@ -121,12 +122,15 @@
 	return &conn{Conn: netConn, raw: raw, reader: reader, endpoint: e, epoch: epoch}, nil
 }
 
-// dialRaw opens a connection and returns its raw connection, which is nil if there is none.
+// dialRaw opens a connection and returns its raw connection, which is nil if there is none. Any end
+// of the connection resets it, the end of this process included; closeLocked excepts connections
+// without an open request.
 func (u *Upstream) dialRaw(ctx context.Context, addr string) (net.Conn, syscall.RawConn, error) {
 	netConn, err := u.dialer(ctx, "tcp", addr)
 	if err != nil {
 		return nil, nil, err
 	}
+	socket.SetResetOnClose(netConn, true)
 	sc, ok := netConn.(syscall.Conn)
 	if !ok {
 		return netConn, nil, nil
--- a/internal/upstream/http1/response.go
+++ b/internal/upstream/http1/response.go
@@ -44,6 +44,7 @@
 	if err != nil {
 		return res, false, fmt.Errorf("read body: %w", err)
 	}
+	c.requestOpen = false
 	return rt.attemptResult(&h, resp), !h.close && c.reader.Buffered() == 0, nil
 }
 
--- a/internal/upstream/http1/roundtrip.go
+++ b/internal/upstream/http1/roundtrip.go
@@ -56,6 +56,7 @@
 			reusable = false
 		}
 	}()
+	c.requestOpen = true
 	if err := rt.writeRequest(a, c, c.encodeRequest(a)); err != nil {
 		// The last byte was not written, so the backend cannot have started the request.
 		if errors.Is(err, errNotSent) || a.Canceled() {
