Fail a response that other bytes follow: its length may be too short

Cause: readResponse took the end from the response's own framing and served it; bytes behind it only kept the connection from being used again. Behind a body longer than the read buffer they were in the kernel, and not looked for. Change: conn.surplus looks at what is buffered and in the kernel, for bodies by length, by chunks and none; a copy of the response's own head leaves it served, anything else makes the attempt a Reset, which may have run.

--- a/internal/conformance/http1_test.go
+++ b/internal/conformance/http1_test.go
@@ -38,7 +38,8 @@
 func respondHTTP1(c *standin.Call, f fault, body string) (keep bool) {
 	_, _ = io.WriteString(c.Conn, http1Response(f, body)) // the proxy may have closed the connection
 	switch f {
-	case serve, created, informational, trailingBytes, overloaded, serverError, unavailable, invalidRequest:
+	case serve, created, informational, shortLength, trailingBytes, repeatedResponse,
+		overloaded, serverError, unavailable, invalidRequest:
 		return true
 	case stall, hang:
 		return standin.Hang(c)
@@ -57,8 +58,12 @@
 		return strings.Replace(complete, "200 OK", "201 Created", 1)
 	case informational:
 		return "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + complete
+	case shortLength:
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body)-1, body)
 	case trailingBytes:
 		return complete + "\xfai\x19\xce"
+	case repeatedResponse:
+		return complete + complete
 	case overloaded:
 		return "HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
 	case serverError:
--- a/internal/conformance/table_test.go
+++ b/internal/conformance/table_test.go
@@ -18,12 +18,14 @@
 	conflictingFraming              // the response gives its length in two ways
 	tooLarge                        // the response exceeds the limit
 	stall                           // the response stops in its body and the connection stays open
+	shortLength                     // the announced length is that of the first part of the body
+	trailingBytes                   // noise follows a response, which may also be the rest of its body
 	hang                            // no response
 
-	invalidRequest // 4xx: the request is invalid
-	created        // 201
-	informational  // 1xx responses before the final one
-	trailingBytes  // a served response with bytes after its end
+	invalidRequest   // 4xx: the request is invalid
+	created          // 201
+	informational    // 1xx responses before the final one
+	repeatedResponse // a served response that is sent twice
 )
 
 // mayHaveRun reports whether an attempt that ended with the fault may have run.
@@ -33,8 +35,8 @@
 func (f fault) String() string {
 	return [...]string{
 		"serve", "not listening", "overloaded", "server error", "unavailable", "reset", "truncated head",
-		"truncated body", "garbage", "conflicting framing", "too large", "stall", "hang", "invalid request", "created",
-		"informational", "trailing bytes",
+		"truncated body", "garbage", "conflicting framing", "too large", "stall", "short length", "trailing bytes", "hang",
+		"invalid request", "created", "informational", "repeated response",
 	}[f]
 }
 
@@ -87,7 +89,7 @@
 			testCase{"invalid request", class, []fault{invalidRequest}, rejected, 1},
 			testCase{"created", class, []fault{created}, served, 1},
 			testCase{"informational", class, []fault{informational}, served, 1},
-			testCase{"bytes after the response", class, []fault{trailingBytes}, served, 1},
+			testCase{"repeated response", class, []fault{repeatedResponse}, served, 1},
 		)
 	}
 	all = append(all,
--- a/internal/upstream/http1/connpool.go
+++ b/internal/upstream/http1/connpool.go
@@ -20,7 +20,8 @@
 	endpoint   *endpoint
 	epoch      int // epoch of the endpoint when the connection was opened
 	idleSince  time.Time
-	responded  bool // a byte has been read since the current request was sent
+	responded  bool   // a byte has been read since the current request was sent
+	rawHead    []byte // head of the latest response that is not informational, with its empty line
 
 	// requestOpen is set from before the first byte of a request is written until its response has
 	// been read completely.
--- a/internal/upstream/http1/errors.go
+++ b/internal/upstream/http1/errors.go
@@ -34,6 +34,7 @@
 	errUnknownCoding        = errors.New("unknown transfer coding")
 	errNoFraming            = errors.New("response has neither Content-Length nor Transfer-Encoding")
 	errTooManyInformational = errors.New("too many informational responses")
+	errSurplusBytes         = errors.New("bytes follow the response")
 	errMalformedTrailer     = errors.New("malformed trailer section")
 	errTrailerTooLarge      = errors.New("trailer section too large")
 )
--- a/internal/upstream/http1/response.go
+++ b/internal/upstream/http1/response.go
@@ -44,8 +44,13 @@
 	if err != nil {
 		return res, false, fmt.Errorf("read body: %w", err)
 	}
+	surplus := c.surplus()
+	if surplus == surplusUnknown {
+		resp.Close()
+		return res, false, errSurplusBytes
+	}
 	c.requestOpen = false
-	return rt.attemptResult(&h, resp), !h.close && c.reader.Buffered() == 0, nil
+	return rt.attemptResult(&h, resp), !h.close && surplus == noSurplus, nil
 }
 
 // readFinalHead reads heads up to the first one that is not informational (1xx).
@@ -80,6 +85,7 @@
 		_, err := c.reader.Peek(need)
 		buffered, _ := c.reader.Peek(c.reader.Buffered()) // cannot fail: the bytes are buffered
 		if end := bytes.Index(buffered, headEnd); end >= 0 {
+			c.rawHead = append(c.rawHead[:0], buffered[:end+len(headEnd)]...)
 			_, _ = c.reader.Discard(end + len(headEnd)) // cannot fail either
 			return buffered[:end+len("\r\n")], nil
 		}
--- a/internal/upstream/http1/roundtrip_test.go
+++ b/internal/upstream/http1/roundtrip_test.go
@@ -76,7 +76,20 @@
 			logic.OK,
 		},
 		{"malformed Server-Load", "HTTP/1.1 200 OK\r\nServer-Load: =,=\r\nContent-Length: 2\r\n\r\nok", logic.OK},
-		{"noise after the body", served + "\xfai\x19\xce", logic.OK},
+		// Issue 55, review case 3: the first part of a body was served as the complete response.
+		{"length too short", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok, and the rest", logic.Reset},
+		{
+			"length too short, body longer than the read buffer",
+			"HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n" + strings.Repeat("x", 30000),
+			logic.Reset,
+		},
+		{"noise after the body", served + "\xfai\x19\xce", logic.Reset},
+		{"bytes after the chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\nrest", logic.Reset},
+		{"body where none is announced", "HTTP/1.1 204 No\r\n\r\nrest", logic.Reset},
+		{"rejection with a length too short", "HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 1\r\n\r\nrest", logic.Reset},
+		{"second copy", served + served, logic.OK},
+		{"half a second head", served + served[:9], logic.Reset},
+		{"another head behind", served + "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", logic.Reset},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := backendtest.Start(t, backendtest.RespondWith(c.text, false))
