Forward responses without a length whose connection ends in order

A charge-post that had run got 502. The proxies took each for a broken connection, cut their limits and refused most other requests. Cause: readBody failed such a response as soon as its head was read (errNoFraming), whether its connection then ended or was reset; README and a test stated that as a choice. Change: such a body ends where its connection ends in order (RFC 9112, section 6.3), at most 64 KiB of it and 0.5 s between its parts. After a reset the attempt is a Reset, also behind the last byte.

--- a/internal/conformance/http1_test.go
+++ b/internal/conformance/http1_test.go
@@ -43,6 +43,11 @@
 		return true
 	case stall, hang:
 		return standin.Hang(c)
+	case noLengthReset:
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		return false
 	default:
 		return false
 	}
@@ -62,6 +67,8 @@
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body)-1, body)
 	case trailingBytes:
 		return complete + "\xfai\x19\xce"
+	case noLength, noLengthReset:
+		return "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body
 	case repeatedResponse:
 		return complete + complete
 	case overloaded:
--- a/internal/upstream/http1/abandon_test.go
+++ b/internal/upstream/http1/abandon_test.go
@@ -93,6 +93,10 @@
 			name: "body stalls", response: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
 			timeout: waitLimit, want: logic.Reset,
 		},
+		{
+			name: "body without a length stalls", response: "HTTP/1.1 200 OK\r\n\r\nok",
+			timeout: waitLimit, want: logic.Reset,
+		},
 		{name: "malformed head", response: "SSH-2.0-x\r\n\r\n", timeout: waitLimit, want: logic.Reset},
 		{
 			name: "response too large", response: "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
--- a/internal/upstream/http1/body.go
+++ b/internal/upstream/http1/body.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httputil"
@@ -14,7 +16,7 @@
 
 const (
 	maxTrailer   = 4 << 10  // bytes of the trailer section after the chunks
-	bodyPartSize = 64 << 10 // bytes of a large body per responseStallTimeout; also the limit of a chunked body
+	bodyPartSize = 64 << 10 // bytes of a large body per responseStallTimeout; also the limit of a body without a length
 )
 
 // readBody reads the body that a head announces into the response.
@@ -34,9 +36,11 @@
 	case h.contentLength >= 0:
 		return readSmallBody(a, c, h.contentLength, resp)
 	case h.chunked:
-		return rt.readChunkedBody(a, c, resp)
+		return rt.readUnknownLength(a, c, resp, readChunks)
+	default:
+		h.close = true // the end of the connection is the end of the body
+		return rt.readUnknownLength(a, c, resp, readToEnd)
 	}
-	return errNoFraming // the end of the body cannot be distinguished from a broken connection
 }
 
 // readSmallBody reads a body that is not counted in Memory.
@@ -78,35 +82,58 @@
 	return nil
 }
 
-// readChunkedBody reads a body in the chunked transfer coding. The length of the body is not known
-// in advance, so memory is reserved for the limit.
-func (rt *roundTripper) readChunkedBody(a *core.Attempt, c *conn, resp *core.Response) error {
+// bodyReader reads a body of at most limit bytes whose length is not known in advance.
+type bodyReader func(a *core.Attempt, c *conn, limit int64) ([]byte, error)
+
+// readUnknownLength reads a body whose length is not known in advance, so memory is reserved for the
+// limit.
+func (rt *roundTripper) readUnknownLength(a *core.Attempt, c *conn, resp *core.Response, read bodyReader) error {
 	limit := min(rt.upstream.cfg.MaxResponse, bodyPartSize)
 	if limit > rt.upstream.cfg.MaxUncountedBody {
 		if err := rt.reserveMemory(a, c, limit, resp); err != nil {
 			return err
 		}
 	}
-	if err := c.extendDeadline(a, time.Now().Add(responseStallTimeout)); err != nil {
-		resp.Close()
-		return err
-	}
 	var err error
-	resp.Body, err = readChunks(c.reader, limit)
+	resp.Body, err = read(a, c, limit)
 	rt.releaseAfterRead(resp, err)
 	return err
 }
 
-// readChunks reads chunks of at most limit bytes in total, and the trailer section.
-func readChunks(r *bufio.Reader, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r), limit+1))
+// readToEnd reads a body that has neither a length nor chunks: it ends where the connection ends
+// (RFC 9112, section 6.3). Only an orderly end counts. After a reset, bytes may be missing. Each
+// part of the body has to arrive within responseStallTimeout.
+func readToEnd(a *core.Attempt, c *conn, limit int64) ([]byte, error) {
+	var body bytes.Buffer
+	for int64(body.Len()) <= limit {
+		if err := c.extendDeadline(a, time.Now().Add(responseStallTimeout)); err != nil {
+			return nil, err
+		}
+		if _, err := c.reader.Peek(1); errors.Is(err, io.EOF) {
+			return body.Bytes(), nil
+		} else if err != nil {
+			return nil, err
+		}
+		// The copy cannot fail: its bytes are buffered.
+		_, _ = io.CopyN(&body, c.reader, int64(c.reader.Buffered()))
+	}
+	return nil, errResponseTooLarge
+}
+
+// readChunks reads chunks of at most limit bytes in total, and the trailer section. All of it has to
+// arrive within responseStallTimeout.
+func readChunks(a *core.Attempt, c *conn, limit int64) ([]byte, error) {
+	if err := c.extendDeadline(a, time.Now().Add(responseStallTimeout)); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.reader), limit+1))
 	if err != nil {
 		return body, err
 	}
 	if int64(len(body)) > limit {
 		return body, errResponseTooLarge
 	}
-	return body, skipTrailer(r)
+	return body, skipTrailer(c.reader)
 }
 
 // skipTrailer discards the trailer section, which consists of fields that are not forwarded and an
--- a/internal/upstream/http1/errors.go
+++ b/internal/upstream/http1/errors.go
@@ -32,7 +32,6 @@
 	errMalformedLength      = errors.New("malformed or conflicting Content-Length")
 	errConflictingFraming   = errors.New("response has both Content-Length and Transfer-Encoding")
 	errUnknownCoding        = errors.New("unknown transfer coding")
-	errNoFraming            = errors.New("response has neither Content-Length nor Transfer-Encoding")
 	errTooManyInformational = errors.New("too many informational responses")
 	errSurplusBytes         = errors.New("bytes follow the response")
 	errMalformedTrailer     = errors.New("malformed trailer section")
