Give up a retry by key that is not delivered by the end of the dedup window

A retry by key is sent within the dedup window, but on a connection that was made before a cut its bytes may be held back beyond it, while the attempt is still open. It then ran a second time. Change: Attempt.DeliverBy is the end of the window, counted from the first attempt. Where no byte of a response has come by then and the kernel still holds bytes that the backend's has not acknowledged, the attempt ends as a Reset and its connection is reset. Not covered: a relay of the network that acknowledges what it has not delivered.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -52,6 +52,11 @@
 	Deadline time.Time
 	SendBy   time.Time // latest time for sending the first byte; zero means Deadline
 
+	// DeliverBy is the latest time at which the backend may receive the complete request: the end of
+	// the dedup window. An upstream that knows at that time that the backend has not received it ends
+	// the attempt so that it never does. Zero means no limit.
+	DeliverBy time.Time
+
 	server       string
 	number       int          // index of the attempt within its request, from 0
 	sentAt       int64        // time of the balancer's decision to forward, in microseconds of the pool's clock
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -27,11 +27,16 @@
 	attempt := &Attempt{
 		Request: r, server: server, number: r.attempts, sentAt: now, Deadline: h.clock.Time(deadline),
 	}
+	if r.attempts == 0 {
+		r.firstSentAt = now
+	}
 	isRetry := r.attempts > 0
 	if isRetry && h.maxSendDelay > 0 && h.classes[r.Class].Idempotency == logic.IdempotentByKey {
-		// The retry may rely on the backend's dedup window, so it must be sent before the window
-		// ends.
-		attempt.SendBy = h.clock.Time(now + h.maxSendDelay)
+		// The retry may rely on the backend's dedup window, so it must be sent, and delivered, before
+		// the window ends.
+		sendBy := now + h.maxSendDelay
+		attempt.SendBy = h.clock.Time(sendBy)
+		attempt.DeliverBy = h.clock.Time(max(sendBy, r.firstSentAt+h.classes[r.Class].DedupWindow))
 	}
 	r.attempts++
 	if !r.answered && r.inFlight == nil { // a request has at most one attempt in flight
--- a/internal/core/pool_test.go
+++ b/internal/core/pool_test.go
@@ -222,7 +222,8 @@
 }
 
 // A retry of a request that is idempotent by key relies on the dedup window of the backend, so
-// SendBy limits when the retry is sent. The first attempt is limited by its deadline only.
+// SendBy limits when the retry is sent, and DeliverBy, the end of the window, when it arrives. The
+// first attempt is limited by its deadline only.
 func TestRetryByKeyHasSendBy(t *testing.T) {
 	up := newScriptedUpstream(func(*Attempt) AttemptResult { return AttemptResult{Status: logic.Error} })
 	p, err := New(Config{
@@ -248,4 +249,9 @@
 		t.Errorf("SendBy of the first attempt is %v, of the retry %v; want zero and at most 1s ahead",
 			first.SendBy, second.SendBy)
 	}
+	window := time.Duration(p.classes[0].DedupWindow) * time.Microsecond
+	if !first.DeliverBy.IsZero() || !second.DeliverBy.Equal(p.clock.Time(first.sentAt).Add(window)) {
+		t.Errorf("DeliverBy of the first attempt is %v, of the retry %v; want zero and the end of the dedup window",
+			first.DeliverBy, second.DeliverBy)
+	}
 }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -23,6 +23,7 @@
 	answer       Answer    // set by Pool.answerLocked
 	lastResponse *Response // latest response of a failed attempt; nil if there was none
 	attempts     int       // number of attempts that the balancer has decided on
+	firstSentAt  int64     // time of the decision on the first attempt, in microseconds of the pool's clock
 	inFlight     *Attempt  // the attempt that has not ended; may be nil
 	pending      *Attempt  // the next attempt that the goroutine in Pool.Do executes; may be nil
 	expiry       timer     // answers the request after its deadline if the balancer has not
--- a/internal/upstream/http1/abandon_test.go
+++ b/internal/upstream/http1/abandon_test.go
@@ -131,6 +131,43 @@
 	}
 }
 
+// Guards against issue 55, review case 1, on a related path: the request of a retry by key, held back
+// beyond the dedup window, arrived when the backends had forgotten the first attempt.
+func TestRetryByKeyIsNotDeliveredAfterDedupWindow(t *testing.T) {
+	l := listenUnread(t)
+	u := newUnreadUpstream(l.Addr().String())
+	a := newHeldAttempt(u, time.Hour)
+	a.DeliverBy = time.Now().Add(briefTimeout)
+	results := a.start()
+	backend := acceptOne(t, l)
+	if res := receive(t, "result", results); res.Status != logic.Reset {
+		t.Errorf("got %v, want %v", res.Status, logic.Reset)
+	}
+	if received, _ := io.ReadAll(backend); len(received) >= minRequestSize {
+		t.Errorf("backend got the complete request (%d bytes) after the dedup window", len(received))
+	}
+}
+
+// A retry by key that was delivered within the dedup window may be answered after it.
+func TestDeliveredRetryByKeyOutlivesDedupWindow(t *testing.T) {
+	l := listenUnread(t)
+	u := newUpstream(4, l.Addr().String())
+	a := newAttempt(u, "a", waitLimit)
+	a.DeliverBy = time.Now().Add(briefTimeout)
+	results := a.start()
+	backend := acceptOne(t, l)
+	if _, err := io.ReadAtLeast(backend, make([]byte, smallBuffer), 1); err != nil {
+		t.Fatal(err)
+	}
+	waitUntil(t, func() bool { return time.Now().After(a.DeliverBy.Add(briefTimeout)) })
+	if _, err := io.WriteString(backend, served); err != nil {
+		t.Fatal(err)
+	}
+	if res := receive(t, "result", results); res.Status != logic.OK {
+		t.Errorf("got %v, want %v", res.Status, logic.OK)
+	}
+}
+
 // A connection without an open request ends in order: a reset would look like a failure to the
 // backend.
 func TestIdleConnectionIsClosedInOrder(t *testing.T) {
--- a/internal/upstream/http1/errors.go
+++ b/internal/upstream/http1/errors.go
@@ -23,6 +23,9 @@
 // errCanceled means that the attempt was canceled while its response was being read.
 var errCanceled = errors.New("attempt canceled")
 
+// errUndelivered means that the complete request has not reached the backend's kernel in time.
+var errUndelivered = errors.New("request not delivered in time")
+
 // errResponseTooLarge means that a response body exceeds Config.MaxResponse.
 var errResponseTooLarge = errors.New("response body too large")
 
--- a/internal/upstream/http1/response.go
+++ b/internal/upstream/http1/response.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"time"
 
 	"fernlanding/internal/core"
+	"fernlanding/internal/socket"
 	"fernlanding/logic"
 )
 
@@ -28,7 +30,7 @@
 // whether the connection can carry another request.
 func (rt *roundTripper) readResponse(a *core.Attempt, c *conn) (res core.AttemptResult, reusable bool, err error) {
 	c.responded = false
-	if _, err := c.reader.Peek(1); err != nil {
+	if err := c.awaitResponse(a); err != nil {
 		return res, false, fmt.Errorf("read response: %w", err)
 	}
 	c.responded = true
@@ -53,6 +55,31 @@
 	return rt.attemptResult(&h, resp), !h.close && surplus == noSurplus, nil
 }
 
+// awaitResponse waits for the first byte of a response. It returns errUndelivered if the backend's
+// kernel has not acknowledged the complete request by DeliverBy: behind a failed network, the
+// request could arrive later.
+func (c *conn) awaitResponse(a *core.Attempt) error {
+	if a.DeliverBy.IsZero() || !a.DeliverBy.Before(a.Deadline) {
+		_, err := c.reader.Peek(1)
+		return err
+	}
+	if err := c.extendDeadline(a, a.DeliverBy); err != nil {
+		return err
+	}
+	_, err := c.reader.Peek(1)
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	if socket.Undelivered(c.Conn) > 0 {
+		return errUndelivered
+	}
+	if err := c.extendDeadline(a, a.Deadline); err != nil {
+		return err
+	}
+	_, err = c.reader.Peek(1)
+	return err
+}
+
 // readFinalHead reads heads up to the first one that is not informational (1xx).
 func (rt *roundTripper) readFinalHead(a *core.Attempt, c *conn) (head, error) {
 	for range maxInformational + 1 {
