Harness: a reset during a cut takes back what the client has sent

Cause: a relay of the harness stands in for the client's kernel while its link is cut, and delivered what it held although the client had reset its connection since: always where the connection was made during the cut, and where the end of the cut came before the relay had read the reset.

--- a/internal/harness/link/conn.go
+++ b/internal/harness/link/conn.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"fernlanding/internal/harness/scenario"
 )
 
@@ -27,6 +29,9 @@
 	serverSideAddr string
 	requests       atomic.Int64 // number of requests so far
 	responseBegun  atomic.Bool  // whether a response has begun since the last request began
+	// madeDuringCut is whether the connection was made while its link was cut. It is set before any
+	// bytes are forwarded.
+	madeDuringCut bool
 	// firstByteAt is the arrival time of the first byte on a connection that was made while its
 	// link was cut; nil means that the first byte was read as soon as it arrived.
 	firstByteAt atomic.Pointer[time.Time]
@@ -90,6 +95,7 @@
 		}
 		if !isWatching { // bytes are read only after the cut, so the arrival time is recorded now
 			isWatching = true
+			c.madeDuringCut = true
 			watching.Go(c.awaitFirstByte)
 		}
 		select {
@@ -141,6 +147,22 @@
 	})
 }
 
+// clientHasReset reports whether the client has reset its connection. Bytes that arrived before the
+// reset can still be read.
+func (c *relayedConn) clientHasReset() bool {
+	raw, err := c.client.SyscallConn()
+	if err != nil {
+		return true // the connection is closed
+	}
+	hasReset := true
+	// Control fails only if the connection is closed.
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		hasReset = err != nil || info.State == unix.BPF_TCP_CLOSE // an orderly close leaves CLOSE_WAIT
+	})
+	return hasReset
+}
+
 // close closes both connections. It ignores errors because written bytes have either been forwarded
 // or are lost.
 func (c *relayedConn) close() {
