Look for an idle connection again after registering for changes

Cause: an attempt whose dial is not allowed yet looks for an idle connection, finds none, and then registers for the next change (beginDial). A connection that was put back in between was announced to nobody, and the attempt waited for another change or its deadline. Change: connectLimited looks once more after the registration.

--- a/internal/upstream/http1/dial.go
+++ b/internal/upstream/http1/dial.go
@@ -21,11 +21,8 @@
 // connection, unless forceNew is set, and otherwise dials a new one. With Config.LimitDials, it
 // waits for whichever is available first.
 func (rt *roundTripper) connect(a *core.Attempt, forceNew bool) (c *conn, reused bool, err error) {
-	if !forceNew {
-		c = rt.upstream.takeIdle(rt.endpoint, rt.epoch)
-		if c != nil {
-			return c, true, nil
-		}
+	if c = rt.takeIdle(forceNew); c != nil {
+		return c, true, nil
 	}
 	ctx, release := a.Context()
 	defer release()
@@ -49,21 +46,29 @@
 			rt.endDial(err, ctx.Err() != nil)
 			return c, false, err
 		}
+		// A connection that became idle before change existed is announced no more.
+		if c = rt.takeIdle(forceNew); c != nil {
+			return c, true, nil
+		}
 		select {
 		case <-change:
 		case <-ctx.Done():
 			return nil, false, errAttemptEnded
 		}
-		if forceNew {
-			continue
-		}
-		c = rt.upstream.takeIdle(rt.endpoint, rt.epoch)
-		if c != nil {
+		if c = rt.takeIdle(forceNew); c != nil {
 			return c, true, nil
 		}
 	}
 }
 
+// takeIdle takes an idle connection. It returns nil if there is none, or if forceNew is set.
+func (rt *roundTripper) takeIdle(forceNew bool) *conn {
+	if forceNew {
+		return nil
+	}
+	return rt.upstream.takeIdle(rt.endpoint, rt.epoch)
+}
+
 // beginDial counts a dial with the dial limiter. If no dial is allowed yet, it returns a channel
 // that is closed when the caller has to try again. During the dial backoff of the endpoint, it
 // returns errDialBackoff.
--- a/internal/upstream/http1/dial_limit_test.go
+++ b/internal/upstream/http1/dial_limit_test.go
@@ -135,6 +135,37 @@
 	}
 }
 
+// A connection may become idle between an attempt's look for one and its registration for changes,
+// which come too late for it then. The attempt has to look again, or it waits until its deadline.
+func TestConnectionIdleBeforeRegistrationIsTaken(t *testing.T) {
+	u, dialer, b := newLimitedUpstream(t)
+	e := u.endpoints["a"]
+	dialer.end <- nil
+	idle, err := u.dial(t.Context(), e, b.Addr, e.epoch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	receive(t, "dial of the idle connection", dialer.began)
+	first, second := startGet(u, time.Hour), startGet(u, time.Hour) // as many dials as are allowed
+	receive(t, "first dial", dialer.began)
+	receive(t, "second dial", dialer.began)
+	rt, ok := u.RoundTripper("a").(*roundTripper)
+	if !ok {
+		t.Fatal("not a roundTripper")
+	}
+	u.putIdle(idle) // no attempt is registered yet
+	ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
+	defer cancel()
+	c, reused, err := rt.connectLimited(ctx, false)
+	if c != idle || !reused || err != nil {
+		t.Errorf("got connection %p, reused %v and error %v; want the idle connection", c, reused, err)
+	}
+	dialer.end <- nil
+	dialer.end <- nil
+	receive(t, "result", first)
+	receive(t, "result", second)
+}
+
 // An attempt that waits for a connection while its deadline passes, or while its backend drains, is
 // NotSent, which proves that the request never ran.
 func TestWaitForConnectionEndsWithAttempt(t *testing.T) {
