Stay with a relay that is connected to its source again

Cause: a proxy whose relay is disconnected from the source, as for a moment at the relay's start, probes the others. The result was used although the relay had been connected meanwhile (relayProber.prefer), so the proxy switched for nothing. Change: such a result is dropped, whether the relay comes back during the probe or after it.

--- a/internal/distribution/follow/relay_prober.go
+++ b/internal/distribution/follow/relay_prober.go
@@ -49,10 +49,14 @@
 }
 
 // setCurrent records the relay that the reader reads from, and whether that relay is disconnected
-// from the source.
+// from the source. A relay that was better only because the current one was disconnected is better
+// no more once that one is connected again.
 func (p *relayProber) setCurrent(choice int, disconnected bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.disconnected && !disconnected {
+		p.found = false
+	}
 	p.current = choice
 	p.disconnected = disconnected
 }
@@ -150,12 +154,13 @@
 }
 
 // prefer makes the reader switch to a relay, if the reader's relay has not changed since the start
-// of the probe.
+// of the probe, and has not been connected to the source again.
 func (p *relayProber) prefer(state probeState, choice int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.preferred = choice
-	p.found = p.current == state.current
+	reconnected := state.disconnected && !p.disconnected
+	p.found = p.current == state.current && !reconnected
 }
 
 // ready reports whether a relay responds and is not disconnected from the source.
