socket: one way to a connection's descriptor; the harness asks it for resets too

Change: withDescriptor serves PeekState, Undelivered and IsReset; http1's package comment names the two rules that are new. Behaviour as before.

--- a/internal/harness/link/conn.go
+++ b/internal/harness/link/conn.go
@@ -9,8 +9,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"fernlanding/internal/harness/scenario"
 )
 
@@ -147,22 +145,6 @@
 	})
 }
 
-// clientHasReset reports whether the client has reset its connection. Bytes that arrived before the
-// reset can still be read.
-func (c *relayedConn) clientHasReset() bool {
-	raw, err := c.client.SyscallConn()
-	if err != nil {
-		return true // the connection is closed
-	}
-	hasReset := true
-	// Control fails only if the connection is closed.
-	_ = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		hasReset = err != nil || info.State == unix.BPF_TCP_CLOSE // an orderly close leaves CLOSE_WAIT
-	})
-	return hasReset
-}
-
 // close closes both connections. It ignores errors because written bytes have either been forwarded
 // or are lost.
 func (c *relayedConn) close() {
--- a/internal/harness/link/transfer.go
+++ b/internal/harness/link/transfer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fernlanding/internal/harness/scenario"
+	"fernlanding/internal/socket"
 )
 
 const (
@@ -176,7 +177,7 @@
 // the connection since, and resets both connections then. The kernel of a client whose bytes do not
 // pass still holds them and discards them at a reset; here the kernel of the relay has them.
 func (c *relayedConn) takenBack(direction string) bool {
-	if direction != scenario.ToServer || !c.clientHasReset() {
+	if direction != scenario.ToServer || !socket.IsReset(c.client) {
 		return false
 	}
 	c.reset()
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -21,19 +21,25 @@
 
 // PeekState returns, without waiting, the state of a connection.
 func PeekState(c net.Conn) ReadState {
+	state := Unknown
+	withDescriptor(c, func(fd int) { state = peek(fd) })
+	return state
+}
+
+// withDescriptor calls f with the descriptor of a connection. It does not call f for a connection
+// that is not a socket or that this process has closed.
+func withDescriptor(c net.Conn, f func(fd int)) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return Unknown
+		return
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return Unknown
+		return
 	}
-	state := Unknown
 	// Control is used because Read waits for any other reader, and the server always has a reader
 	// on an idle client connection. Control fails only if the connection is closed.
-	_ = raw.Control(func(fd uintptr) { state = peek(int(fd)) })
-	return state
+	_ = raw.Control(func(fd uintptr) { f(int(fd)) })
 }
 
 // peek returns the state of a socket.
--- /dev/null
+++ b/internal/socket/tcp.go
@@ -0,0 +1,31 @@
+package socket
+
+import (
+	"net"
+
+	"golang.org/x/sys/unix"
+)
+
+// Undelivered returns how many written bytes the kernel of the peer has not acknowledged. It
+// returns 0 if the kernel does not know, and for a connection that is not a TCP socket.
+func Undelivered(c net.Conn) int {
+	undelivered := 0
+	withDescriptor(c, func(fd int) {
+		n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		if err == nil {
+			undelivered = n
+		}
+	})
+	return undelivered
+}
+
+// IsReset reports whether the peer has reset a TCP connection, or this process has closed it. Bytes
+// that arrived before the reset can still be read.
+func IsReset(c net.Conn) bool {
+	isReset := true
+	withDescriptor(c, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		isReset = err != nil || info.State == unix.BPF_TCP_CLOSE // an orderly close leaves CLOSE_WAIT
+	})
+	return isReset
+}
--- a/internal/upstream/http1/upstream.go
+++ b/internal/upstream/http1/upstream.go
@@ -15,6 +15,9 @@
 //     removed, has restarted or has moved: see roundTripper.beginWrite.
 //   - A connection is reused only after ReuseDelay has passed since its last response, and only if
 //     no bytes followed that response: see Upstream.takeIdle.
+//   - A connection with an open request ends by a reset, so that what has not been delivered never
+//     is: see Upstream.closeLocked.
+//   - A response is served only if nothing contradicts its end: see conn.surplus and readToEnd.
 //   - Non-idempotent requests avoid idle connections for a while after a reused connection failed
 //     under a request: see Upstream.requiresNewConn.
 package http1
