check: mutants of a catalogue share no values

Cause: mutateOnce put the tables of fieldValues themselves into a mutant, and a later mutation of that mutant changed them, for every mutant after it too. Change: a mutant gets a copy.

--- a/internal/check/mutate_test.go
+++ b/internal/check/mutate_test.go
@@ -73,7 +73,8 @@
 	places := tables(root)
 	t := places[rnd.IntN(len(places))]
 	keys := slices.Sorted(maps.Keys(t))
-	randomValue := func(values []any) any { return values[rnd.IntN(len(values))] }
+	// A later mutation may change the value, and the values are shared by all mutants.
+	randomValue := func(values []any) any { return clone(values[rnd.IntN(len(values))]) }
 	randomKey := func() string { return keys[rnd.IntN(len(keys))] }
 	switch operation := rnd.IntN(10); {
 	case operation < 3: // set a field to another of its values
