check: the test's backends take a request that comes before the first mutant

A request had come in between, as from another test or from a mutant of another shard whose address has another port; which one was not traced. Change: reset runs once before the backends listen. Such a request has no class and counts no effect, as in any later moment; no check is changed.

--- a/internal/check/effect_backends_test.go
+++ b/internal/check/effect_backends_test.go
@@ -38,6 +38,9 @@
 		Transport: &http.Transport{MaxIdleConnsPerHost: 8}, Timeout: 3 * time.Second,
 	}}
 	t.Cleanup(e.client.CloseIdleConnections)
+	// A request may arrive before the first mutant is served: other tests, and mutants with another
+	// port in an address, send to ports of this machine too. It belongs to no class.
+	e.reset(0, nil, &callPaths{})
 	for range 3 * backendsPerService {
 		b, err := standin.NewBackend(nil)
 		if err != nil {
