catalog: a test waits until the source is confirmed after its list

Cause: runPushed hands the list to the sink and confirms the health after that; the test read the health in the moment in which the sink had the list. Change: the test waits up to 5 s, the bound of its list, until the source is no longer silent. It asks for the same list and the same health, so a source that stays silent fails as before.

--- a/internal/membership/catalog/pushed_test.go
+++ b/internal/membership/catalog/pushed_test.go
@@ -173,8 +173,15 @@
 	run(t, client, lists)
 	select {
 	case list := <-lists:
-		if list.Version != 2 || !client.Health().SilentSince.IsZero() {
-			t.Errorf("list %+v, health %+v", list, client.Health())
+		if list.Version != 2 {
+			t.Errorf("list %+v", list)
+		}
+		// The client confirms the source after the sink has taken the list.
+		end := time.Now().Add(5 * time.Second)
+		for ; !client.Health().SilentSince.IsZero(); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("list %+v, health %+v", list, client.Health())
+			}
 		}
 	case <-time.After(5 * time.Second):
 		t.Error("no list: the agent is not called while a call hangs")
