--- a/review/stage2/case_memory.go
+++ b/review/stage2/case_memory.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,7 +16,9 @@
 
 const (
 	memoryLimitMB = 64
-	badClients    = 500
+	descriptors   = 1024
+	badClients    = 330    // and ten usual ones: no more than a third of the descriptors are used for requests
+	longHead      = 15_800 // bytes of fields; the proxy takes heads of 16 KiB
 )
 
 // playMemory plays usual clients, and beside them bad clients that stop in the middle of a request
@@ -29,7 +32,7 @@
 	for i := range 10 {
 		list = append(list, s.startBackend(fmt.Sprintf("s-%d", i), 1+i/5, "", handle).entry())
 	}
-	p := s.startProxy(s.startAgent(list).address, memoryLimitMB, 1024, settings(siteClasses()))
+	p := s.startProxy(s.startAgent(list).address, memoryLimitMB, descriptors, settings(siteClasses()))
 
 	var peak, killedAt atomic.Int64
 	over := make(chan struct{})
@@ -90,9 +93,9 @@
 	if s.trouble {
 		var closedOrError atomic.Int64
 		s.note("%d clients begin a request and stop in the middle of its body", badClients)
-		for n := range badClients {
+		for range badClients {
 			bad.Go(func() {
-				if p.stopInTheMiddle(n) {
+				if p.stopInTheMiddle() {
 					closedOrError.Add(1)
 				}
 			})
@@ -118,7 +121,7 @@
 
 // stopInTheMiddle sends a head and all of a body but its last byte, at full speed, and reads until an
 // error or a close comes.
-func (p *proxy) stopInTheMiddle(n int) bool {
+func (p *proxy) stopInTheMiddle() bool {
 	began := time.Now()
 	c, err := net.DialTimeout("tcp", p.address, time.Second)
 	if err != nil {
@@ -129,8 +132,8 @@
 	r := newRequest("charge-post", 4*time.Second, "", bytes.Repeat([]byte{'x'}, 64<<10))
 	whole := r.encode()
 	var fields strings.Builder
-	for i := range 70 {
-		fmt.Fprintf(&fields, "X-Note-%d-%d: %s\r\n", n, i, strings.Repeat("n", 190))
+	for i := 0; fields.Len() < longHead; i++ {
+		fmt.Fprintf(&fields, "x%s:\r\n", strconv.FormatInt(int64(i), 36))
 	}
 	whole = bytes.Replace(whole, []byte("\r\n\r\n"), []byte("\r\n"+fields.String()+"\r\n"), 1)
 	if _, err := c.Write(whole[:len(whole)-1]); err != nil {
