--- a/review/stage2/case_sameid.go
+++ b/review/stage2/case_sameid.go
@@ -10,8 +10,10 @@
 
 func init() { cases["sameid"] = playSameID }
 
-// playSameID plays usual clients that write their requests slowly, and beside them a bad client that
-// sends the ID of such an open request with a body of its own.
+// playSameID plays usual clients, and beside them a bad client that sends the ID of an open request
+// with a body of its own. In the first ten rounds the usual client writes slowly and the bad one comes
+// once, before its last bytes; in five more it writes at once, and the bad one sends the same again as
+// soon as it is turned away, until a second after the usual client has its answer.
 func playSameID(s *stage) bool {
 	var mu sync.Mutex
 	bodies := map[string][]string{} // what the backends got, by Request-Id
@@ -30,29 +32,38 @@
 	}
 	p := s.startProxy(s.startAgent(list).address, 192, 1024, settings(siteClasses()))
 	held := true
-	for n := range 10 {
-		pause := 400 * time.Millisecond
-		if n%2 == 1 {
-			pause = 800 * time.Millisecond
+	for n := range 15 {
+		pause := []time.Duration{400 * time.Millisecond, 800 * time.Millisecond}[n%2]
+		repeats := n >= 10
+		if repeats {
+			pause = 0
 		}
 		usual := newRequest("charge-post", 4*time.Second, "", []byte(fmt.Sprintf(`{"charge":%d,"account":"subscriber"}`, 100+n)))
 		bad := *usual
 		bad.body = []byte(`{"charge":9999,"account":"other"}`)
 		var badAnswer answer
+		var tries int
 		var other sync.WaitGroup
+		ended := make(chan struct{})
 		if s.trouble {
 			other.Go(func() {
-				time.Sleep(200 * time.Millisecond)
-				badAnswer = p.ask(&bad)
+				if !repeats {
+					time.Sleep(200 * time.Millisecond)
+					badAnswer, tries = p.ask(&bad), 1
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
+				badAnswer, tries = p.askAgain(&bad, ended)
 			})
 		}
 		usualAnswer := p.askSlowly(usual, pause)
+		time.AfterFunc(time.Second, func() { close(ended) })
 		other.Wait()
 		mu.Lock()
 		got := bodies[usual.id]
 		mu.Unlock()
-		s.note("round %d, request %s: the usual client gets %v, the bad client %v; backends got %q",
-			n, usual.id, usualAnswer, badAnswer, got)
+		s.note("round %d, request %s: the usual client gets %v, the bad client's last of %d tries %v; backends got %q",
+			n, usual.id, usualAnswer, tries, badAnswer, got)
 		switch {
 		case badAnswer.status == 200:
 			s.note("the bad client was served: %q", badAnswer.body)
@@ -81,13 +92,31 @@
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(began.Add(pause + r.timeout + 500*time.Millisecond))
 	whole := r.encode()
-	if _, err := c.Write(whole[:len(whole)-10]); err != nil {
-		return answer{err: err, took: time.Since(began)}
+	if pause == 0 {
+		_, err = c.Write(whole)
+	} else if _, err = c.Write(whole[:len(whole)-10]); err == nil {
+		time.Sleep(pause)
+		_, err = c.Write(whole[len(whole)-10:])
 	}
-	time.Sleep(pause)
-	if _, err := c.Write(whole[len(whole)-10:]); err != nil {
+	if err != nil {
 		return answer{err: err, took: time.Since(began)}
 	}
 	status, body, err := readAnswer(bufio.NewReader(c))
 	return answer{status: status, body: body, err: err, took: time.Since(began)}
 }
+
+// askAgain sends a request again as soon as it is turned away, until it is not or the channel is closed.
+// It returns the last answer and the number of tries.
+func (p *proxy) askAgain(r *request, ended <-chan struct{}) (answer, int) {
+	for tries := 1; ; tries++ {
+		a := p.ask(r)
+		if a.status < 400 || a.status >= 500 {
+			return a, tries
+		}
+		select {
+		case <-ended:
+			return a, tries
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
+}
