Read heads in the front, and bound what unfinished requests hold

Two ways were weighed: a wrapper that counts before net/http parses leaves those 13 KB a connection and the work-arounds of the server; reading heads in the front ends both. The front now reads a head into a buffer that grows with it, counts its lines, rejects more than 100 fields before they are parsed, and parses the rest with net/textproto. front.RequestMemory counts unfinished heads, bodies by the capacity of their buffers, and a fixed amount for each request in flight: a fifth of memory_mb, half of it for what is not complete, on the platform and for applications alike. Beyond it a body is dropped as it comes, and the request is answered 503 at its last byte.

OPTIONS * goes to the resolver as any request now; net/http answered it 200 by itself.

Tests that named net/http's connection states call the tracker's own events instead; what they force is the same.

--- a/internal/config/capacity.go
+++ b/internal/config/capacity.go
@@ -7,6 +7,10 @@
 	minConnections = 8        // connections, both to clients and to backends
 	bodyFraction   = 4        // divisor of the process's memory that gives the memory for bodies
 	bodyMemory     = 64 << 20 // bytes for bodies if the process's memory is unknown
+
+	requestFraction      = 5        // divisor of the process's memory that gives the memory of requests
+	unknownRequestMemory = 64 << 20 // bytes for requests if the process's memory is unknown
+
 	// ClientsConsumer is the name of the consumer that holds the connections of clients.
 	ClientsConsumer = "(clients)"
 )
@@ -71,6 +75,22 @@
 	return allocation, nil
 }
 
+// RequestMemory is the limit of the memory that the requests of all clients hold, in bytes.
+type RequestMemory struct {
+	Total      int64
+	Unfinished int64 // part of Total for requests that have not been received completely
+}
+
+// RequestMemory returns the limit of the memory of requests: a fifth of the process's memory, of
+// which requests that have not been received completely may use half.
+func (a *App) RequestMemory() RequestMemory {
+	total := int64(unknownRequestMemory)
+	if a.Process.MemoryMB > 0 {
+		total = int64(a.Process.MemoryMB * (1 << 20) / requestFraction)
+	}
+	return RequestMemory{Total: total, Unfinished: total / 2}
+}
+
 // Memory divides the process's memory for bodies, in bytes, among services. Half of the memory is
 // guaranteed to services in equal parts, and any service can borrow from the other half.
 func (a *App) Memory() (Allocation, error) {
--- a/internal/front/http1/conn_test.go
+++ b/internal/front/http1/conn_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net"
-	"net/http"
 	"os"
 	"testing"
 	"time"
@@ -11,26 +10,23 @@
 	"fernlanding/internal/socket"
 )
 
-// Between the time net/http reads a request and the time it reports the request, the connection
-// looks idle. Closing the connection then loses the request, which may have been forwarded; its
-// client sends it again.
+// Between the time a head is read and the time the request is opened, the connection looks idle.
+// Closing the connection then loses the request, which may be forwarded; its client sends it again.
 func TestConnectionWithCompleteRequestIsNotClosed(t *testing.T) {
 	for _, idle := range []bool{false, true} {
 		tracker, c, peer := acceptConn(t)
 		if idle {
-			tracker.onStateChange(c, http.StateActive)
-			tracker.onStateChange(c, http.StateIdle)
+			tracker.requestStarted(c)
+			tracker.requestEnded(c)
 		}
 		request := getRequest("1")
 		first, last := request[:len(request)-3], request[len(request)-3:]
 		for _, part := range []string{first, last} {
 			send(t, peer, part)
-			for got := 0; got < len(part); {
-				n, err := c.Read(make([]byte, 4096))
-				if err != nil {
+			for want := c.receivedBytes() + len(part); c.receivedBytes() < want; {
+				if err := c.awaitBytes(); err != nil {
 					t.Fatal(err)
 				}
-				got += n
 			}
 			c.mu.Lock()
 			c.lastRead = time.Now().Add(-time.Hour)
@@ -58,8 +54,8 @@
 	send(t, peer, getRequest("1"))
 	waitUntil(t, func() bool { return !socket.IsIdle(c.Conn) })
 	var opErr *net.OpError
-	if n, err := c.Read(make([]byte, 4096)); n > 0 || !errors.As(err, &opErr) || opErr.Op != "read" {
-		t.Errorf("read %d bytes, %v, want a read error", n, err)
+	if err := c.awaitBytes(); c.receivedBytes() > 0 || !errors.As(err, &opErr) || opErr.Op != "read" {
+		t.Errorf("read %d bytes, %v, want a read error", c.receivedBytes(), err)
 	}
 }
 
@@ -72,10 +68,10 @@
 	if err := c.SetReadDeadline(time.Unix(1, 0)); err != nil {
 		t.Fatal(err)
 	}
-	if n, err := c.Read(make([]byte, 4096)); n != len(getRequest("1")) || err != nil {
-		t.Errorf("read %d bytes, %v, want the request", n, err)
+	if err := c.awaitBytes(); c.receivedBytes() != len(getRequest("1")) || err != nil {
+		t.Errorf("read %d bytes, %v, want the request", c.receivedBytes(), err)
 	}
-	if _, err := c.Read(make([]byte, 4096)); !errors.Is(err, os.ErrDeadlineExceeded) {
+	if err := c.awaitBytes(); !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("with nothing to read: got %v, want %v", err, os.ErrDeadlineExceeded)
 	}
 }
--- a/internal/front/http1/drain.go
+++ b/internal/front/http1/drain.go
@@ -39,7 +39,7 @@
 			break
 		}
 	}
-	_ = f.server.Close() // not Shutdown, which drops a request that has just been read
+	f.conns.close()
 }
 
 // serveUntil fails health checks and serves until new connections no longer arrive, and then until
--- a/internal/front/http1/drain_test.go
+++ b/internal/front/http1/drain_test.go
@@ -4,7 +4,6 @@
 	"errors"
 	"log/slog"
 	"net"
-	"net/http"
 	"testing"
 	"time"
 )
@@ -53,24 +52,26 @@
 	receive(t, "end of the drain", drained)
 }
 
-// At the end of the drain, a request may have been read that net/http has not reported yet. The
-// drain waits for it and does not close its connection.
+// At the end of the drain, a request may have been read that has not been opened yet. The drain waits
+// for it and does not close its connection.
 func TestDrainWaitsForRequestThatHasBeenRead(t *testing.T) {
 	l := listen(t)
-	f := New(Config{Listener: l, Quota: unlimitedQuota{}, Log: slog.New(slog.DiscardHandler)})
+	f := New(Config{
+		Listener: l, Quota: unlimitedQuota{}, Memory: ampleMemory(), Log: slog.New(slog.DiscardHandler),
+	})
 	peer, _ := dial(t, l)
-	netConn, err := f.conns.Accept()
+	c, err := f.conns.accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	closeAtEnd(t, netConn)
+	closeAtEnd(t, c)
 	send(t, peer, getRequest("1"))
-	if n, err := netConn.Read(make([]byte, 4096)); n != len(getRequest("1")) || err != nil {
-		t.Fatal(n, err)
+	if err := c.awaitBytes(); c.receivedBytes() != len(getRequest("1")) || err != nil {
+		t.Fatal(c.receivedBytes(), err)
 	}
 	acceptEnded := make(chan error, 1)
 	go func() {
-		_, err := f.conns.Accept()
+		_, err := f.conns.accept()
 		acceptEnded <- err
 	}()
 	now := time.Now()
@@ -82,11 +83,11 @@
 	case <-drained:
 		t.Fatal("drain ended before a request that had been read was answered")
 	}
-	f.conns.onStateChange(netConn, http.StateActive)
-	f.conns.onStateChange(netConn, http.StateClosed)
+	f.conns.requestStarted(c)
+	f.conns.removeAndClose(c)
 	receive(t, "end of the drain", drained)
-	if err := receive(t, "end of Accept", acceptEnded); !errors.Is(err, net.ErrClosed) {
-		t.Errorf("Accept: got %v, want %v", err, net.ErrClosed)
+	if err := receive(t, "end of accept", acceptEnded); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("accept: got %v, want %v", err, net.ErrClosed)
 	}
 }
 
--- a/internal/front/http1/handler.go
+++ b/internal/front/http1/handler.go
@@ -1,81 +1,85 @@
 package http1
 
 import (
-	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"fernlanding/internal/core"
 	"fernlanding/internal/front"
+	"fernlanding/internal/socket"
 	"fernlanding/logic"
 )
 
 const maxForwards = 4 // pools that are tried for a request while a new configuration takes effect
 
-// ServeHTTP responds to health checks and forwards requests.
-func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
-	conn, _ := r.Context().Value(connKey{}).(*clientConn)
-	if r.URL.Path == "/_health" {
-		conn.beginResponse()
-		f.serveHealth(w)
-		return
-	}
-	if reqErr := checkFraming(r); reqErr != nil {
-		f.writeError(w, reqErr)
-		return
+// serveRequest responds to a health check, or forwards a request. keep reports whether the
+// connection stays open. A request that is not forwarded is returned as a rejection.
+func (f *Front) serveRequest(c *clientConn, r *clientRequest) (keep bool, rejected *rejection) {
+	if r.URL.Path == healthPath {
+		return f.serveHealth(c, r), nil
 	}
-	dest, reqErr := f.cfg.Resolver.Resolve(r)
+	dest, reqErr := f.resolve(r.Request)
 	if reqErr != nil {
-		f.writeError(w, reqErr)
-		return
+		return false, &rejection{err: reqErr, noBody: isHead(r.Request)}
 	}
-	reserved, reqErr := reserveBodyMemory(r, &dest)
-	if reqErr != nil {
-		f.writeError(w, reqErr)
-		return
+	release, ok := reserveServiceMemory(r, &dest)
+	if !ok {
+		return false, &rejection{err: noMemoryError(&dest), noBody: isHead(r.Request)}
 	}
-	if reserved > 0 {
-		defer dest.Memory.Release(reserved)
+	defer release()
+	memory := f.newRequestMemory(r)
+	defer memory.claim.Release()
+	body := bodyReader{conn: c, length: r.ContentLength, memory: memory}
+	r.body, rejected = body.read(len(r.Header["Expect"]) > 0)
+	if rejected != nil {
+		if rejected.err == errNoMemory {
+			rejected.err = noMemoryError(&dest)
+		}
+		return false, rejected
 	}
-	body, reqErr := readBody(w, r, conn, &dest)
+	answer, reqErr := f.forward(c, r, dest)
 	if reqErr != nil {
-		f.writeError(w, reqErr)
-		return
+		return false, &rejection{err: reqErr, noBody: isHead(r.Request)}
 	}
-	answer, reqErr := f.forward(r, arrived, dest, body)
-	if reqErr != nil {
-		f.writeError(w, reqErr)
-		return
+	return f.writeAnswer(c, r, answer), nil
+}
+
+// resolve returns the destination of a request, if the request is valid.
+func (f *Front) resolve(r *http.Request) (front.Destination, *front.RequestError) {
+	if r.ProtoMinor == 0 {
+		return front.Destination{}, errVersion
 	}
-	if last := conn.beginResponse(); last {
-		w.Header().Set("Connection", "close")
+	dest, reqErr := f.cfg.Resolver.Resolve(r)
+	if reqErr == nil {
+		reqErr = checkBody(r, &dest)
 	}
-	f.writeAnswer(w, answer)
+	return dest, reqErr
 }
 
-// serveHealth responds to a health check.
-func (f *Front) serveHealth(w http.ResponseWriter) {
-	if f.cfg.IsHealthy() && !f.draining.Load() {
-		w.WriteHeader(http.StatusOK)
-		return
-	}
-	w.Header().Set("Connection", "close")
-	w.WriteHeader(http.StatusServiceUnavailable)
+// healthPath is the path of health checks.
+const healthPath = "/_health"
+
+// serveHealth responds to a health check and reports whether the connection stays open.
+func (f *Front) serveHealth(c *clientConn, r *clientRequest) (keep bool) {
+	resp := &core.Response{StatusCode: http.StatusOK}
+	if !f.cfg.IsHealthy() || f.draining.Load() {
+		resp.StatusCode = http.StatusServiceUnavailable
+	}
+	last := resp.StatusCode != http.StatusOK || r.ContentLength > 0
+	return f.writeResponse(c, r, resp, 0, last)
 }
 
 // forward passes a request to the pool of its destination and waits for the answer. A pool may
 // close after the resolver has selected it. That pool has not forwarded the request, so the request
 // is resolved again.
-func (f *Front) forward(
-	r *http.Request, arrived time.Time, dest front.Destination, body []byte,
-) (core.Answer, *front.RequestError) {
+func (f *Front) forward(c *clientConn, r *clientRequest, dest front.Destination) (core.Answer, *front.RequestError) {
 	for n := 1; ; n++ {
-		answer := f.forwardOnce(r, arrived, &dest, body)
+		answer := f.forwardOnce(c, r, &dest)
 		if answer.Verdict != core.NotAdmitted || n == maxForwards {
 			return answer, nil
 		}
-		next, reqErr := f.cfg.Resolver.Resolve(r)
+		next, reqErr := f.cfg.Resolver.Resolve(r.Request)
 		if reqErr != nil {
 			return core.Answer{}, reqErr
 		}
@@ -86,14 +90,14 @@
 
 // forwardOnce passes a request to one pool and waits for the answer. If the client disconnects, the
 // request is canceled.
-func (f *Front) forwardOnce(r *http.Request, arrived time.Time, dest *front.Destination, body []byte) core.Answer {
+func (f *Front) forwardOnce(c *clientConn, r *clientRequest, dest *front.Destination) core.Answer {
 	req := &core.Request{
 		Request: logic.Request{
 			ID: dest.ID, Class: dest.Class, Tenant: dest.Tenant, Key: dest.Key,
-			ClientDeadline: dest.Pool.Clock().At(arrived.Add(dest.Timeout)),
+			ClientDeadline: dest.Pool.Clock().At(r.arrived.Add(dest.Timeout)),
 		},
 		Method: r.Method, Target: dest.Target, Host: r.Host,
-		Header: forwardedHeader(r.Header, dest.Header), Body: body,
+		Header: forwardedHeader(r.Header, dest.Header), Body: r.body,
 	}
 	if f.noNewConns.Load() {
 		req.ClientConnections, req.IdleClientConnections = f.conns.clientConnections()
@@ -101,8 +105,69 @@
 	if dest.Mirror != nil {
 		dest.Mirror(req)
 	}
-	// net/http cancels the context when the client disconnects.
-	stop := context.AfterFunc(r.Context(), func() { dest.Pool.Cancel(req) })
-	defer stop()
+	watch := c.watchForDisconnect(func() { dest.Pool.Cancel(req) })
+	defer watch.stop()
 	return dest.Pool.Do(req)
 }
+
+// writeAnswer writes the answer of a pool and releases its response. It reports whether the
+// connection stays open.
+func (f *Front) writeAnswer(c *clientConn, r *clientRequest, answer core.Answer) (keep bool) {
+	defer answer.Response.Close()
+	if answer.Verdict == core.Canceled {
+		return false // the client has gone
+	}
+	resp := answer.Response
+	if resp == nil {
+		resp = &core.Response{StatusCode: verdictStatus(answer.Verdict)}
+	}
+	retryAfter := time.Duration(answer.RetryAfter) * time.Microsecond
+	return f.writeResponse(c, r, resp, retryAfter, answer.Verdict == core.Rejected)
+}
+
+// writeResponse writes a response and reports whether the connection stays open. The connection
+// closes if last is set, if the client wants that, or if the front is closing its connections.
+func (f *Front) writeResponse(
+	c *clientConn, r *clientRequest, resp *core.Response, retryAfter time.Duration, last bool,
+) (keep bool) {
+	last = last || c.isTruncated() || r.Close || f.closing.Load()
+	w := responseWriter{conn: c, noBody: isHead(r.Request), last: last}
+	if w.write(resp, retryAfter) != nil {
+		return false
+	}
+	if last && socket.PeekState(c.Conn) == socket.Readable {
+		c.linger()
+	}
+	return !last
+}
+
+// hopByHopFields are the names of the fields that concern a single connection (RFC 9110, section
+// 7.6.1) or the framing of the message.
+var hopByHopFields = [...]string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+// forwardedHeader returns the fields of a request that are forwarded: all fields but those that
+// concern the connection, with replacements in place of the client's fields of the same names. It
+// deletes the fields that are not forwarded from h.
+func forwardedHeader(h http.Header, replacements []core.HeaderField) []core.HeaderField {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHopFields {
+		delete(h, name)
+	}
+	for _, field := range replacements {
+		delete(h, field.Name)
+	}
+	fields := make([]core.HeaderField, 0, len(h)+len(replacements))
+	for name, values := range h {
+		for _, value := range values {
+			fields = append(fields, core.HeaderField{Name: name, Value: value})
+		}
+	}
+	return append(fields, replacements...)
+}
--- a/internal/front/http1/helpers_test.go
+++ b/internal/front/http1/helpers_test.go
@@ -92,6 +92,9 @@
 	}, nil
 }
 
+// ampleMemory returns more memory than the requests of a test need.
+func ampleMemory() *front.RequestMemory { return front.NewRequestMemory(1<<30, 1<<30) }
+
 // unlimitedQuota is a DescriptorQuota without a limit.
 type unlimitedQuota struct{}
 
@@ -114,10 +117,16 @@
 
 // serve runs a front for a pool until the test ends.
 func serve(t *testing.T, l net.Listener, pool *gatedPool) *Front {
+	t.Helper()
+	return serveWithMemory(t, l, pool, ampleMemory())
+}
+
+// serveWithMemory is serve with a limit of the memory of requests.
+func serveWithMemory(t *testing.T, l net.Listener, pool *gatedPool, memory *front.RequestMemory) *Front {
 	t.Helper()
 	f := New(Config{
-		Listener: l, Resolver: pool, IsHealthy: func() bool { return true }, MaxTimeout: time.Minute,
-		Quota: unlimitedQuota{}, Log: slog.New(slog.DiscardHandler),
+		Listener: l, Resolver: pool, IsHealthy: func() bool { return true },
+		Quota: unlimitedQuota{}, Memory: memory, Log: slog.New(slog.DiscardHandler),
 	})
 	ended := make(chan error, 1)
 	go func() { ended <- f.Serve() }()
@@ -172,7 +181,7 @@
 	return func() bool {
 		f.conns.mu.Lock()
 		defer f.conns.mu.Unlock()
-		for _, c := range f.conns.conns {
+		for c := range f.conns.conns {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			return check(c)
@@ -181,20 +190,17 @@
 	}
 }
 
-// acceptConn returns a connection that a connTracker has accepted and that net/http does not know,
-// and its peer.
+// acceptConn returns a connection that a connTracker has accepted and that nothing serves, and its
+// peer.
 func acceptConn(t *testing.T) (tracker *connTracker, c *clientConn, peer net.Conn) {
 	t.Helper()
-	tracker = newConnTracker(listen(t), unlimitedQuota{})
-	peer, _ = dial(t, tracker)
-	netConn, err := tracker.Accept()
+	l := listen(t)
+	tracker = newConnTracker(l, unlimitedQuota{}, ampleMemory())
+	peer, _ = dial(t, l)
+	c, err := tracker.accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	closeAtEnd(t, netConn)
-	c, ok := netConn.(*clientConn)
-	if !ok {
-		t.Fatalf("accepted connection is a %T, want *clientConn", netConn)
-	}
+	closeAtEnd(t, c)
 	return tracker, c, peer
 }
--- a/internal/front/http1/listener.go
+++ b/internal/front/http1/listener.go
@@ -11,17 +11,17 @@
 	maxEvictions = 4 // connections that are closed to make room for one
 
 	pendingWait    = 20 * time.Millisecond // wait for connections in the kernel's queue before the listener is closed
-	pendingTimeout = time.Second           // limit of acceptPending if Accept is not running
+	pendingTimeout = time.Second           // limit of acceptPending if accept is not running
 )
 
-// Accept returns the next connection for which there is room. It returns net.ErrClosed once
+// accept returns the next connection for which there is room. It returns net.ErrClosed once
 // acceptPending has found no pending connection.
-func (t *connTracker) Accept() (net.Conn, error) {
+func (t *connTracker) accept() (*clientConn, error) {
 	for retried := false; ; {
-		netConn, err := t.Listener.Accept()
+		netConn, err := t.listener.Accept()
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded) && !retried:
-			// The deadline may have passed before Accept looked for pending connections. A second
+			// The deadline may have passed before accept looked for pending connections. A second
 			// call looks first and then waits.
 			retried = true
 			t.setAcceptDeadline(time.Now().Add(pendingWait))
@@ -44,18 +44,18 @@
 	}
 }
 
-// setAcceptDeadline makes Accept return at the deadline. A listener without deadlines is closed.
+// setAcceptDeadline makes accept return at the deadline. A listener without deadlines is closed.
 func (t *connTracker) setAcceptDeadline(deadline time.Time) {
-	l, ok := t.Listener.(interface {
+	l, ok := t.listener.(interface {
 		SetDeadline(deadline time.Time) error
 	})
 	if !ok || l.SetDeadline(deadline) != nil {
-		_ = t.Close() // Accept returns the error as well
+		_ = t.listener.Close() // accept returns the error as well
 	}
 }
 
 // acceptPending waits for a connection that the kernel has already accepted and reports whether
-// there was one. If there was none, Accept has returned. It must not be called concurrently.
+// there was one. If there was none, accept has returned. It must not be called concurrently.
 func (t *connTracker) acceptPending() bool {
 	t.setAcceptDeadline(time.Now().Add(pendingWait))
 	t.pendingWanted.Store(true)
@@ -72,7 +72,7 @@
 // admit adds a connection to the open connections. It returns nil if there is no room for the
 // connection.
 func (t *connTracker) admit(netConn net.Conn) *clientConn {
-	c, err := newClientConn(netConn)
+	c, err := newClientConn(netConn, t.memory)
 	if err != nil {
 		return nil
 	}
@@ -83,7 +83,11 @@
 			return nil
 		}
 	}
-	t.conns[c] = c
+	if t.closed {
+		t.quota.Release()
+		return nil
+	}
+	t.conns[c] = true
 	t.moveTo(c, t.silent)
 	return c
 }
--- a/internal/front/http1/pipeline_test.go
+++ b/internal/front/http1/pipeline_test.go
@@ -8,8 +8,7 @@
 	"fernlanding/internal/socket"
 )
 
-// net/http detects a disconnect by reading one byte after a request, and stops looking once it has
-// received that byte. It does not detect the disconnect of a client that has sent more.
+// A disconnect is detected also if the client has sent more after its request.
 func TestDisconnectIsDetectedAfterPipelinedBytes(t *testing.T) {
 	for _, c := range []struct {
 		name, body, pipelined string
@@ -65,7 +64,7 @@
 	receive(t, "request", pool.admitted)
 	send(t, conn, getRequest("2")+getRequest("3"))
 	hasKept := func(n int, cut bool) func() bool {
-		return onlyConn(f, func(c *clientConn) bool { return len(c.pipelined) == n && c.pipelineTruncated == cut })
+		return onlyConn(f, func(c *clientConn) bool { return len(c.received) == n && c.truncated == cut })
 	}
 	waitUntil(t, hasKept(len(getRequest("2")+getRequest("3")), false))
 	if f.conns.closeIdle(0) != 1 {
@@ -103,7 +102,7 @@
 	readResponse(t, r, id)
 	body := strings.Repeat("b", 60<<10)
 	send(t, conn, fmt.Sprintf("POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
-	waitUntil(t, onlyConn(f, func(c *clientConn) bool { return c.pipelineTruncated || !socket.IsIdle(c.Conn) }))
+	waitUntil(t, onlyConn(f, func(c *clientConn) bool { return c.truncated || !socket.IsIdle(c.Conn) }))
 	close(pool.gate)
 	close(ended)
 	readResponse(t, r, "2")
--- /dev/null
+++ b/internal/front/http1/reject.go
@@ -0,0 +1,73 @@
+package http1
+
+import (
+	"net/http"
+	"time"
+
+	"fernlanding/internal/core"
+	"fernlanding/internal/front"
+)
+
+const (
+	// errorLingerTimeout is how long the front reads what the client of a rejected request still
+	// sends, so that the client can read its response. maxErrorLinger is the limit in bytes.
+	errorLingerTimeout = 500 * time.Millisecond
+	maxErrorLinger     = 256 << 10
+)
+
+// rejection is a request that is not forwarded, and the reason.
+type rejection struct {
+	err    *front.RequestError
+	noBody bool  // the response has no body, because the method is HEAD
+	unread int64 // bytes of the body that are read first, because the request is valid
+}
+
+// reject responds to a request that is not forwarded. The connection closes afterwards, because the
+// bytes that follow may not be the next request.
+func (f *Front) reject(c *clientConn, r *rejection) {
+	if r.unread > 0 && c.discardBody(r.unread) != nil {
+		r.err = errBodyBrokeOff
+	}
+	f.conns.requestRejected(c)
+	resp := &core.Response{
+		StatusCode: r.err.Status,
+		Header:     []core.HeaderField{{Name: "Content-Type", Value: "text/plain"}},
+		Body:       []byte(r.err.Reason + "\n"),
+	}
+	if r.err.Allow != "" {
+		resp.Header = append(resp.Header, core.HeaderField{Name: "Allow", Value: r.err.Allow})
+	}
+	w := responseWriter{conn: c, noBody: r.noBody, last: true}
+	if w.write(resp, r.err.RetryAfter) == nil {
+		c.linger()
+	}
+}
+
+// linger ends the stream to the client and reads what the client still sends. A close with unread
+// bytes would reset the connection, and the client might not receive its response.
+func (c *clientConn) linger() {
+	if c.closeWrite() != nil {
+		return
+	}
+	c.setReadDeadline(time.Now().Add(errorLingerTimeout))
+	for n := int64(maxErrorLinger); n > 0; {
+		read, err := c.awaitRead(c.dropAvailable)
+		if err != nil {
+			return
+		}
+		n -= int64(read)
+	}
+}
+
+// dropAvailable reads and drops bytes that have arrived, without waiting. It holds no buffer
+// afterwards.
+func (c *clientConn) dropAvailable(fd uintptr) (int, error) {
+	chunk, _ := readChunks.Get().(*[readChunk]byte)
+	defer readChunks.Put(chunk)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readAvailableLocked(fd, chunk[:])
+}
+
+// isHead reports whether a request wants a response without its body.
+func isHead(r *http.Request) bool { return r.Method == http.MethodHead }
--- a/internal/front/http1/response.go
+++ b/internal/front/http1/response.go
@@ -3,43 +3,82 @@
 import (
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"fernlanding/internal/core"
-	"fernlanding/internal/front"
 )
 
-// errorLingerTimeout is how long the front reads what the client of an invalid request still sends,
-// so that the client can read its error response.
-const errorLingerTimeout = 500 * time.Millisecond
+// maxSmallResponse is the size in bytes up to which head and body of a response are written at once.
+const maxSmallResponse = 4 << 10
 
-// writeError responds to a request that is not forwarded. The connection closes afterwards, because
-// the bytes that follow may not be the next request.
-func (f *Front) writeError(w http.ResponseWriter, reqErr *front.RequestError) {
-	// net/http reads the rest of a body before it closes the connection. The rest may never arrive.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(errorLingerTimeout))
-	if reqErr.Allow != "" {
-		w.Header().Set("Allow", reqErr.Allow)
+// responseWriter writes one response to a connection.
+type responseWriter struct {
+	conn   *clientConn
+	noBody bool // the response has no body, because the method is HEAD
+	last   bool // the connection closes after the response
+}
+
+// responseBuffers is a pool of buffers of type *[]byte.
+var responseBuffers = sync.Pool{New: func() any { return new(make([]byte, 0, maxSmallResponse)) }}
+
+// write writes a response, with Retry-After if retryAfter is more than 0.
+func (w *responseWriter) write(resp *core.Response, retryAfter time.Duration) error {
+	buffer, _ := responseBuffers.Get().(*[]byte)
+	defer responseBuffers.Put(buffer)
+	b := w.appendHead((*buffer)[:0], resp, retryAfter)
+	body := resp.Body
+	if w.noBody {
+		body = nil
 	}
-	f.writeResponse(w, &core.Response{
-		StatusCode: reqErr.Status,
-		Header:     []core.HeaderField{{Name: "Content-Type", Value: "text/plain"}},
-		Body:       []byte(reqErr.Reason + "\n"),
-	}, reqErr.RetryAfter, true)
+	if len(b)+len(body) <= maxSmallResponse {
+		b, body = append(b, body...), nil
+	}
+	_ = w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // the write reports that the connection is closed
+	_, err := w.conn.Write(b)
+	if err == nil && len(body) > 0 {
+		_, err = w.conn.Write(body)
+	}
+	return err
 }
 
-// writeAnswer writes the answer of a pool and releases its response.
-func (f *Front) writeAnswer(w http.ResponseWriter, answer core.Answer) {
-	defer answer.Response.Close()
-	if answer.Verdict == core.Canceled {
-		panic(http.ErrAbortHandler) // a return would send a response with status 200
+// appendHead appends the head of a response to b.
+func (w *responseWriter) appendHead(b []byte, resp *core.Response, retryAfter time.Duration) []byte {
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(resp.StatusCode), 10)
+	b = append(b, ' ')
+	b = append(b, http.StatusText(resp.StatusCode)...)
+	b = append(b, "\r\n"...)
+	hasDate, hasLength := false, false
+	for _, field := range resp.Header {
+		hasDate = hasDate || field.Name == "Date"
+		hasLength = hasLength || field.Name == "Content-Length"
+		b = appendField(b, field.Name, field.Value)
 	}
-	resp := answer.Response
-	if resp == nil {
-		resp = &core.Response{StatusCode: verdictStatus(answer.Verdict)}
+	if !hasDate {
+		b = append(b, "Date: "...)
+		b = time.Now().UTC().AppendFormat(b, http.TimeFormat)
+		b = append(b, "\r\n"...)
 	}
-	retryAfter := time.Duration(answer.RetryAfter) * time.Microsecond
-	f.writeResponse(w, resp, retryAfter, answer.Verdict == core.Rejected)
+	// A response to HEAD gives the length of a body that it does not have.
+	if !hasLength && statusAllowsBody(resp.StatusCode) {
+		b = appendField(b, "Content-Length", strconv.Itoa(len(resp.Body)))
+	}
+	if retryAfter > 0 {
+		b = appendField(b, "Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	}
+	if w.last {
+		b = appendField(b, "Connection", "close")
+	}
+	return append(b, "\r\n"...)
+}
+
+// appendField appends a header field line.
+func appendField(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
 }
 
 // verdictStatus returns the status for a verdict without a response from a backend.
@@ -56,30 +95,6 @@
 	}
 }
 
-// writeResponse writes a response, with Retry-After if retryAfter is more than 0. The connection
-// closes after the response if last is set or the front is closing its connections.
-func (f *Front) writeResponse(w http.ResponseWriter, resp *core.Response, retryAfter time.Duration, last bool) {
-	h := w.Header()
-	h["Content-Type"] = nil // prevents net/http from guessing one
-	for _, field := range resp.Header {
-		h[field.Name] = append(h[field.Name], field.Value)
-	}
-	if last || f.closing.Load() {
-		h["Connection"] = []string{"close"}
-	}
-	// A response to HEAD gives the length of a body that it does not have.
-	if statusAllowsBody(resp.StatusCode) && h["Content-Length"] == nil {
-		h["Content-Length"] = []string{strconv.Itoa(len(resp.Body))}
-	}
-	if retryAfter > 0 {
-		h["Retry-After"] = []string{strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64)}
-	}
-	w.WriteHeader(resp.StatusCode)
-	if len(resp.Body) > 0 {
-		_, _ = w.Write(resp.Body) // a client that has disconnected is not an error
-	}
-}
-
 // statusAllowsBody reports whether a response of this status may have a body (RFC 9110, section
 // 15).
 func statusAllowsBody(status int) bool {
--- a/internal/front/http1/tracker.go
+++ b/internal/front/http1/tracker.go
@@ -3,10 +3,11 @@
 import (
 	"container/list"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"fernlanding/internal/front"
 )
 
 const (
@@ -33,45 +34,49 @@
 // that has been silent or idle longest. If all connections carry requests, it closes the new
 // connection at once.
 type connTracker struct {
-	net.Listener
-	quota DescriptorQuota // limit of open connections
+	listener net.Listener
+	quota    DescriptorQuota      // limit of open connections
+	memory   *front.RequestMemory // limit of the memory of requests
 
 	pendingWanted atomic.Bool // acceptPending waits for the next connection
 	pendingFound  chan bool   // reports whether there was one
 
-	mu     sync.Mutex
-	conns  map[net.Conn]*clientConn
-	silent *list.List // of *clientConn that have never carried a request, oldest first
-	idle   *list.List // of *clientConn between two requests, longest idle first
+	mu       sync.Mutex // guards the fields below
+	closed   bool
+	conns    map[*clientConn]bool
+	silent   *list.List // of *clientConn that have never carried a request, oldest first
+	idle     *list.List // of *clientConn between two requests, longest idle first
+	rejected *list.List // of *clientConn whose request was invalid, oldest first
 }
 
 // newConnTracker returns a connTracker that accepts from a listener.
-func newConnTracker(l net.Listener, quota DescriptorQuota) *connTracker {
+func newConnTracker(l net.Listener, quota DescriptorQuota, memory *front.RequestMemory) *connTracker {
 	return &connTracker{
-		Listener: l, quota: quota, pendingFound: make(chan bool, 1),
-		conns: map[net.Conn]*clientConn{}, silent: list.New(), idle: list.New(),
+		listener: l, quota: quota, memory: memory, pendingFound: make(chan bool, 1),
+		conns: map[*clientConn]bool{}, silent: list.New(), idle: list.New(), rejected: list.New(),
 	}
 }
 
-// onStateChange handles the states that net/http reports for a connection. A request is open from
-// StateActive, when its head has been read, to StateIdle, when its response has been written.
-func (t *connTracker) onStateChange(netConn net.Conn, state http.ConnState) {
+// requestStarted records that the head of a request has been read from a connection.
+func (t *connTracker) requestStarted(c *clientConn) { t.move(c, nil) }
+
+// requestEnded records that the response to the open request has been written.
+func (t *connTracker) requestEnded(c *clientConn) {
+	c.endRequest()
+	t.move(c, t.idle)
+}
+
+// requestRejected records that the open request is invalid. The connection may be closed at any
+// time from then on.
+func (t *connTracker) requestRejected(c *clientConn) { t.move(c, t.rejected) }
+
+// move moves a connection to the end of a list, unless the connection has been closed. A nil list
+// is that of the connections with a request.
+func (t *connTracker) move(c *clientConn, in *list.List) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := t.conns[netConn]
-	if c == nil {
-		return // evicted
-	}
-	switch state {
-	case http.StateNew: // admit has added the connection
-	case http.StateActive:
-		c.beginRequest()
-		t.moveTo(c, nil)
-	case http.StateIdle:
-		c.endRequest()
-		t.moveTo(c, t.idle)
-	case http.StateClosed, http.StateHijacked:
-		t.remove(c)
+	if t.conns[c] {
+		t.moveTo(c, in)
 	}
 }
 
@@ -87,24 +92,48 @@
 	}
 }
 
-// remove stops tracking a connection and releases its descriptor. The caller holds mu.
-func (t *connTracker) remove(c *clientConn) {
+// removeAndClose stops tracking a connection, closes it and releases its descriptor. It does nothing
+// if the connection has been closed.
+func (t *connTracker) removeAndClose(c *clientConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.removeAndCloseLocked(c)
+}
+
+// removeAndCloseLocked is removeAndClose for a caller that holds mu.
+func (t *connTracker) removeAndCloseLocked(c *clientConn) {
+	if !t.conns[c] {
+		return
+	}
 	t.moveTo(c, nil)
 	delete(t.conns, c)
+	close(c.closed)
+	_ = c.Close() // the error does not matter: the connection is no longer used
+	c.releaseReceived()
 	t.quota.Release()
 }
 
-// removeAndClose stops tracking a connection and closes it. The caller holds mu.
-func (t *connTracker) removeAndClose(c *clientConn) {
-	t.remove(c)
-	_ = c.Close() // the error does not matter: the connection is no longer used
+// close closes the listener and all connections.
+func (t *connTracker) close() {
+	_ = t.listener.Close() // the error is of no use: the listener is no longer needed
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	for c := range t.conns {
+		t.removeAndCloseLocked(c)
+	}
 }
 
 // evict closes one connection that carries no request and reports whether there was one. It tries
-// the oldest silent connections if the oldest is older than silentGracePeriod, then the connections
-// that have been idle longest, then the oldest silent connections of any age. The caller holds mu.
+// the oldest rejected connection, then the oldest silent connections if the oldest is older than
+// silentGracePeriod, then the connections that have been idle longest, then the oldest silent
+// connections of any age. The caller holds mu.
 func (t *connTracker) evict() bool {
 	now := time.Now()
+	if oldest := t.rejected.Front(); oldest != nil {
+		t.removeAndCloseLocked(connOf(oldest))
+		return true
+	}
 	if oldest := t.silent.Front(); oldest != nil && now.Sub(connOf(oldest).listedAt) > silentGracePeriod {
 		if t.evictFrom(t.silent, now) {
 			return true
@@ -120,7 +149,7 @@
 	for element := from.Front(); element != nil; element = element.Next() {
 		c := connOf(element)
 		if c.stopReadingIfIdle(now.Add(-recentReadWindow)) {
-			t.removeAndClose(c)
+			t.removeAndCloseLocked(c)
 			return true
 		}
 	}
@@ -145,7 +174,7 @@
 func (t *connTracker) clientConnections() (all, idle int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.conns) - t.silent.Len(), t.idle.Len()
+	return len(t.conns) - t.silent.Len() - t.rejected.Len(), t.idle.Len()
 }
 
 // closeIdle closes the connections that carry no request and returns how many connections remain.
@@ -154,7 +183,7 @@
 func (t *connTracker) closeIdle(minAge time.Duration) (remaining int) {
 	return t.closeIf(func(c *clientConn) bool {
 		mayClose := c.list == t.idle || c.list == t.silent && time.Since(c.listedAt) > minAge
-		return mayClose && c.stopReadingIfIdle(time.Time{})
+		return c.list == t.rejected || mayClose && c.stopReadingIfIdle(time.Time{})
 	})
 }
 
@@ -162,16 +191,18 @@
 // returns how many connections remain. In contrast to closeIdle, it also closes young silent
 // connections and connections on which only part of a head has arrived.
 func (t *connTracker) closeIdleOrPartial() (remaining int) {
-	return t.closeIf(func(c *clientConn) bool { return c.list != nil && c.stopReadingIfIdle(time.Now()) })
+	return t.closeIf(func(c *clientConn) bool {
+		return c.list == t.rejected || c.list != nil && c.stopReadingIfIdle(time.Now())
+	})
 }
 
 // closeIf closes the connections that mayClose accepts and returns how many connections remain.
 func (t *connTracker) closeIf(mayClose func(*clientConn) bool) (remaining int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, c := range t.conns {
+	for c := range t.conns {
 		if mayClose(c) {
-			t.removeAndClose(c)
+			t.removeAndCloseLocked(c)
 		} else {
 			remaining++
 		}
--- a/internal/sidecar/listeners.go
+++ b/internal/sidecar/listeners.go
@@ -16,18 +16,14 @@
 	if err != nil {
 		return err
 	}
-	maxTimeout := config.MaxDeadline
-	if app.Kind == config.Platform {
-		maxTimeout = app.Services[0].LongestDeadline()
-	}
 	for i, l := range app.Listeners {
 		s.fronts = append(s.fronts, http1.New(http1.Config{
-			Listener:   listeners[i],
-			Resolver:   &resolver{sidecar: s, listener: l.Name},
-			IsHealthy:  s.isHealthy,
-			MaxTimeout: maxTimeout,
-			Quota:      descriptorQuota{allocator: s.shared.descriptors, consumer: config.ClientsConsumer},
-			Log:        s.log,
+			Listener:  listeners[i],
+			Resolver:  &resolver{sidecar: s, listener: l.Name},
+			IsHealthy: s.isHealthy,
+			Quota:     descriptorQuota{allocator: s.shared.descriptors, consumer: config.ClientsConsumer},
+			Memory:    s.shared.requestMemory,
+			Log:       s.log,
 		}))
 	}
 	s.shared.descriptors.setReclaimer(config.ClientsConsumer, s.closeIdleClient)
--- a/internal/sidecar/shared_resources.go
+++ b/internal/sidecar/shared_resources.go
@@ -6,6 +6,7 @@
 
 	"fernlanding/internal/config"
 	"fernlanding/internal/core"
+	"fernlanding/internal/front"
 )
 
 // duplicateIDWait is the time within which the disconnect of a client is detected, even after a
@@ -17,9 +18,10 @@
 	clock             core.Clock
 	log               *slog.Logger
 	descriptors       *allocator
-	memory            *allocator // nil on the platform
-	memoryMB          float64    // memory limit of the process
-	recentStarts      int        // recorded recent starts of this sidecar, without the current one
+	memory            *allocator           // nil on the platform
+	requestMemory     *front.RequestMemory // of all fronts
+	memoryMB          float64              // memory limit of the process
+	recentStarts      int                  // recorded recent starts of this sidecar, without the current one
 	duplicateIDWait   time.Duration
 	sharedListService bool           // lists come from a service that all replicas share, not from a local agent
 	stateDir          string         // directory of cached lists; empty if lists are not cached
@@ -54,6 +56,8 @@
 	if err != nil {
 		return err
 	}
+	bounds := app.RequestMemory()
+	r.requestMemory = front.NewRequestMemory(bounds.Total, bounds.Unfinished)
 	if app.Kind != config.Application {
 		return nil
 	}
