Pace the responses to invalid requests and the acceptance of connections

The number of rejections is the cause, the cost of each makes it worse.

Responses to invalid requests get 400 a second for each core after a burst of 50, with a delay of a second at most; a connection that waits for one is the first to be evicted, and what it had sent is dropped. Four connections are accepted in a millisecond for each core. A connection pauses for 2 ms after an answer without an attempt. 503 to valid requests is not paced.

--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -192,7 +192,20 @@
 func (c *clientConn) releaseReceived() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readsStopped, c.received = true, nil
+	c.readsStopped = true
+	c.dropReceivedLocked()
+}
+
+// dropReceived drops received, because the connection closes after the next response.
+func (c *clientConn) dropReceived() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropReceivedLocked()
+}
+
+// dropReceivedLocked is dropReceived for a caller that holds mu.
+func (c *clientConn) dropReceivedLocked() {
+	c.received = nil
 	c.receivedMemory.Release()
 }
 
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -6,7 +6,7 @@
 // (response.go). Requests that are not forwarded are rejected (reject.go). The connTracker tracks
 // which connections carry a request (tracker.go). While a request is in flight, a disconnectWatch
 // reads what its client sends (watch.go). Drain ends the service without losing a request
-// (drain.go).
+// (drain.go). What clients can cost is bounded by memory (body.go) and by pace (pace.go).
 //
 // The package keeps these rules of docs/design/crossings.md:
 //
@@ -27,6 +27,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"runtime"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -61,6 +62,8 @@
 type Front struct {
 	cfg        Config
 	conns      *connTracker
+	rejections *rejectionPacer
+	accepts    acceptPacer // used by Serve only
 	draining   atomic.Bool // health checks fail
 	noNewConns atomic.Bool // clients may be unable to open new connections to this replica
 	closing    atomic.Bool // each connection closes after its response
@@ -68,7 +71,11 @@
 
 // New returns a Front, which accepts connections once Serve is called.
 func New(cfg Config) *Front {
-	return &Front{cfg: cfg, conns: newConnTracker(cfg.Listener, cfg.Quota, cfg.Memory)}
+	cores := runtime.GOMAXPROCS(0)
+	return &Front{
+		cfg: cfg, conns: newConnTracker(cfg.Listener, cfg.Quota, cfg.Memory),
+		rejections: newRejectionPacer(cores), accepts: acceptPacer{batch: acceptBatch * cores},
+	}
 }
 
 // Addr returns the address that clients connect to.
@@ -81,6 +88,7 @@
 		switch {
 		case err == nil:
 			go f.serveConn(c)
+			time.Sleep(f.accepts.delay(time.Now()))
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case isTemporaryAcceptError(err):
--- a/internal/front/http1/handler.go
+++ b/internal/front/http1/handler.go
@@ -42,6 +42,7 @@
 	if reqErr != nil {
 		return false, &rejection{err: reqErr, noBody: isHead(r.Request)}
 	}
+	r.unforwarded = answer.Verdict == core.Shed
 	return f.writeAnswer(c, r, answer), nil
 }
 
@@ -66,6 +67,7 @@
 	if !f.cfg.IsHealthy() || f.draining.Load() {
 		resp.StatusCode = http.StatusServiceUnavailable
 	}
+	r.unforwarded = true
 	last := resp.StatusCode != http.StatusOK || r.ContentLength > 0
 	return f.writeResponse(c, r, resp, 0, last)
 }
--- a/internal/front/http1/head.go
+++ b/internal/front/http1/head.go
@@ -40,6 +40,7 @@
 	headSize      int
 	arrived       time.Time
 	body          []byte
+	unforwarded   bool // it has been answered without an attempt, as far as the front knows
 }
 
 // badRequest returns the error of an invalid request.
--- a/internal/front/http1/helpers_test.go
+++ b/internal/front/http1/helpers_test.go
@@ -84,8 +84,14 @@
 // Cancel implements front.Pool.
 func (p *gatedPool) Cancel(r *core.Request) { p.cancels <- r }
 
+// invalidPath is the path of requests that gatedPool rejects.
+const invalidPath = "invalid"
+
 // Resolve implements front.Resolver. The path of a request is its ID.
 func (p *gatedPool) Resolve(r *http.Request) (front.Destination, *front.RequestError) {
+	if r.URL.Path == "/"+invalidPath {
+		return front.Destination{}, badRequest("invalid path")
+	}
 	return front.Destination{
 		Pool: p, ID: strings.TrimPrefix(r.URL.Path, "/"), Tenant: -1, Target: r.RequestURI,
 		Timeout: time.Minute, MaxBody: 64 << 10,
@@ -124,10 +130,24 @@
 // serveWithMemory is serve with a limit of the memory of requests.
 func serveWithMemory(t *testing.T, l net.Listener, pool *gatedPool, memory *front.RequestMemory) *Front {
 	t.Helper()
-	f := New(Config{
+	cfg := testConfig(l, pool)
+	cfg.Memory = memory
+	f := New(cfg)
+	run(t, f)
+	return f
+}
+
+// testConfig returns the configuration of a front without limits.
+func testConfig(l net.Listener, pool *gatedPool) Config {
+	return Config{
 		Listener: l, Resolver: pool, IsHealthy: func() bool { return true },
-		Quota: unlimitedQuota{}, Memory: memory, Log: slog.New(slog.DiscardHandler),
-	})
+		Quota: unlimitedQuota{}, Memory: ampleMemory(), Log: slog.New(slog.DiscardHandler),
+	}
+}
+
+// run runs a front until the test ends.
+func run(t *testing.T, f *Front) {
+	t.Helper()
 	ended := make(chan error, 1)
 	go func() { ended <- f.Serve() }()
 	t.Cleanup(func() {
@@ -136,7 +156,6 @@
 			t.Error(err)
 		}
 	})
-	return f
 }
 
 // dial connects to a listener.
--- a/internal/front/http1/reject.go
+++ b/internal/front/http1/reject.go
@@ -23,12 +23,17 @@
 }
 
 // reject responds to a request that is not forwarded. The connection closes afterwards, because the
-// bytes that follow may not be the next request.
+// bytes that follow may not be the next request. Responses to invalid requests are paced; until then
+// and afterwards the connection is the first to be closed for a new one.
 func (f *Front) reject(c *clientConn, r *rejection) {
 	if r.unread > 0 && c.discardBody(r.unread) != nil {
 		r.err = errBodyBrokeOff
 	}
 	f.conns.requestRejected(c)
+	c.dropReceived()
+	if r.err.Status != http.StatusServiceUnavailable && !c.pause(f.rejections.delay(time.Now())) {
+		return
+	}
 	resp := &core.Response{
 		StatusCode: r.err.Status,
 		Header:     []core.HeaderField{{Name: "Content-Type", Value: "text/plain"}},
--- a/internal/front/http1/serve.go
+++ b/internal/front/http1/serve.go
@@ -37,10 +37,11 @@
 		f.reject(c, rejected)
 		return false
 	}
-	if keep {
-		f.conns.requestEnded(c)
+	if !keep {
+		return false
 	}
-	return keep
+	f.conns.requestEnded(c)
+	return !r.unforwarded || c.pause(unforwardedInterval)
 }
 
 // readRequest waits for the next head and parses it. The error is a *front.RequestError if the
--- a/internal/front/http1/watch.go
+++ b/internal/front/http1/watch.go
@@ -101,7 +101,7 @@
 	c.appendReceivedLocked(b[:room])
 	c.truncated = room < len(b)
 	if !c.claimReceivedLocked() {
-		c.received, c.truncated = nil, true
-		c.receivedMemory.Release()
+		c.truncated = true
+		c.dropReceivedLocked()
 	}
 }
