Reserve a request's ID at the end of its head, and remember it for a while

Cause: core.Pool knew an ID only from Do, after the body, until the answer. ReserveID now takes it when the head is complete; ReleaseID frees it if the body never comes, since nothing was forwarded then. On the platform, where no ID comes twice, the ID of a request that has ended is not accepted for twice the longest deadline. An application's callers may send a failed attempt again under its ID, so there it is free at the end.

--- a/internal/core/duplicate_id_test.go
+++ b/internal/core/duplicate_id_test.go
@@ -12,7 +12,7 @@
 	t.Helper()
 	for deadline := time.Now().Add(testTimeout); time.Now().Before(deadline); {
 		p.mu.Lock()
-		earlier := p.requests[id]
+		earlier := p.idHolders[id]
 		isAwaited := earlier != nil && earlier.done != nil
 		p.mu.Unlock()
 		if isAwaited {
@@ -108,3 +108,43 @@
 	}
 	receive(t, "first answer", firstAnswer)
 }
+
+// A reserved ID belongs to its request until the reservation is released, or, with a window, until
+// some time after the answer.
+func TestReservedIDBelongsToItsRequest(t *testing.T) {
+	up := newScriptedUpstream(func(*Attempt) AttemptResult {
+		return AttemptResult{Status: logic.OK, Response: &Response{StatusCode: 200}}
+	})
+	for _, window := range []time.Duration{0, time.Hour} {
+		p := startPool(t, up)
+		if window > 0 {
+			p.forwardedIDs, p.unforwardedIDs = newRecentIDs(window.Microseconds()), newRecentIDs(window.Microseconds())
+		}
+		released, first := newRequest(p, "1", 0, testTimeout), newRequest(p, "1", 0, testTimeout)
+		if !p.ReserveID(released) || p.ReserveID(first) {
+			t.Fatalf("window %v: the ID does not belong to the first request alone", window)
+		}
+		p.ReleaseID(first) // has no effect: the ID belongs to the other request
+		if ans := p.Do(first); ans.Verdict != Rejected {
+			t.Errorf("window %v, ID of another request: got %+v, want verdict Rejected", window, ans)
+		}
+		p.ReleaseID(released)
+		if !p.ReserveID(first) {
+			t.Fatalf("window %v: released ID is not free", window)
+		}
+		if ans := p.Do(first); ans.Verdict != Served {
+			t.Errorf("window %v: got %+v, want verdict Served", window, ans)
+		}
+		p.ReleaseID(first)
+		want := Served
+		if window > 0 {
+			want = Rejected
+		}
+		if ans := p.Do(newRequest(p, "1", 0, testTimeout)); ans.Verdict != want {
+			t.Errorf("window %v, after the answer: got %+v, want verdict %v", window, ans, want)
+		}
+		if len(p.idHolders) != 0 {
+			t.Errorf("window %v: %d IDs are still reserved", window, len(p.idHolders))
+		}
+	}
+}
--- a/internal/core/lifecycle.go
+++ b/internal/core/lifecycle.go
@@ -1,27 +1,15 @@
 package core
 
-import (
-	"time"
-
-	"fernlanding/logic"
-)
+import "fernlanding/logic"
 
 // Do handles a request and returns its only answer, at the latest shortly after the request's
 // ClientDeadline. Do executes the request's attempts on the caller's goroutine, one at a time.
 func (p *Pool) Do(r *Request) Answer {
 	p.mu.Lock()
-	p.waitForEarlierLocked(r)
-	if r.answered { // canceled before the pool accepted it
-		p.mu.Unlock()
-		return r.answer
-	}
-	if p.closed {
+	if answer, ok := p.admitLocked(r); !ok {
+		p.releaseIDLocked(r)
 		p.mu.Unlock()
-		return Answer{Verdict: NotAdmitted}
-	}
-	if p.requests[r.ID] != nil { // requests with the same ID cannot be distinguished
-		p.mu.Unlock()
-		return Answer{Verdict: Rejected}
+		return answer
 	}
 	p.activeCalls.Add(1)
 	defer p.activeCalls.Done()
@@ -41,26 +29,19 @@
 	return r.answer
 }
 
-// waitForEarlierLocked waits for the end of an earlier request with the same ID as r. The wait
-// lasts at most Config.DuplicateIDWait and ends at the client deadline of r. The lock is released
-// during the wait.
-func (p *Pool) waitForEarlierLocked(r *Request) {
-	earlier := p.requests[r.ID]
-	if earlier == nil || p.duplicateIDWait == 0 {
-		return
-	}
-	if earlier.done == nil {
-		earlier.done = make(chan struct{})
-	}
-	done := earlier.done
-	p.mu.Unlock()
-	defer p.mu.Lock()
-	timeout := time.NewTimer(min(p.duplicateIDWait, time.Until(p.clock.Time(r.ClientDeadline))))
-	defer timeout.Stop()
-	select {
-	case <-done:
-	case <-timeout.C:
-	}
+// admitLocked reserves the ID of a request. It returns false, with the answer, if the pool does not
+// accept the request.
+func (p *Pool) admitLocked(r *Request) (Answer, bool) {
+	reserved := p.reserveIDLocked(r)
+	switch {
+	case r.answered: // canceled before the pool accepted it
+		return r.answer, false
+	case p.closed:
+		return Answer{Verdict: NotAdmitted}, false
+	case !reserved: // requests with the same ID cannot be distinguished
+		return Answer{Verdict: Rejected}, false
+	}
+	return Answer{}, true
 }
 
 // startLocked adds a request to the pool, sets its expiry timer and passes it to the balancer.
@@ -145,10 +126,8 @@
 		return
 	}
 	delete(p.requests, r.ID)
-	if r.done != nil {
-		close(r.done)
-		r.done = nil
-	}
+	p.rememberIDLocked(r)
+	p.releaseIDLocked(r)
 	p.timers.remove(&r.expiry)
 }
 
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -61,12 +61,18 @@
 	mu            sync.Mutex // guards the fields below and the unexported fields of all requests
 	balancer      *logic.Balancer
 	requests      map[string]*Request // by ID; a request stays until it is answered and has no attempt in flight
+	idHolders     map[string]*Request // by ID: the requests in the pool, and those whose body is being read
 	timers        timerHeap
 	wakeupAt      int64      // time at which wakeup fires, in microseconds of the clock; 0 if it is not set for a timer
 	unsent        []*Attempt // attempts that cannot be sent, reported to the balancer after the current event
 	deadlineLimit int64      // latest deadline of any request, set by LimitDeadlines; 0 means no limit
 	closed        bool       // no more requests are admitted
 	tracer        tracer
+
+	// forwardedIDs and unforwardedIDs are the IDs of requests that have ended, with and without an
+	// attempt. A client that sends many requests that are shed thus displaces none with an attempt.
+	// Both are nil if IDs may come again.
+	forwardedIDs, unforwardedIDs *recentIDs
 }
 
 // Config configures a pool.
@@ -82,6 +88,10 @@
 	// before this pool has noticed that the client has gone. 0 means that the request is rejected
 	// at once.
 	DuplicateIDWait time.Duration
+	// RecentIDWindow is how long the ID of a request that has ended is not accepted again. The
+	// window is for clients that send each ID once: a copy may still be on its way. 0 means that
+	// the ID is accepted at once.
+	RecentIDWindow time.Duration
 }
 
 // New returns a pool without an endpoint list. Timers do not run before Run is called.
@@ -90,7 +100,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	return &Pool{
+	p := &Pool{
 		clock:           cfg.Clock,
 		upstream:        cfg.Upstream,
 		zones:           newZoneNumbers(cfg.Zones),
@@ -104,7 +114,13 @@
 		wakeup:          time.NewTimer(idleWakeup),
 		balancer:        balancer,
 		requests:        map[string]*Request{},
-	}, nil
+		idHolders:       map[string]*Request{},
+	}
+	if cfg.RecentIDWindow > 0 {
+		p.forwardedIDs = newRecentIDs(cfg.RecentIDWindow.Microseconds())
+		p.unforwardedIDs = newRecentIDs(cfg.RecentIDWindow.Microseconds())
+	}
+	return p, nil
 }
 
 // Run runs timers until the context is done. Then Run closes the pool, cancels all remaining
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,6 +11,12 @@
 
 // Pool forwards requests to backends; *core.Pool is one. A Pool is safe for concurrent use.
 type Pool interface {
+	// ReserveID reserves the ID of a request while its body is read. It returns false if the ID
+	// belongs to another request. The reservation ends with Do or ReleaseID.
+	ReserveID(*core.Request) bool
+	// ReleaseID ends the reservation of a request that is not passed to Do. It has no effect on
+	// other requests.
+	ReleaseID(*core.Request)
 	// Do forwards a request and returns its final answer, of which there is exactly one.
 	Do(*core.Request) core.Answer
 	// Cancel ends a request whose client has disconnected. It may be called at any time, also
--- a/internal/front/http1/handler.go
+++ b/internal/front/http1/handler.go
@@ -11,6 +11,9 @@
 	"fernlanding/logic"
 )
 
+// errIDInUse rejects a request with the ID of another request.
+var errIDInUse = badRequest("the Request-Id belongs to another request")
+
 const maxForwards = 4 // pools that are tried for a request while a new configuration takes effect
 
 // serveRequest responds to a health check, or forwards a request. keep reports whether the
@@ -28,17 +31,23 @@
 		return false, &rejection{err: noMemoryError(&dest), noBody: isHead(r.Request)}
 	}
 	defer release()
+	expectsContinue := len(r.Header["Expect"]) > 0
+	req := newCoreRequest(r, &dest)
+	if !dest.Pool.ReserveID(req) {
+		return false, &rejection{err: errIDInUse, noBody: isHead(r.Request)}
+	}
+	defer dest.Pool.ReleaseID(req)
 	memory := f.newRequestMemory(r)
 	defer memory.claim.Release()
 	body := bodyReader{conn: c, length: r.ContentLength, memory: memory}
-	r.body, rejected = body.read(len(r.Header["Expect"]) > 0)
+	req.Body, rejected = body.read(expectsContinue)
 	if rejected != nil {
 		if rejected.err == errNoMemory {
 			rejected.err = noMemoryError(&dest)
 		}
 		return false, rejected
 	}
-	answer, reqErr := f.forward(c, r, dest)
+	answer, reqErr := f.forward(c, r, dest, req)
 	if reqErr != nil {
 		return false, &rejection{err: reqErr, noBody: isHead(r.Request)}
 	}
@@ -75,9 +84,11 @@
 // forward passes a request to the pool of its destination and waits for the answer. A pool may
 // close after the resolver has selected it. That pool has not forwarded the request, so the request
 // is resolved again.
-func (f *Front) forward(c *clientConn, r *clientRequest, dest front.Destination) (core.Answer, *front.RequestError) {
+func (f *Front) forward(
+	c *clientConn, r *clientRequest, dest front.Destination, req *core.Request,
+) (core.Answer, *front.RequestError) {
 	for n := 1; ; n++ {
-		answer := f.forwardOnce(c, r, &dest)
+		answer := f.forwardOnce(c, &dest, req)
 		if answer.Verdict != core.NotAdmitted || n == maxForwards {
 			return answer, nil
 		}
@@ -87,20 +98,27 @@
 		}
 		dest = next
 		dest.Mirror = nil // the copy has already been sent
+		body := req.Body
+		req = newCoreRequest(r, &dest)
+		req.Body = body
 	}
 }
 
-// forwardOnce passes a request to one pool and waits for the answer. If the client disconnects, the
-// request is canceled.
-func (f *Front) forwardOnce(c *clientConn, r *clientRequest, dest *front.Destination) core.Answer {
-	req := &core.Request{
+// newCoreRequest returns the request that is forwarded to a destination, without its body.
+func newCoreRequest(r *clientRequest, dest *front.Destination) *core.Request {
+	return &core.Request{
 		Request: logic.Request{
 			ID: dest.ID, Class: dest.Class, Tenant: dest.Tenant, Key: dest.Key,
 			ClientDeadline: dest.Pool.Clock().At(r.arrived.Add(dest.Timeout)),
 		},
 		Method: r.Method, Target: dest.Target, Host: r.Host,
-		Header: forwardedHeader(r.Header, dest.Header), Body: r.body,
+		Header: forwardedHeader(r.Header, dest.Header),
 	}
+}
+
+// forwardOnce passes a request to one pool and waits for the answer. If the client disconnects, the
+// request is canceled.
+func (f *Front) forwardOnce(c *clientConn, dest *front.Destination, req *core.Request) core.Answer {
 	if f.noNewConns.Load() {
 		req.ClientConnections, req.IdleClientConnections = f.conns.clientConnections()
 	}
--- a/internal/front/http1/head.go
+++ b/internal/front/http1/head.go
@@ -39,7 +39,6 @@
 	*http.Request // the head; its Body is not used
 	headSize      int
 	arrived       time.Time
-	body          []byte
 	unforwarded   bool // it has been answered without an attempt, as far as the front knows
 }
 
--- a/internal/front/http1/helpers_test.go
+++ b/internal/front/http1/helpers_test.go
@@ -63,6 +63,12 @@
 // Clock implements front.Pool.
 func (p *gatedPool) Clock() core.Clock { return core.NewClock() }
 
+// ReserveID implements front.Pool.
+func (p *gatedPool) ReserveID(*core.Request) bool { return true }
+
+// ReleaseID implements front.Pool.
+func (p *gatedPool) ReleaseID(*core.Request) {}
+
 // Do implements front.Pool. It answers with status 200 and the ID of the request.
 func (p *gatedPool) Do(r *core.Request) core.Answer {
 	p.admitted <- r.ID
--- a/internal/sidecar/client_disconnect_test.go
+++ b/internal/sidecar/client_disconnect_test.go
@@ -178,7 +178,7 @@
 // their requests is released.
 func TestManyClientDisconnectsReleaseAllState(t *testing.T) {
 	p, _ := startProxyWithBackend(t, func(w io.Writer, r *http.Request, _ int) bool {
-		if r.Header.Get("Request-Id") == "usual" {
+		if strings.HasPrefix(r.Header.Get("Request-Id"), "usual") {
 			_, err := io.WriteString(w, servedResponse)
 			return err == nil
 		}
@@ -193,7 +193,7 @@
 			_ = c.Close()
 		}
 		usual := connect(t, p)
-		usual.send(t, lookRequest("usual", 8000))
+		usual.send(t, lookRequest(fmt.Sprint("usual", round), 8000))
 		if resp, body := usual.readResponse(t); resp.StatusCode != 200 || body != "ok" {
 			t.Errorf("round %d: got %s %q, want 200 with body ok", round, resp.Status, body)
 		}
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -42,7 +42,7 @@
 	if got := health(); got != 200 {
 		t.Errorf("health check with a list: got %d, want 200", got)
 	}
-	for _, invalid := range []string{
+	for i, invalid := range []string{
 		`{"index":6,"snap`, listJSON(6, false, endpointJSON("a", "nowhere", "SERVING")),
 		listJSON(6, false, endpointJSON("a", a.Addr, "RESTING")), "",
 	} {
@@ -54,7 +54,7 @@
 		}
 		d.replies <- listJSON(5, true, endpointJSON("a", a.Addr, "SERVING"))
 		wantQuery("from=5&hold_ms=2000")
-		if got := send("x"); got != 200 {
+		if got := send(fmt.Sprint("x", i)); got != 200 {
 			t.Errorf("after %q: got %d, want 200", invalid, got)
 		}
 	}
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -24,6 +24,8 @@
 	platformUncountedBodyBytes = 64 << 10 // largest response body that no quota counts, on the platform, in bytes
 	uncountedBodyBytes         = 4 << 10  // largest response body that no quota counts, elsewhere, in bytes
 
+	recentIDDeadlines = 2 // longest deadlines for which the ID of a request that has ended is not accepted again
+
 	drainPollInterval = 20 * time.Millisecond
 
 	pollRandStream  = 31 // random stream that spreads the polls of a list service
@@ -77,6 +79,10 @@
 	if shared.sharedListService {
 		s.pollRand = rand.New(rand.NewPCG(seed, pollRandStream))
 	}
+	recentIDWindow := time.Duration(0)
+	if shared.uniqueIDs {
+		recentIDWindow = recentIDDeadlines * cfg.LongestDeadline()
+	}
 	settings := cfg.Balancer
 	settings.CapSlowStartPreference = shared.sharedListService
 	var err error
@@ -88,6 +94,7 @@
 		Clock:           shared.clock,
 		Log:             shared.log.With("service", cfg.Name),
 		DuplicateIDWait: shared.duplicateIDWait,
+		RecentIDWindow:  recentIDWindow,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/sidecar/shared_resources.go
+++ b/internal/sidecar/shared_resources.go
@@ -23,6 +23,7 @@
 	memoryMB          float64              // memory limit of the process
 	recentStarts      int                  // recorded recent starts of this sidecar, without the current one
 	duplicateIDWait   time.Duration
+	uniqueIDs         bool           // clients send each Request-Id once
 	sharedListService bool           // lists come from a service that all replicas share, not from a local agent
 	stateDir          string         // directory of cached lists; empty if lists are not cached
 	maxListAge        time.Duration  // maximum age of a cached list; 0 means that lists are not cached
@@ -38,6 +39,7 @@
 		clock:             core.NewClock(),
 		log:               log,
 		memoryMB:          app.Process.MemoryMB,
+		uniqueIDs:         app.Kind == config.Platform,
 		sharedListService: app.Kind == config.Application,
 		stateDir:          app.StateDir,
 		maxListAge:        app.MaxListAge,
