Send nothing for an endpoint whose address another one has taken over

Cause: nothing compared the addresses of entries. A request drawn for the older entry ran at the newer backend; after a reset it counted as run in the older one's cell and was retried there.

membership.AddressOwners takes an entry out of every list before the upstream and the balancer get it, once another entry with its address has started later, until it has another start or address. Its kept connections are closed by that, and attempts about to be written are not. An attempt under way then may have run at either: Balancer.recordTakeovers adds the newer place, and a retry has to be covered by all.

--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -29,12 +29,14 @@
 }
 
 // applyEndpoints applies an endpoint list first to the upstream and then to the balancer, so that
-// the balancer selects only endpoints that the upstream knows. An empty list makes the pool ready
+// the balancer selects only endpoints that the upstream knows. Neither gets an endpoint whose address
+// has been taken over. An empty list makes the pool ready
 // only if the list is a snapshot from the source.
 func (p *Pool) applyEndpoints(kind logic.UpdateKind, list *membership.List) {
 	p.runEvent(func() {
-		p.upstream.UpdateEndpoints(kind != logic.Delta, list.Endpoints)
-		p.balancer.UpdateEndpoints(p.clock.Now(), (*host)(p), kind, p.zones.endpoints(list.Endpoints))
+		owners := p.addressOwners.Apply(list)
+		p.upstream.UpdateEndpoints(kind != logic.Delta, owners.Endpoints)
+		p.balancer.UpdateEndpoints(p.clock.Now(), (*host)(p), kind, p.zones.endpoints(owners.Endpoints))
 		select {
 		case <-p.ready:
 		default:
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -28,6 +28,7 @@
 	"sync"
 	"time"
 
+	"fernlanding/internal/membership"
 	"fernlanding/logic"
 )
 
@@ -62,6 +63,7 @@
 	balancer      *logic.Balancer
 	requests      map[string]*Request // by ID; a request stays until it is answered and has no attempt in flight
 	idHolders     map[string]*Request // by ID: the requests in the pool, and those whose body is being read
+	addressOwners *membership.AddressOwners
 	timers        timerHeap
 	wakeupAt      int64      // time at which wakeup fires, in microseconds of the clock; 0 if it is not set for a timer
 	unsent        []*Attempt // attempts that cannot be sent, reported to the balancer after the current event
@@ -115,6 +117,7 @@
 		balancer:        balancer,
 		requests:        map[string]*Request{},
 		idHolders:       map[string]*Request{},
+		addressOwners:   membership.NewAddressOwners(),
 	}
 	if cfg.RecentIDWindow > 0 {
 		p.forwardedIDs = newRecentIDs(cfg.RecentIDWindow.Microseconds())
--- a/internal/core/zones.go
+++ b/internal/core/zones.go
@@ -37,8 +37,8 @@
 	converted := make([]logic.Endpoint, 0, len(entries))
 	for _, entry := range entries {
 		converted = append(converted, logic.Endpoint{
-			ID: entry.Name, State: endpointState(entry.Status), Zone: z.number(entry.Zone), Cell: entry.Cell,
-			Weight: entry.Weight, StartedAt: entry.StartedMs * 1000,
+			ID: entry.Name, Address: entry.Address, State: endpointState(entry.Status), Zone: z.number(entry.Zone),
+			Cell: entry.Cell, Weight: entry.Weight, StartedAt: entry.StartedMs * 1000,
 		})
 	}
 	return converted
--- a/logic/attempt.go
+++ b/logic/attempt.go
@@ -11,8 +11,11 @@
 type attempt struct {
 	endpoint    *endpoint
 	sentAt      int64
-	zone, cell  int  // of the endpoint, as listed when the attempt was sent
-	countedSlow bool // whether the attempt was counted as slow before its end
+	zone, cell  int     // of the endpoint, as listed when the attempt was sent
+	address     string  // of the endpoint, as listed when the attempt was sent
+	startedAt   int64   // latest known start of an endpoint at the address
+	takeovers   []place // of endpoints that have started at the address since
+	countedSlow bool    // whether the attempt was counted as slow before its end
 	// lightLoad is whether the attempt was sent with fewer attempts in flight than ready endpoints,
 	// assuming that all replicas have equally many in flight.
 	lightLoad  bool
@@ -20,6 +23,9 @@
 	inFlight   bool
 }
 
+// place is where an endpoint is: the members of a cell or of a zone may drop each other's duplicates.
+type place struct{ zone, cell int }
+
 // send selects an endpoint and forwards an attempt to it. It returns the cause if no endpoint can
 // be selected, and NoShedCause otherwise.
 func (b *Balancer) send(now int64, h Host, q *request) ShedCause {
@@ -29,6 +35,7 @@
 	}
 	a := &attempt{
 		endpoint: e, sentAt: now, zone: e.Zone, cell: e.Cell, mayHaveRun: true, inFlight: true,
+		address: e.Address, startedAt: e.StartedAt,
 		lightLoad: (b.tier.inFlight+1)*b.settings.Replicas <= len(b.endpoints.ready),
 	}
 	class := &b.classes[q.Class]
--- a/logic/endpoint_list.go
+++ b/logic/endpoint_list.go
@@ -40,6 +40,7 @@
 		return
 	}
 	b.watch.updatedAt, b.watch.overdueSince = now, 0
+	b.recordTakeovers(entries)
 	b.endpoints.update(kind, entries)
 	b.endpoints.orderBySubset(b.settings.ReplicaIndex)
 	if b.settings.WatchEndpoints {
--- a/logic/events.go
+++ b/logic/events.go
@@ -13,6 +13,7 @@
 // Endpoint is an entry of the endpoint list: a backend as the balancer sees it.
 type Endpoint struct {
 	ID        string
+	Address   string // where attempts are sent; empty if unknown
 	Zone      int
 	Cell      int
 	State     State
--- a/logic/idempotency.go
+++ b/logic/idempotency.go
@@ -40,18 +40,58 @@
 	return true
 }
 
-// covers reports whether the endpoint drops duplicates of the attempt.
+// covers reports whether the endpoint drops duplicates of the attempt, wherever it may have run.
 func (s DedupScope) covers(a *attempt, e *endpoint) bool {
+	if !s.joins(place{zone: a.zone, cell: a.cell}, e) {
+		return false
+	}
+	for _, p := range a.takeovers {
+		if !s.joins(p, e) {
+			return false
+		}
+	}
+	return true
+}
+
+// joins reports whether the endpoint drops duplicates of what has run at a place.
+func (s DedupScope) joins(p place, e *endpoint) bool {
 	switch s {
 	case DedupZone:
-		return a.zone == e.Zone
+		return p.zone == e.Zone
 	case DedupCell:
-		return a.cell == e.Cell
+		return p.cell == e.Cell
 	default:
 		return true
 	}
 }
 
+// recordTakeovers records for the attempts of requests that still need an answer that another
+// endpoint has started at the address that they were sent to. The list tells that late: such an
+// attempt may have run at either endpoint.
+func (b *Balancer) recordTakeovers(entries []Endpoint) {
+	sent := map[string][]*attempt{}
+	for _, q := range b.requests {
+		if b.settings.Classes[q.Class].Idempotency != IdempotentByKey {
+			continue
+		}
+		for _, a := range q.attempts {
+			sent[a.address] = append(sent[a.address], a)
+		}
+	}
+	delete(sent, "") // unknown addresses
+	if len(sent) == 0 {
+		return
+	}
+	for i := range entries {
+		for _, a := range sent[entries[i].Address] {
+			if entries[i].StartedAt > a.startedAt {
+				a.startedAt = entries[i].StartedAt
+				a.takeovers = append(a.takeovers, place{zone: entries[i].Zone, cell: entries[i].Cell})
+			}
+		}
+	}
+}
+
 // mayShed reports whether rule 2 allows shedding the request. Shedding tells the client that a
 // retry is safe.
 func (b *Balancer) mayShed(q *request) bool {
--- a/logic/idempotency_test.go
+++ b/logic/idempotency_test.go
@@ -89,3 +89,45 @@
 		}
 	}
 }
+
+// An attempt that was sent to an address at which another endpoint has started since may have run
+// there too: it is retried only where duplicates of both are dropped.
+func TestTakenOverAddressLimitsRetries(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		class     int
+		startedAt int64
+		cell      int
+		wantRetry bool
+	}{
+		{"idempotent", 0, start + 1, 99, true},
+		{"by key, newer in another cell", 1, start + 1, 99, false},
+		{"by key, newer in the same cell", 1, start + 1, -1, true},
+		{"by key, same start", 1, 0, 99, true},
+		{"by key in the tier", 3, start + 1, 99, true},
+	} {
+		b, h := newTestBalancer(t, testSettings(), 8)
+		endpoints := testEndpoints(8)
+		for i := range endpoints {
+			endpoints[i].Address = "address of " + endpoints[i].ID
+		}
+		b.UpdateEndpoints(start, h, Snapshot, endpoints)
+		submit(b, h, start, "r", c.class)
+		var newer Endpoint
+		for _, e := range endpoints {
+			if e.ID == h.sends[0].endpoint {
+				newer = e
+			}
+		}
+		newer.ID, newer.StartedAt = "newer", c.startedAt
+		if c.cell >= 0 {
+			newer.Cell = c.cell
+		}
+		newer.State = Draining // gets nothing itself
+		b.UpdateEndpoints(start+10, h, Delta, []Endpoint{newer, {ID: h.sends[0].endpoint, State: Removed}})
+		b.Outcome(start+1000, h, Outcome{ID: "r", Status: Reset, Latency: 1000})
+		if retried := len(h.sends) == 2; retried != c.wantRetry {
+			t.Errorf("%s: got %q, want a retry: %v", c.name, h.last(), c.wantRetry)
+		}
+	}
+}
