Count the platform's responses until they are written

Cause: bodies up to 64 KiB were not counted; a larger one took one of memory_mb/16 slots only until it had been read from its backend, then it waited uncounted for its client.

Responses over 4 KiB are now counted until they are written, as an application's are: memory_mb/16 for those over 64 KiB, as much for the others, 2 MiB at least each. bodySlots and HoldUntilRelease are gone.

TestLargeResponsesAreServed closes its responses, as every receiver does, and now asserts that they count until then.

--- a/internal/config/capacity.go
+++ b/internal/config/capacity.go
@@ -11,6 +11,17 @@
 	requestFraction      = 5        // divisor of the process's memory that gives the memory of requests
 	unknownRequestMemory = 64 << 20 // bytes for requests if the process's memory is unknown
 
+	// platformResponseFraction is the divisor of the process's memory that gives the memory for large
+	// responses, and as much for others, on the platform.
+	platformResponseFraction = 16
+	minLargeResponses        = 2 // responses of the largest size that can be held at once, on the platform
+
+	// LargeResponsesConsumer is the name of the consumer that holds the bodies of responses of more
+	// than LargeResponse bytes, on the platform.
+	LargeResponsesConsumer = "(large responses)"
+	// LargeResponse is the size in bytes up to which the body of a response is not large.
+	LargeResponse = 64 << 10
+
 	// ClientsConsumer is the name of the consumer that holds the connections of clients.
 	ClientsConsumer = "(clients)"
 )
@@ -91,9 +102,27 @@
 	return RequestMemory{Total: total, Unfinished: total / 2}
 }
 
+// platformMemory divides the memory for response bodies of a sidecar of the platform: as much for
+// large bodies as for all others, so that clients that do not read their large responses leave room
+// for the responses of others. Request bodies are counted in RequestMemory alone.
+func (a *App) platformMemory() Allocation {
+	part := int64(a.Process.MemoryMB * (1 << 20) / platformResponseFraction)
+	if a.Process.MemoryMB == 0 {
+		part = bodyMemory / platformResponseFraction
+	}
+	part = max(part, minLargeResponses*a.Services[0].MaxResponse)
+	allocation := Allocation{Total: 2 * part}
+	allocation.add(PlatformService, part)
+	allocation.add(LargeResponsesConsumer, part)
+	return allocation
+}
+
 // Memory divides the process's memory for bodies, in bytes, among services. Half of the memory is
 // guaranteed to services in equal parts, and any service can borrow from the other half.
 func (a *App) Memory() (Allocation, error) {
+	if a.Kind == Platform {
+		return a.platformMemory(), nil
+	}
 	allocation := Allocation{Total: bodyMemory}
 	if a.Process.MemoryMB > 0 {
 		allocation.Total = int64(a.Process.MemoryMB * (1 << 20) / bodyFraction)
--- a/internal/sidecar/allocator.go
+++ b/internal/sidecar/allocator.go
@@ -167,19 +167,24 @@
 	}
 }
 
-// bodySlots is memory for a fixed number of bodies of any size. It implements the Memory interface
-// of upstreams.
-type bodySlots chan struct{}
-
-// Reserve waits until it has a slot, or returns the error of a context that has ended.
-func (s bodySlots) Reserve(ctx context.Context, _ int64) error {
-	select {
-	case s <- struct{}{}:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+// responseMemory is the platform's memory for response bodies. It implements the Memory interface of
+// upstreams.
+type responseMemory struct {
+	usual, large memoryQuota
+}
+
+// quotaFor returns the quota that counts a body of n bytes.
+func (m responseMemory) quotaFor(n int64) memoryQuota {
+	if n > config.LargeResponse {
+		return m.large
 	}
+	return m.usual
+}
+
+// Reserve implements the Memory interface of upstreams.
+func (m responseMemory) Reserve(ctx context.Context, n int64) error {
+	return m.quotaFor(n).Reserve(ctx, n)
 }
 
-// Release frees a slot.
-func (s bodySlots) Release(int64) { <-s }
+// Release implements the Memory interface of upstreams.
+func (m responseMemory) Release(n int64) { m.quotaFor(n).Release(n) }
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -19,10 +19,7 @@
 )
 
 const (
-	minLargeResponses          = 2        // minimum of large responses that the platform's proxy reads concurrently
-	memoryMBPerLargeResponse   = 16       // memory limit per large response, in MB
-	platformUncountedBodyBytes = 64 << 10 // largest response body that no quota counts, on the platform, in bytes
-	uncountedBodyBytes         = 4 << 10  // largest response body that no quota counts, elsewhere, in bytes
+	uncountedBodyBytes = 4 << 10 // largest response body that no quota counts, in bytes
 
 	recentIDDeadlines = 2 // longest deadlines for which the ID of a request that has ended is not accepted again
 
@@ -80,7 +77,7 @@
 		s.pollRand = rand.New(rand.NewPCG(seed, pollRandStream))
 	}
 	recentIDWindow := time.Duration(0)
-	if shared.uniqueIDs {
+	if shared.isPlatform {
 		recentIDWindow = recentIDDeadlines * cfg.LongestDeadline()
 	}
 	settings := cfg.Balancer
@@ -115,7 +112,9 @@
 		BackendIdleTimeout: cfg.IdleTimeout,
 		ReuseDelay:         upstream.UntrustedReuseDelay,
 		Quota:              descriptorQuota{allocator: shared.descriptors, consumer: cfg.Name},
+		Memory:             responseMemoryOf(cfg, shared),
 		MaxResponse:        cfg.MaxResponse,
+		MaxUncountedBody:   uncountedBodyBytes,
 		PassAllStatuses:    cfg.PassAllStatuses,
 		LimitDials:         shared.sharedListService,
 		IsNonIdempotent: func(class int) bool {
@@ -125,17 +124,20 @@
 	if cfg.Trusted {
 		upstreamCfg.ReuseDelay = 0
 	}
-	if shared.memory != nil {
-		upstreamCfg.Memory = memoryQuota{allocator: shared.memory, consumer: cfg.Name}
-		upstreamCfg.MaxUncountedBody = uncountedBodyBytes
-		upstreamCfg.HoldUntilRelease = true
-	} else {
-		upstreamCfg.Memory = make(bodySlots, max(minLargeResponses, int(shared.memoryMB)/memoryMBPerLargeResponse))
-		upstreamCfg.MaxUncountedBody = platformUncountedBodyBytes
-	}
 	return upstreamCfg
 }
 
+// responseMemoryOf returns the memory for the response bodies of a service.
+func responseMemoryOf(cfg *config.Service, shared *sharedResources) upstream.Memory {
+	usual := memoryQuota{allocator: shared.memory, consumer: cfg.Name}
+	if !shared.isPlatform {
+		return usual
+	}
+	return responseMemory{
+		usual: usual, large: memoryQuota{allocator: shared.memory, consumer: config.LargeResponsesConsumer},
+	}
+}
+
 // start runs the pool and the endpoint source until stop. The context must not end before stop.
 func (s *service) start(ctx context.Context, log *slog.Logger) {
 	poolCtx, stopPool := context.WithCancel(ctx)
--- a/internal/sidecar/shared_resources.go
+++ b/internal/sidecar/shared_resources.go
@@ -18,12 +18,11 @@
 	clock             core.Clock
 	log               *slog.Logger
 	descriptors       *allocator
-	memory            *allocator           // nil on the platform
+	memory            *allocator
 	requestMemory     *front.RequestMemory // of all fronts
-	memoryMB          float64              // memory limit of the process
 	recentStarts      int                  // recorded recent starts of this sidecar, without the current one
 	duplicateIDWait   time.Duration
-	uniqueIDs         bool           // clients send each Request-Id once
+	isPlatform        bool           // the sidecar is that of the platform, whose clients send each Request-Id once
 	sharedListService bool           // lists come from a service that all replicas share, not from a local agent
 	stateDir          string         // directory of cached lists; empty if lists are not cached
 	maxListAge        time.Duration  // maximum age of a cached list; 0 means that lists are not cached
@@ -38,8 +37,7 @@
 	return sharedResources{
 		clock:             core.NewClock(),
 		log:               log,
-		memoryMB:          app.Process.MemoryMB,
-		uniqueIDs:         app.Kind == config.Platform,
+		isPlatform:        app.Kind == config.Platform,
 		sharedListService: app.Kind == config.Application,
 		stateDir:          app.StateDir,
 		maxListAge:        app.MaxListAge,
@@ -60,10 +58,9 @@
 	}
 	bounds := app.RequestMemory()
 	r.requestMemory = front.NewRequestMemory(bounds.Total, bounds.Unfinished)
-	if app.Kind != config.Application {
-		return nil
+	if app.Kind == config.Application {
+		r.duplicateIDWait = duplicateIDWait
 	}
-	r.duplicateIDWait = duplicateIDWait
 	parts, err = app.Memory()
 	if err != nil {
 		return err
@@ -78,9 +75,6 @@
 	if parts, err := app.Descriptors(); err == nil {
 		_ = r.descriptors.setFloors(parts)
 	}
-	if r.memory == nil {
-		return
-	}
 	if parts, err := app.Memory(); err == nil {
 		_ = r.memory.setFloors(parts)
 	}
--- a/internal/upstream/http1/body.go
+++ b/internal/upstream/http1/body.go
@@ -63,7 +63,9 @@
 	}
 	resp.Body = make([]byte, length)
 	err := readParts(a, c, resp.Body)
-	rt.releaseAfterRead(resp, err)
+	if err != nil {
+		resp.Close()
+	}
 	return err
 }
 
@@ -96,7 +98,9 @@
 	}
 	var err error
 	resp.Body, err = read(a, c, limit)
-	rt.releaseAfterRead(resp, err)
+	if err != nil {
+		resp.Close()
+	}
 	return err
 }
 
@@ -172,12 +176,3 @@
 	resp.Release = func() { memory.Release(n) }
 	return nil
 }
-
-// releaseAfterRead gives the memory of a body back once the body has been read, unless
-// HoldUntilRelease keeps the memory until the response's Release. After an error, the memory is
-// always given back.
-func (rt *roundTripper) releaseAfterRead(resp *core.Response, readErr error) {
-	if readErr != nil || !rt.upstream.cfg.HoldUntilRelease {
-		resp.Close()
-	}
-}
--- a/internal/upstream/http1/roundtrip_test.go
+++ b/internal/upstream/http1/roundtrip_test.go
@@ -134,6 +134,10 @@
 				if res.Status != logic.OK || len(res.Response.Body) != size {
 					t.Errorf("body of %d bytes: got %v with %d bytes", size, res.Status, len(res.Response.Body))
 				}
+				if len(memory) == 0 {
+					t.Errorf("body of %d bytes is not counted before the response is closed", size)
+				}
+				res.Response.Close()
 			})
 		}
 		all.Wait()
--- a/internal/upstream/http1/upstream.go
+++ b/internal/upstream/http1/upstream.go
@@ -70,7 +70,6 @@
 	Memory             Memory
 	MaxResponse        int64 // limit of a response body in bytes; a longer body is an error
 	MaxUncountedBody   int64 // limit in bytes up to which a body is not counted in Memory
-	HoldUntilRelease   bool  // keeps memory until the response's Release, not only until the body has been read
 
 	// IsNonIdempotent reports whether a request of a class must not be sent again once it may have
 	// run. A nil function means that no class is non-idempotent.
