Hold no buffers for idle connections, and write down the sum of all bounds

Cause: an idle connection to a backend kept up to 24 KiB of buffers (454 of them 11 MB), a body was copied into the encoded request, and the runtime's limit, 0.6 of memory_mb, left no room for the program's file and the garbage of a collection at 32 MB.

Buffers belong to a connection while it carries a request; a body is written from where it lies, but for its first 4 KiB; config.App.MemoryBounds divides the memory, and GarbageLimit follows from it.

--- a/internal/config/capacity.go
+++ b/internal/config/capacity.go
@@ -11,6 +11,13 @@
 	requestFraction      = 5        // divisor of the process's memory that gives the memory of requests
 	unknownRequestMemory = 64 << 20 // bytes for requests if the process's memory is unknown
 
+	programMemory       = 9 << 20 // bytes of the program's file in memory
+	baseMemory          = 2 << 20 // bytes of an idle process beside programMemory
+	clientConnMemory    = 8 << 10 // bytes of a connection of a client, with the front's freeBuffer
+	backendConnMemory   = 2 << 10 // bytes of an idle connection to a backend
+	garbageLimitPercent = 60      // part of the process's memory near which garbage is collected more often
+	garbageOvershoot    = 4 << 20 // bytes that are allocated while garbage is collected
+
 	// platformResponseFraction is the divisor of the process's memory that gives the memory for large
 	// responses, and as much for others, on the platform.
 	platformResponseFraction = 16
@@ -117,6 +124,62 @@
 	return allocation
 }
 
+// MemoryBounds are the bounds of what the process holds, in bytes. The runtime collects garbage more
+// often near GarbageLimit, which covers everything but Program.
+type MemoryBounds struct {
+	Program            int64 // pages of the program's file
+	Base               int64 // an idle process, without Program
+	ClientConnections  int64 // connections of clients, beside their requests
+	Requests           int64 // RequestMemory
+	Responses          int64 // Memory, except what Requests counts too
+	BackendConnections int64 // connections to backends, beside their requests
+
+	GarbageLimit int64 // limit of the runtime's memory
+	Overshoot    int64 // what is allocated beyond GarbageLimit while a collection runs
+}
+
+// Live returns the sum of what the process holds in the memory of the runtime.
+func (b *MemoryBounds) Live() int64 {
+	return b.Base + b.ClientConnections + b.Requests + b.Responses + b.BackendConnections
+}
+
+// Peak returns the bound of the memory of the process.
+func (b *MemoryBounds) Peak() int64 { return b.Program + b.GarbageLimit + b.Overshoot }
+
+// MemoryBounds returns the bounds of a process whose memory is limited. Endpoint lists and learned
+// state come on top: see docs/CAPACITY.md.
+func (a *App) MemoryBounds() (MemoryBounds, error) {
+	descriptors, err := a.Descriptors()
+	if err != nil {
+		return MemoryBounds{}, err
+	}
+	responses, err := a.Memory()
+	if err != nil {
+		return MemoryBounds{}, err
+	}
+	clients := descriptors.Total
+	if a.Kind == Platform {
+		clients = descriptors.Floors[0] // clients can't borrow
+	}
+	return MemoryBounds{
+		Program:            programMemory,
+		Base:               baseMemory,
+		ClientConnections:  clients * clientConnMemory,
+		Requests:           a.RequestMemory().Total,
+		Responses:          responses.Total,
+		BackendConnections: (descriptors.Total - descriptors.Floors[0]) * backendConnMemory,
+		GarbageLimit:       a.GarbageLimit(),
+		Overshoot:          garbageOvershoot,
+	}, nil
+}
+
+// GarbageLimit returns the limit of the runtime's memory in bytes, or 0 if the memory of the process
+// is unknown.
+func (a *App) GarbageLimit() int64 {
+	limit := int64(a.Process.MemoryMB * (1 << 20))
+	return max(0, min(limit*garbageLimitPercent/100, max(limit-programMemory-garbageOvershoot, limit/2)))
+}
+
 // Memory divides the process's memory for bodies, in bytes, among services. Half of the memory is
 // guaranteed to services in equal parts, and any service can borrow from the other half.
 func (a *App) Memory() (Allocation, error) {
--- a/internal/front/http1/body.go
+++ b/internal/front/http1/body.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	requestOverhead = 12 << 10 // bytes that a request in flight costs beside its head and body
+	requestOverhead = 16 << 10 // bytes that a request in flight costs beside its head and body
+	headCopies      = 2        // copies of a head that a request in flight holds: parsed and encoded
 	fieldOverhead   = 160      // bytes that a parsed field costs beside its name and value
 )
 
@@ -77,7 +78,7 @@
 func (f *Front) newRequestMemory(r *clientRequest) *requestMemory {
 	return &requestMemory{
 		claim: f.cfg.Memory.NewClaim(),
-		fixed: requestOverhead + 2*int64(r.headSize) + fieldOverhead*int64(len(r.Header)),
+		fixed: requestOverhead + headCopies*int64(r.headSize) + fieldOverhead*int64(len(r.Header)),
 	}
 }
 
--- a/internal/sidecar/process.go
+++ b/internal/sidecar/process.go
@@ -9,9 +9,8 @@
 )
 
 const (
-	memoryLimitFraction = 0.6 // part of the process limit near which the runtime collects garbage more often
-	relaxedGCMinMB      = 64  // memory limit from which an application's sidecar collects garbage less often
-	relaxedGCPercent    = 400 // heap growth before the next collection, in percent of the live heap
+	relaxedGCMinMB   = 64  // memory limit from which an application's sidecar collects garbage less often
+	relaxedGCPercent = 400 // heap growth before the next collection, in percent of the live heap
 )
 
 // ApplyRuntimeLimits sets the limits of the Go runtime by the process limits of a configuration. It
@@ -19,7 +18,7 @@
 func ApplyRuntimeLimits(app *config.App) {
 	process := app.Process
 	if process.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(process.MemoryMB * memoryLimitFraction * (1 << 20)))
+		debug.SetMemoryLimit(app.GarbageLimit())
 	}
 	if process.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(process.Cores)))
--- a/internal/upstream/http1/abandon_test.go
+++ b/internal/upstream/http1/abandon_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net"
 	"os"
 	"os/exec"
@@ -11,6 +12,9 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
+	"fernlanding/internal/socket"
 	"fernlanding/logic"
 )
 
@@ -76,6 +80,37 @@
 	return a
 }
 
+// writtenBytes returns how many bytes have been written to a connection. For a connection that is
+// closed, to which no more are written, it returns the largest int.
+func writtenBytes(t *testing.T, c net.Conn) int {
+	t.Helper()
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		t.Fatalf("connection is a %T, want *net.TCPConn", c)
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	acknowledged := 0
+	err = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			acknowledged = int(info.Bytes_acked) - 1 // the SYN counts as a byte
+		}
+	})
+	if err != nil {
+		return math.MaxInt
+	}
+	return acknowledged + socket.Undelivered(c)
+}
+
+// encodedSize returns the size of an attempt's request in bytes, at least: the time that it tells may
+// have become shorter.
+func encodedSize(a testAttempt) int {
+	first, rest := (&conn{connBuffers: takeBuffers(nil)}).encodeRequest(a.Attempt)
+	return len(first) + len(rest)
+}
+
 // Guards against issue 55, review case 1: the kernel went on delivering a request that had been
 // given up, and it ran a second time once the backends had forgotten its key.
 func TestAbandonedRequestIsNotDeliveredLater(t *testing.T) {
@@ -106,6 +141,11 @@
 		t.Run(c.name, func(t *testing.T) {
 			l := listenUnread(t)
 			u := newUnreadUpstream(l.Addr().String())
+			dialed := make(chan net.Conn, 1)
+			hookDial(u, func(c net.Conn, err error) (net.Conn, error) {
+				dialed <- c
+				return c, err
+			})
 			a := newHeldAttempt(u, c.timeout)
 			results := a.start()
 			backend := acceptOne(t, l)
@@ -113,6 +153,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			written := receive(t, "dialed connection", dialed)
+			waitUntil(t, func() bool { return writtenBytes(t, written) >= encodedSize(a) })
 			_, _ = io.WriteString(backend, c.response)
 			if c.cancel {
 				a.Cancel()
--- a/internal/upstream/http1/connpool.go
+++ b/internal/upstream/http1/connpool.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"bufio"
 	"net"
 	"slices"
 	"syscall"
@@ -14,14 +13,13 @@
 // conn is a connection to a backend. It carries one request at a time.
 type conn struct {
 	net.Conn
-	raw        syscall.RawConn // nil if the connection has none
-	reader     *bufio.Reader
-	requestBuf []byte // buffer for the next request
-	endpoint   *endpoint
-	epoch      int // epoch of the endpoint when the connection was opened
-	idleSince  time.Time
-	responded  bool   // a byte has been read since the current request was sent
-	rawHead    []byte // head of the latest response that is not informational, with its empty line
+	*connBuffers // nil while the connection is idle
+
+	raw       syscall.RawConn // nil if the connection has none
+	endpoint  *endpoint
+	epoch     int // epoch of the endpoint when the connection was opened
+	idleSince time.Time
+	responded bool // a byte has been read since the current request was sent
 
 	// requestOpen is set from before the first byte of a request is written until its response has
 	// been read completely.
@@ -66,6 +64,7 @@
 		}
 		e.idle = slices.Delete(e.idle, i, i+1)
 		if u.isReusable(c, now) {
+			c.connBuffers = takeBuffers(c.Conn)
 			return c
 		}
 		u.closeLocked(c)
@@ -89,6 +88,8 @@
 		u.closeLocked(c)
 		return
 	}
+	c.releaseBuffers()
+	c.connBuffers = nil
 	c.idleSince = time.Now()
 	e.idle = append(e.idle, c)
 	e.notifyWaiters()
@@ -98,6 +99,8 @@
 func (u *Upstream) closeConn(c *conn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	c.releaseBuffers()
+	c.connBuffers = nil
 	u.closeLocked(c)
 }
 
--- a/internal/upstream/http1/dial.go
+++ b/internal/upstream/http1/dial.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -123,8 +122,7 @@
 		u.cfg.Quota.Release()
 		return nil, fmt.Errorf("dial %s: %w", e.name, err)
 	}
-	reader := bufio.NewReaderSize(netConn, maxResponseHead)
-	return &conn{Conn: netConn, raw: raw, reader: reader, endpoint: e, epoch: epoch}, nil
+	return &conn{Conn: netConn, connBuffers: takeBuffers(netConn), raw: raw, endpoint: e, epoch: epoch}, nil
 }
 
 // dialRaw opens a connection and returns its raw connection, which is nil if there is none. Any end
--- a/internal/upstream/http1/request.go
+++ b/internal/upstream/http1/request.go
@@ -15,11 +15,21 @@
 	// caller waits.
 	timeoutHeader = "Request-Timeout-Ms"
 
-	maxReusedBuffer = 16 << 10 // limit in bytes of a request buffer that is reused for the next request
+	maxCopiedBody = 4 << 10 // bytes of a body that are copied, so that one write sends them with the head
 )
 
-// writeRequest writes an encoded request. An error means that the last byte was not written.
-func (rt *roundTripper) writeRequest(a *core.Attempt, c *conn, request []byte) error {
+// writeRequest writes a request. An error means that the last byte was not written.
+func (rt *roundTripper) writeRequest(a *core.Attempt, c *conn) error {
+	first, rest := c.encodeRequest(a)
+	if err := rt.writeFirst(a, c, first); err != nil || len(rest) == 0 {
+		return err
+	}
+	_, err := c.Write(rest)
+	return err
+}
+
+// writeFirst writes the first part of a request. An error means that its last byte was not written.
+func (rt *roundTripper) writeFirst(a *core.Attempt, c *conn, request []byte) error {
 	if c.raw == nil {
 		_, err := rt.beginWrite(a, func() (int, error) { return c.Write(request) })
 		return err
@@ -66,10 +76,11 @@
 	}
 }
 
-// encodeRequest encodes the whole request into one buffer, so that the result of one write shows
-// whether the last byte was sent. The result is valid until the next call.
-func (c *conn) encodeRequest(a *core.Attempt) []byte {
-	r, b := a.Request, c.requestBuf[:0]
+// encodeRequest encodes the head of a request and the first part of its body into one buffer, so that
+// one write sends a small request. rest is the rest of the body. The result is valid until the next
+// call.
+func (c *conn) encodeRequest(a *core.Attempt) (first, rest []byte) {
+	r, b := a.Request, c.request[:0]
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.Target...)
@@ -85,12 +96,10 @@
 		b = appendIntField(b, "Content-Length", int64(len(r.Body)))
 	}
 	b = append(b, "\r\n"...)
-	b = append(b, r.Body...)
-	c.requestBuf = b
-	if cap(b) > maxReusedBuffer {
-		c.requestBuf = nil
-	}
-	return b
+	copied := min(len(r.Body), maxCopiedBody)
+	b = append(b, r.Body[:copied]...)
+	c.request = b
+	return b, r.Body[copied:]
 }
 
 // appendField appends a header field line.
--- a/internal/upstream/http1/roundtrip.go
+++ b/internal/upstream/http1/roundtrip.go
@@ -57,7 +57,7 @@
 		}
 	}()
 	c.requestOpen = true
-	if err := rt.writeRequest(a, c, c.encodeRequest(a)); err != nil {
+	if err := rt.writeRequest(a, c); err != nil {
 		// The last byte was not written, so the backend cannot have started the request.
 		if errors.Is(err, errNotSent) || a.Canceled() {
 			return core.AttemptResult{Status: logic.NotSent}, false // not evidence against the backend
