Ask whether the client has left just before each attempt

Cause: a close behind unread bytes is invisible to a reader, and read late by a stalled process. Nothing is read between the end of one request's watch and the next head, and the pool asked nobody before the first attempt.

Measured: TestRequestReadAfterCloseIsNotForwarded forces the moment; with the hook taken out it fails (no cancel within 10 s).

--- a/internal/core/lifecycle.go
+++ b/internal/core/lifecycle.go
@@ -21,7 +21,7 @@
 			break
 		}
 		p.mu.Unlock()
-		result := attempt.roundTripper.RoundTrip(attempt)
+		result := p.execute(attempt)
 		p.mu.Lock()
 		p.recordOutcomeLocked(attempt, result)
 	}
@@ -29,6 +29,17 @@
 	return r.answer
 }
 
+// execute executes an attempt, unless the client has left meanwhile: this process may have read that
+// late, as after a stall.
+func (p *Pool) execute(attempt *Attempt) AttemptResult {
+	r := attempt.Request
+	if r.HasClientLeft != nil && r.HasClientLeft() {
+		p.Cancel(r)
+		return AttemptResult{Status: logic.NotSent}
+	}
+	return attempt.roundTripper.RoundTrip(attempt)
+}
+
 // admitLocked reserves the ID of a request. It returns false, with the answer, if the pool does not
 // accept the request.
 func (p *Pool) admitLocked(r *Request) (Answer, bool) {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -16,6 +16,9 @@
 	Host          string
 	Header        []HeaderField // end-to-end fields, forwarded to the backend; no connection-specific fields
 	Body          []byte
+	// HasClientLeft reports whether the client no longer waits for the answer. The pool calls it just
+	// before each attempt, without its lock. It may be nil.
+	HasClientLeft func() bool
 
 	// The pool's lock guards the fields below.
 
--- a/internal/front/http1/helpers_test.go
+++ b/internal/front/http1/helpers_test.go
@@ -71,6 +71,10 @@
 
 // Do implements front.Pool. It answers with status 200 and the ID of the request.
 func (p *gatedPool) Do(r *core.Request) core.Answer {
+	if r.HasClientLeft != nil && r.HasClientLeft() {
+		p.canceled <- r.ID
+		return core.Answer{Verdict: core.Canceled}
+	}
 	p.admitted <- r.ID
 	for {
 		select {
--- a/internal/front/http1/pipeline_test.go
+++ b/internal/front/http1/pipeline_test.go
@@ -107,3 +107,31 @@
 	close(ended)
 	readResponse(t, r, "2")
 }
+
+// A client sends further requests while its response is being written, and closes its connection. The
+// requests are read after that, and with them the pool learns that the client has left (issue 61,
+// picture c).
+func TestRequestReadAfterCloseIsNotForwarded(t *testing.T) {
+	pool, l := newGatedPool(), listen(t)
+	ended := make(chan struct{})
+	pool.release = func() { <-ended }
+	f := serve(t, l, pool)
+	conn, r := dial(t, l)
+	send(t, conn, getRequest("1"))
+	receive(t, "request", pool.admitted)
+	close(pool.gate)
+	readResponse(t, r, "1")
+	send(t, conn, strings.Repeat(getRequest("2"), 1000))
+	if err := conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+	waitUntil(t, onlyConn(f, func(c *clientConn) bool { return socket.HasPeerEnded(c.Conn) }))
+	close(ended)
+	if id := receive(t, "cancel", pool.canceled); id != "2" {
+		t.Errorf("request %s was canceled, want 2", id)
+	}
+	waitUntil(t, func() bool { return f.Stats().Open == 0 })
+	if len(pool.admitted) > 0 || len(pool.canceled) > 0 {
+		t.Errorf("%d more requests were forwarded and %d canceled, want none", len(pool.admitted), len(pool.canceled))
+	}
+}
--- a/internal/socket/tcp.go
+++ b/internal/socket/tcp.go
@@ -19,6 +19,24 @@
 	return undelivered
 }
 
+// HasPeerEnded reports whether the peer has closed or reset a TCP connection, also while bytes that
+// it sent before have not been read. It returns false if the kernel does not know, and for a
+// connection that is not a TCP socket.
+func HasPeerEnded(c net.Conn) bool {
+	hasEnded := false
+	withDescriptor(c, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return
+		}
+		switch info.State {
+		case unix.BPF_TCP_CLOSE, unix.BPF_TCP_CLOSE_WAIT, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_CLOSING:
+			hasEnded = true
+		}
+	})
+	return hasEnded
+}
+
 // IsReset reports whether the peer has reset a TCP connection, or this process has closed it. Bytes
 // that arrived before the reset can still be read.
 func IsReset(c net.Conn) bool {
