Answer first invalid requests in time, pace refused heads, trust only real states

A head that came late and was invalid could get its error a second after its 2.2 s, beyond the 3 s that its client is owed: the response to a connection's first request is not delayed beyond 2.8 s from its accept. An unfinished head for which no memory is left got its 503 without a pace, so that clients could come again at full speed; only valid requests are exempt now. And a connection's reported state counts only once the kernel has reported one as established: where sockets are emulated it may mean nothing, and every request would have been taken for abandoned.

TestPacedRejectionsGiveWay sends a valid request first on each connection, since the first response is due earlier now.

--- a/internal/front/http1/handler.go
+++ b/internal/front/http1/handler.go
@@ -32,7 +32,7 @@
 	}
 	defer release()
 	expectsContinue := len(r.Header["Expect"]) > 0
-	req := newCoreRequest(c, r, &dest)
+	req := f.newCoreRequest(c, r, &dest)
 	if !dest.Pool.ReserveID(req) {
 		return false, &rejection{err: errIDInUse, noBody: isHead(r.Request)}
 	}
@@ -99,13 +99,13 @@
 		dest = next
 		dest.Mirror = nil // the copy has already been sent
 		body := req.Body
-		req = newCoreRequest(c, r, &dest)
+		req = f.newCoreRequest(c, r, &dest)
 		req.Body = body
 	}
 }
 
 // newCoreRequest returns the request that is forwarded to a destination, without its body.
-func newCoreRequest(c *clientConn, r *clientRequest, dest *front.Destination) *core.Request {
+func (f *Front) newCoreRequest(c *clientConn, r *clientRequest, dest *front.Destination) *core.Request {
 	return &core.Request{
 		Request: logic.Request{
 			ID: dest.ID, Class: dest.Class, Tenant: dest.Tenant, Key: dest.Key,
@@ -113,7 +113,7 @@
 		},
 		Method: r.Method, Target: dest.Target, Host: r.Host,
 		Header:        forwardedHeader(r.Header, dest.Header),
-		HasClientLeft: func() bool { return socket.HasPeerEnded(c.Conn) },
+		HasClientLeft: func() bool { return f.conns.hasClientLeft(c) },
 	}
 }
 
--- a/internal/front/http1/listener.go
+++ b/internal/front/http1/listener.go
@@ -5,6 +5,8 @@
 	"net"
 	"os"
 	"time"
+
+	"fernlanding/internal/socket"
 )
 
 const (
@@ -76,6 +78,9 @@
 	if err != nil {
 		return nil
 	}
+	if !t.reportsStates.Load() && socket.IsEstablished(netConn) {
+		t.reportsStates.Store(true)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for evictions := 0; !t.quota.Acquire(); evictions++ {
--- a/internal/front/http1/pace_test.go
+++ b/internal/front/http1/pace_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -82,6 +83,9 @@
 	for i := range conns {
 		conn, r := dial(t, l)
 		invalid[i] = r
+		id := fmt.Sprint(i)
+		send(t, conn, getRequest(id)) // the response to a first request is due earlier
+		readResponse(t, r, id)
 		send(t, conn, getRequest(invalidPath))
 		waitUntil(t, func() bool { return f.Stats().Rejected == i+1 })
 	}
@@ -97,3 +101,19 @@
 		t.Errorf("rejected connections: got %d, want %d", rejected, conns-1)
 	}
 }
+
+// The response to the first request of a connection is not delayed beyond the time that a client has
+// from connecting.
+func TestRejectionOfFirstRequestIsInTime(t *testing.T) {
+	_, c, _ := acceptConn(t)
+	f := New(testConfig(listen(t), newGatedPool()))
+	f.rejections.next = time.Now().Add(time.Hour)
+	f.rejections.maxDelay = time.Hour
+	if delay := f.rejectionDelay(c); delay > firstRequestTimeout {
+		t.Errorf("delayed by %v, want at most %v", delay, firstRequestTimeout)
+	}
+	c.acceptedAt = time.Now().Add(-firstRequestTimeout)
+	if delay := f.rejectionDelay(c); delay > 0 {
+		t.Errorf("delayed by %v though the time is over", delay)
+	}
+}
--- a/internal/front/http1/reject.go
+++ b/internal/front/http1/reject.go
@@ -20,6 +20,7 @@
 	err    *front.RequestError
 	noBody bool  // the response has no body, because the method is HEAD
 	unread int64 // bytes of the body that are read first, because the request is valid
+	paced  bool  // the response is paced: the request is not known to be valid
 }
 
 // reject responds to a request that is not forwarded. The connection closes afterwards, because the
@@ -29,9 +30,10 @@
 	if r.unread > 0 && c.discardBody(r.unread) != nil {
 		r.err = errBodyBrokeOff
 	}
+	r.paced = r.paced || r.err.Status != http.StatusServiceUnavailable
 	f.conns.requestRejected(c)
 	c.dropReceived()
-	if r.err.Status != http.StatusServiceUnavailable && !c.pause(f.rejections.delay(time.Now())) {
+	if r.paced && !c.pause(f.rejectionDelay(c)) {
 		return
 	}
 	resp := &core.Response{
@@ -48,6 +50,17 @@
 	}
 }
 
+// rejectionDelay returns how long the response to an invalid request waits. The response to the first
+// request of a connection is due by firstRequestTimeout.
+func (f *Front) rejectionDelay(c *clientConn) time.Duration {
+	now := time.Now()
+	delay := f.rejections.delay(now)
+	if c.isFirstRequest() {
+		delay = min(delay, c.acceptedAt.Add(firstRequestTimeout).Sub(now))
+	}
+	return delay
+}
+
 // linger ends the stream to the client and reads what the client still sends. A close with unread
 // bytes would reset the connection, and the client might not receive its response.
 func (c *clientConn) linger() {
--- a/internal/front/http1/serve.go
+++ b/internal/front/http1/serve.go
@@ -25,7 +25,7 @@
 	r, err := c.readRequest()
 	var reqErr *front.RequestError
 	if errors.As(err, &reqErr) {
-		f.reject(c, &rejection{err: reqErr})
+		f.reject(c, &rejection{err: reqErr, paced: true})
 		return false
 	}
 	if err != nil {
--- a/internal/front/http1/tracker.go
+++ b/internal/front/http1/tracker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fernlanding/internal/front"
+	"fernlanding/internal/socket"
 )
 
 const (
@@ -41,6 +42,10 @@
 	pendingWanted atomic.Bool // acceptPending waits for the next connection
 	pendingFound  chan bool   // reports whether there was one
 
+	// reportsStates is set once the kernel has reported an accepted connection as established. Where
+	// sockets are emulated, the reported states may mean nothing.
+	reportsStates atomic.Bool
+
 	mu       sync.Mutex // guards the fields below
 	closed   bool
 	conns    map[*clientConn]bool
@@ -162,6 +167,12 @@
 	return c
 }
 
+// hasClientLeft reports whether the client has closed its connection, also while bytes that it sent
+// before have not been read.
+func (t *connTracker) hasClientLeft(c *clientConn) bool {
+	return socket.PeekState(c.Conn) == socket.Ended || t.reportsStates.Load() && socket.HasPeerEnded(c.Conn)
+}
+
 // count returns the number of open connections.
 func (t *connTracker) count() int {
 	t.mu.Lock()
--- a/internal/socket/tcp.go
+++ b/internal/socket/tcp.go
@@ -23,18 +23,27 @@
 // it sent before have not been read. It returns false if the kernel does not know, and for a
 // connection that is not a TCP socket.
 func HasPeerEnded(c net.Conn) bool {
-	hasEnded := false
+	switch tcpState(c) {
+	case unix.BPF_TCP_CLOSE, unix.BPF_TCP_CLOSE_WAIT, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_CLOSING:
+		return true
+	default:
+		return false
+	}
+}
+
+// IsEstablished reports whether the kernel reports a TCP connection as open in both directions.
+func IsEstablished(c net.Conn) bool { return tcpState(c) == unix.BPF_TCP_ESTABLISHED }
+
+// tcpState returns the state of a TCP connection, or 0 if the kernel does not know.
+func tcpState(c net.Conn) uint8 {
+	state := uint8(0)
 	withDescriptor(c, func(fd int) {
 		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err != nil {
-			return
-		}
-		switch info.State {
-		case unix.BPF_TCP_CLOSE, unix.BPF_TCP_CLOSE_WAIT, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_CLOSING:
-			hasEnded = true
+		if err == nil {
+			state = info.State
 		}
 	})
-	return hasEnded
+	return state
 }
 
 // IsReset reports whether the peer has reset a TCP connection, or this process has closed it. Bytes
