front/http1: one function drops what a client sends

discardBody and linger each had a loop that reads into a pooled chunk and drops it; both call clientConn.drop now. Behaviour is the same but for the last read of a linger, which stops at its limit exactly. A comment in core is reflowed.

--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -30,8 +30,8 @@
 
 // applyEndpoints applies an endpoint list first to the upstream and then to the balancer, so that
 // the balancer selects only endpoints that the upstream knows. Neither gets an endpoint whose address
-// has been taken over. An empty list makes the pool ready
-// only if the list is a snapshot from the source.
+// has been taken over. An empty list makes the pool ready only if the list is a snapshot from the
+// source.
 func (p *Pool) applyEndpoints(kind logic.UpdateKind, list *membership.List) {
 	p.runEvent(func() {
 		owners := p.addressOwners.Apply(list)
--- a/internal/front/http1/body.go
+++ b/internal/front/http1/body.go
@@ -151,10 +151,14 @@
 	return body, nil
 }
 
-// discardBody reads and drops n bytes of a body. It holds no buffer while it waits.
+// discardBody reads and drops n bytes of a body.
 func (c *clientConn) discardBody(n int64) error {
 	c.setReadDeadline(c.bodyDeadline())
-	n -= int64(c.discardReceived(n))
+	return c.drop(n - int64(c.discardReceived(n)))
+}
+
+// drop reads and drops n bytes from the client. It holds no buffer while it waits.
+func (c *clientConn) drop(n int64) error {
 	for n > 0 {
 		read, err := c.awaitRead(func(fd uintptr) (int, error) {
 			chunk, _ := readChunks.Get().(*[readChunk]byte)
--- a/internal/front/http1/reject.go
+++ b/internal/front/http1/reject.go
@@ -68,23 +68,7 @@
 		return
 	}
 	c.setReadDeadline(time.Now().Add(errorLingerTimeout))
-	for n := int64(maxErrorLinger); n > 0; {
-		read, err := c.awaitRead(c.dropAvailable)
-		if err != nil {
-			return
-		}
-		n -= int64(read)
-	}
-}
-
-// dropAvailable reads and drops bytes that have arrived, without waiting. It holds no buffer
-// afterwards.
-func (c *clientConn) dropAvailable(fd uintptr) (int, error) {
-	chunk, _ := readChunks.Get().(*[readChunk]byte)
-	defer readChunks.Put(chunk)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.readAvailableLocked(fd, chunk[:])
+	_ = c.drop(maxErrorLinger) // ends when the client closes, too
 }
 
 // isHead reports whether a request wants a response without its body.
