front/http1: call route.IsToken; the rate test's clients share one loop

head.go had its own check of a token, which package route has already; it calls that one now. Two clients of TestUsualClientsAreServedBesideFastClients repeated the same loop until stop: repeat holds it, and the test asks for what it did.

--- a/cmd/fernlanding/client_rate_test.go
+++ b/cmd/fernlanding/client_rate_test.go
@@ -52,18 +52,23 @@
 	}
 }
 
+// repeat calls f again and again until stop is closed.
+func repeat(stop <-chan struct{}, f func()) {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+			f()
+		}
+	}
+}
+
 // sendAgain returns a client that sends the same kind of request again, each on a new connection, as
 // soon as it is answered.
 func sendAgain(text func(*platformProcess) string) func(*platformProcess, <-chan struct{}) {
 	return func(p *platformProcess, stop <-chan struct{}) {
-		for {
-			select {
-			case <-stop:
-				return
-			default:
-				_, _ = p.send(text(p)) // a close is allowed as well
-			}
-		}
+		repeat(stop, func() { _, _ = p.send(text(p)) }) // a close is allowed as well
 	}
 }
 
@@ -71,15 +76,10 @@
 // which it reads.
 func flood(text func(*platformProcess) string) func(*platformProcess, <-chan struct{}) {
 	return func(p *platformProcess, stop <-chan struct{}) {
-		for {
-			select {
-			case <-stop:
-				return
-			default:
-			}
+		repeat(stop, func() {
 			c, err := net.Dial("tcp", p.addr)
 			if err != nil {
-				continue
+				return
 			}
 			readingEnded := make(chan struct{})
 			go func() {
@@ -97,7 +97,7 @@
 				_, err = io.WriteString(c, text(p))
 			}
 			<-readingEnded
-		}
+		})
 	}
 }
 
--- a/internal/front/http1/head.go
+++ b/internal/front/http1/head.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"fernlanding/internal/front"
+	"fernlanding/internal/route"
 )
 
 const (
@@ -95,7 +96,7 @@
 func parseRequestLine(line string) (*http.Request, *front.RequestError) {
 	method, rest, _ := strings.Cut(line, " ")
 	target, version, _ := strings.Cut(rest, " ")
-	if !isToken(method) || target == "" {
+	if !route.IsToken(method) || target == "" {
 		return nil, errMalformedHead
 	}
 	major, minor, ok := http.ParseHTTPVersion(version)
@@ -127,17 +128,6 @@
 	return authority, nil
 }
 
-// isToken reports whether text is a token (RFC 9110, section 5.6.2).
-func isToken(text string) bool {
-	for _, c := range []byte(text) {
-		isLetter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
-		if !isLetter && (c < '0' || c > '9') && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
-			return false
-		}
-	}
-	return text != ""
-}
-
 // setHost sets the host of a request, which has exactly one Host field (RFC 9112, section 3.2). A
 // request of HTTP/1.0, such as a health check, may have none.
 func setHost(r *http.Request) *front.RequestError {
