cmd/fernlanding: the process tests send usual requests by one function

Two tests sent the same request and checked its status in the same way; sendUsualRequest does both. The assertions are the same.

--- a/cmd/fernlanding/client_cost_test.go
+++ b/cmd/fernlanding/client_cost_test.go
@@ -73,6 +73,16 @@
 	}
 }
 
+// sendUsualRequest sends a request that has to be served or refused, and returns the status.
+func (p *platformProcess) sendUsualRequest(t *testing.T) int {
+	t.Helper()
+	status, err := p.send(p.head("POST", "post", "Content-Length: 2\r\n") + "\r\n{}")
+	if err != nil || status != 200 && status != 503 {
+		t.Errorf("usual client: got status %d, %v, want 200 or 503", status, err)
+	}
+	return status
+}
+
 // usualTraffic is the requests of usual clients, each of which has to get an answer.
 type usualTraffic struct {
 	stop    chan struct{}
@@ -89,11 +99,7 @@
 			ticker := time.NewTicker(usualInterval)
 			defer ticker.Stop()
 			for {
-				status, err := p.send(p.head("POST", "post", "Content-Length: 2\r\n") + "\r\n{}")
-				if err != nil || status != 200 && status != 503 {
-					t.Errorf("usual client: got status %d, %v, want 200 or 503", status, err)
-				}
-				if status == 200 {
+				if p.sendUsualRequest(t) == 200 {
 					u.served.Add(1)
 				}
 				select {
--- a/cmd/fernlanding/memory_rows_test.go
+++ b/cmd/fernlanding/memory_rows_test.go
@@ -137,10 +137,7 @@
 				for range usualClients {
 					usual.Go(func() {
 						for range 10 {
-							text := p.head("POST", "post", "Content-Length: 2\r\n") + "\r\n{}"
-							if status, err := p.send(text); err != nil || status != 200 && status != 503 {
-								t.Errorf("usual client: got status %d, %v, want 200 or 503", status, err)
-							}
+							p.sendUsualRequest(t)
 						}
 					})
 				}
